--- /dev/null
+++ b/src/hash.rs
@@ -0,0 +1,20 @@
+//! Stable hashing for rendezvous placement; the same at every router and in every build.
+
+/// FNV-1a of an address.
+pub fn address(s: &str) -> u64 {
+    s.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// Mixes two words into one (the finaliser of splitmix64).
+pub fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// The rendezvous score of a server of that weight for a key: the highest wins, each in proportion to its weight.
+pub fn rendezvous(key: u64, server: u64, weight: f64) -> f64 {
+    let unit = ((mix(key, server) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight / unit.ln()
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! basaltgw: decides where objects are served, kept and filled from.
+//!
+//! [`rules::Router`] takes events and returns actions; [`api`] is all it speaks.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod hash;
+pub mod rules;
+pub mod shadow;
+pub mod window;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,817 @@
+//! Every decision of basaltgw. The interface (settings, events, actions, ids) is `src/api.rs`.
+//!
+//! The ordinary path is the mechanism of docs/design.md, from D3N: an edge cache by rendezvous hash of the
+//! object, a parent by rendezvous hash over all listed parents, all copies kept, at a rank that the bounded
+//! search over two shadow lists gives. All else here is an exception and says when it acts. The sections
+//! follow a request's life: news, arrival, placement, sending, outcomes, health, sweep, final answers.
+
+use crate::api::*;
+use crate::hash::{address, mix, rendezvous};
+use crate::shadow::ShadowList;
+use crate::window::{Average, DecayingRate, SlidingSum};
+use indexmap::IndexMap;
+
+// The mechanism.
+/// St, entries of each shadow list.
+pub const SHADOW_ENTRIES: usize = 4096;
+/// q, the furthest the split moves in a period, as a share of St.
+pub const SPLIT_STEP: f64 = 0.05;
+/// Milliseconds between two adaptations of the split.
+pub const PERIOD_MS: Ms = 5000.0;
+/// Weight of a new sample in the averages of latencies and sending times.
+pub const AVERAGE_SHARE: f64 = 0.05;
+
+// Time.
+/// Milliseconds between two sweeps over what is open: the grain of all guards that act by time.
+pub const SWEEP_MS: Ms = 10.0;
+/// Milliseconds before the client's time is up by which the final answer is out (and at least two ticks).
+pub const ANSWER_MARGIN_MS: Ms = 15.0;
+/// Token of the sweep's timer.
+const SWEEP_TOKEN: u64 = 1;
+
+// Health.
+/// Weight of one outcome in a server's error share.
+const ERROR_SHARE: f64 = 0.2;
+/// Weight of a lost or refused connection in it: it tells of the whole process, not of one request.
+const BREAK_SHARE: f64 = 0.5;
+/// A server whose error share is above this is taken out.
+const ERROR_LIMIT: f64 = 0.45;
+/// Answers that a server should have given by now, at its class's mean pace, before it counts as silent.
+const SILENT_ANSWERS: f64 = 6.0;
+/// The same while only one or two attempts are out (sizes vary too much to tell sooner), and in a trial.
+const SILENT_ANSWERS_FEW: f64 = 8.0;
+const SILENT_ANSWERS_TRIAL: f64 = 2.0;
+/// No server is silent before this, so that short pauses pass.
+const SILENT_LEAST_MS: Ms = 350.0;
+/// A server taken out gets its first trial after this, doubled with each failed trial up to the limit.
+const OUT_MS: Ms = 1000.0;
+const OUT_LIMIT_MS: Ms = 8000.0;
+/// Served in a row that end a trial.
+const TRIAL_WINS: u32 = 3;
+
+// Load.
+/// A cache with more than this multiple of its zone's mean work out passes a request to the next in hash order.
+const SPILL: f64 = 1.75;
+/// Attempts for one request; the site's limit holds too.
+const MAX_ATTEMPTS: usize = 5;
+/// Time constant of the rates carried, from which capacity is inferred.
+const CARRIED_TAU_MS: Ms = 10_000.0;
+/// Share of what the peers carry that a cold server is taken to be able to carry when warm.
+const COLD_SAFETY: f64 = 0.5;
+/// A purge is heeded for this much longer than it takes to settle.
+const PURGE_EXTRA_MS: Ms = 1000.0;
+/// Taken off an age limit for rounding; and the least limit, since 0 stands for the class's fresh time.
+const AGE_MARGIN_MS: Ms = 2.0;
+const AGE_LEAST_MS: Ms = 1.0;
+/// Lines a router reports in one life.
+const REPORT_LINES: usize = 120;
+
+/// Whether a server is sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    /// As usual.
+    Good,
+    /// Not until then.
+    Out(Ms),
+    /// One attempt at a time; so many served in a row.
+    Trial(u32),
+}
+
+/// What a router knows of a server.
+struct Server {
+    entry: ServerEntry,
+    hash: u64,
+    health: Health,
+    /// Failed trials in a row.
+    strikes: u32,
+    /// It was unreachable or silent when taken out, so it may come back cold.
+    vanished: bool,
+    /// When it started, or came back as if it had.
+    started: Option<Ms>,
+    errors: f64,
+    /// Its last answer of any kind.
+    answered: Ms,
+    /// Attempts out and their work.
+    out: usize,
+    work: f64,
+    /// What was sent to it lately (a parent: fills too), and what it carried.
+    sent: SlidingSum,
+    carried: DecayingRate,
+}
+
+/// An attempt.
+struct Try {
+    server: usize,
+    source: Option<usize>,
+    sent: Ms,
+    weight: f64,
+    key: u64,
+    over: bool,
+}
+
+/// A request that has come in and what is out for it.
+struct Open {
+    req: Request,
+    class: usize,
+    /// By then it must have its final answer.
+    end: Ms,
+    rank: Rank,
+    tries: Vec<Try>,
+    /// Attempts that may have run are over, the first at that time on that server.
+    may_have_run: Option<(Ms, usize)>,
+    done: bool,
+}
+
+impl Open {
+    fn out(&self) -> usize {
+        self.tries.iter().filter(|t| !t.over).count()
+    }
+}
+
+/// One router: decides for its own requests from its own events alone.
+pub struct Router {
+    set: Settings,
+    now: Ms,
+    armed: bool,
+    servers: IndexMap<ServerId, Server>,
+    open: IndexMap<RequestId, Open>,
+    edge: ShadowList,
+    missed: ShadowList,
+    /// Rank of an object's first part, for the later ones.
+    ranks: IndexMap<ObjectId, Rank>,
+    split: usize,
+    next_period: Ms,
+    /// L1 and L2.
+    latency: [Average; 2],
+    /// By class: delay of what was served, and sending time.
+    delay: Vec<Average>,
+    sending: Vec<Average>,
+    purged_objects: IndexMap<ObjectId, Ms>,
+    purged_groups: IndexMap<GroupId, Ms>,
+    keys: u64,
+    lines: usize,
+}
+
+impl Router {
+    /// A router that knows nothing yet. No decision is random, so the seed goes unused.
+    pub fn new(set: Settings, _seed: u64) -> Self {
+        let classes = set.classes.len();
+        Self {
+            set,
+            now: 0.0,
+            armed: false,
+            servers: IndexMap::new(),
+            open: IndexMap::new(),
+            edge: ShadowList::new(SHADOW_ENTRIES),
+            missed: ShadowList::new(SHADOW_ENTRIES),
+            ranks: IndexMap::new(),
+            split: SHADOW_ENTRIES / 2,
+            next_period: 0.0,
+            latency: [Average::default(); 2],
+            delay: vec![Average::default(); classes],
+            sending: vec![Average::default(); classes],
+            purged_objects: IndexMap::new(),
+            purged_groups: IndexMap::new(),
+            keys: 0,
+            lines: 0,
+        }
+    }
+
+    /// s1, the share of the shadow list that earns top rank, in entries.
+    pub fn split(&self) -> usize {
+        self.split
+    }
+
+    /// Takes an event in and appends what is to be done.
+    pub fn handle(&mut self, now: Ms, event: Event, acts: &mut Vec<Action>) {
+        self.now = now;
+        if !self.armed {
+            self.armed = true;
+            self.next_period = now + PERIOD_MS;
+            acts.push(Action::Timer(SWEEP_MS, SWEEP_TOKEN));
+            if self.set.must_subscribe {
+                acts.push(Action::Subscribe);
+            }
+        }
+        match event {
+            Event::Servers(mode, entries) => self.on_list(mode, entries, acts),
+            Event::Request(req) => self.on_request(req, acts),
+            Event::Flowing(id, _) => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.done = true;
+                }
+            }
+            Event::Outcome(outcome) => self.on_outcome(outcome, acts),
+            Event::ClientLeft(id) => {
+                if let Some(at) = self.open.get_index_of(&id) {
+                    self.finish(at, acts);
+                }
+            }
+            Event::Timer(SWEEP_TOKEN) => {
+                self.sweep(acts);
+                acts.push(Action::Timer(SWEEP_MS, SWEEP_TOKEN));
+            }
+            Event::Timer(_) | Event::Probed(..) => {}
+            Event::Purged(group, object, age) => {
+                let at = now - age.max(0.0);
+                let newest = |old: &mut Ms| *old = old.max(at);
+                match object {
+                    Some(o) => newest(self.purged_objects.entry(o).or_insert(at)),
+                    None => newest(self.purged_groups.entry(group).or_insert(at)),
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, acts: &mut Vec<Action>, text: String) {
+        if self.lines < REPORT_LINES {
+            self.lines += 1;
+            acts.push(Action::Report(text));
+        }
+    }
+
+    // ---- News of the servers ----
+
+    fn on_list(&mut self, mode: ListMode, entries: Vec<ServerEntry>, acts: &mut Vec<Action>) {
+        if mode == ListMode::Failed {
+            if self.set.must_subscribe {
+                acts.push(Action::Subscribe);
+            }
+            return;
+        }
+        if mode == ListMode::Whole {
+            for server in self.servers.values_mut() {
+                server.entry.listed = Listed::Gone;
+            }
+        }
+        for entry in entries {
+            let now = self.now;
+            let server = self.servers.entry(entry.id.clone()).or_insert_with(|| Server {
+                hash: address(&entry.id.0),
+                health: Health::Good,
+                strikes: 0,
+                vanished: false,
+                started: entry.started,
+                errors: 0.0,
+                answered: now,
+                out: 0,
+                work: 0.0,
+                sent: SlidingSum::default(),
+                carried: DecayingRate::new(now, CARRIED_TAU_MS),
+                entry: entry.clone(),
+            });
+            if entry.started > server.entry.started {
+                // A new process: what was held against the old one is void, and it is cold.
+                server.started = entry.started;
+                (server.health, server.strikes, server.errors) = (Health::Good, 0, 0.0);
+                server.vanished = false;
+                server.answered = now;
+            }
+            server.entry = entry;
+        }
+    }
+
+    // ---- Arrival ----
+
+    fn on_request(&mut self, req: Request, acts: &mut Vec<Action>) {
+        if self.open.contains_key(&req.id) {
+            return;
+        }
+        let margin = ANSWER_MARGIN_MS.max(2.0 * self.set.tick);
+        let class = req.class.map(|c| c.0).filter(|c| *c < self.set.classes.len());
+        let (Some(class), true) = (class, req.budget > margin) else {
+            // Nothing was sent, so a refusal is harmless whatever the class.
+            acts.push(Action::Refuse(req.id, 0.0));
+            return;
+        };
+        let rank = self.rank(&req, class);
+        if req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0 {
+            self.sending[class].add(req.size_kb / self.set.pace_kb_per_s * 1000.0, AVERAGE_SHARE);
+        }
+        let end = self.now + req.budget - margin;
+        let id = req.id.clone();
+        let open = Open { req, class, end, rank, tries: Vec::new(), may_have_run: None, done: false };
+        let (at, _) = self.open.insert_full(id, open);
+        self.dispatch(at, acts);
+    }
+
+    /// Files a first part in the edge list and ranks it by its reuse distance against s1; later parts follow it.
+    fn rank(&mut self, req: &Request, class: usize) -> Rank {
+        if self.set.classes[class].uncacheable || req.write {
+            return Rank::None;
+        }
+        if req.part != Part(0) {
+            return self.ranks.get(&req.object).copied().unwrap_or(Rank::Low);
+        }
+        let near = self.edge.file(req.object.0).is_some_and(|distance| distance < self.split);
+        let rank = if near { Rank::Top } else { Rank::Low };
+        self.ranks.shift_remove(&req.object);
+        self.ranks.insert(req.object, rank);
+        if self.ranks.len() > SHADOW_ENTRIES {
+            self.ranks.shift_remove_index(0);
+        }
+        rank
+    }
+
+    /// Each period: among the splits within q, the one with the least expected latency; then both lists age.
+    fn adapt(&mut self, acts: &mut Vec<Action>) {
+        if let (Some(l1), Some(l2)) = (self.latency[0].get(), self.latency[1].get()) {
+            let (mr1, mr2) = (self.edge.misses_from(), self.missed.misses_from());
+            let step = (SPLIT_STEP * SHADOW_ENTRIES as f64) as usize;
+            let cost = |s: usize| mr1[s] * l1 + mr2[SHADOW_ENTRIES - s] * l2;
+            let mut best = self.split;
+            for s in self.split.saturating_sub(step)..=(self.split + step).min(SHADOW_ENTRIES) {
+                let nearer = s.abs_diff(self.split) < best.abs_diff(self.split);
+                if cost(s) < cost(best) || (cost(s) == cost(best) && nearer) {
+                    best = s;
+                }
+            }
+            if best != self.split {
+                let text = format!("split moved from {} to {best}: L1 {l1:.0} ms, L2 {l2:.0} ms", self.split);
+                self.split = best;
+                self.report(acts, text);
+            }
+        }
+        self.edge.halve();
+        self.missed.halve();
+    }
+
+    // ---- Placement ----
+
+    /// Servers of a role (edge caches: of the own zone) that the list has up, in hash order for the key.
+    fn in_order(&self, role: Role, key: u64) -> Vec<usize> {
+        let mut order: Vec<(f64, u64, usize)> = Vec::new();
+        for (i, s) in self.servers.values().enumerate() {
+            if s.entry.role == role
+                && s.entry.listed == Listed::Up
+                && (role != Role::Edge || s.entry.zone == self.set.zone)
+            {
+                order.push((rendezvous(key, s.hash, s.entry.weight.max(f64::MIN_POSITIVE)), s.hash, i));
+            }
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        order.into_iter().map(|(_, _, i)| i).collect()
+    }
+
+    /// Healthy, or due for a trial with nothing out.
+    fn usable(&self, i: usize) -> bool {
+        let s = &self.servers[i];
+        s.entry.listed == Listed::Up
+            && match s.health {
+                Health::Good => true,
+                Health::Out(until) => self.now >= until && s.out == 0,
+                Health::Trial(_) => s.out == 0,
+            }
+    }
+
+    fn is_cold(&self, i: usize) -> Option<Ms> {
+        let s = &self.servers[i];
+        let span = self.cold_rule(s.entry.role).span;
+        s.started.map(|t| self.now - t).filter(|age| *age < span)
+    }
+
+    fn cold_rule(&self, role: Role) -> ColdRule {
+        match role {
+            Role::Edge => self.set.cold_edge,
+            Role::Parent | Role::Origin => self.set.cold_parent,
+        }
+    }
+
+    /// True if a server may get this much more now. Only one that started lately has a budget: its share of
+    /// what its warm peers carry for this router (all routers reckon alike, so their shares add up).
+    fn has_room(&mut self, i: usize, weight: f64) -> bool {
+        let Some(age) = self.is_cold(i) else { return true };
+        let entry = self.servers[i].entry.clone();
+        if entry.role == Role::Origin {
+            return true;
+        }
+        let rule = self.cold_rule(entry.role);
+        let (mut sum, mut peers) = (0.0, 0.0);
+        for p in 0..self.servers.len() {
+            let s = &self.servers[p];
+            let peer =
+                s.entry.role == entry.role && (entry.role == Role::Parent || s.entry.zone == entry.zone);
+            if p != i
+                && peer
+                && s.health == Health::Good
+                && s.entry.listed == Listed::Up
+                && self.is_cold(p).is_none()
+            {
+                sum += s.carried.rate(self.now) / s.entry.weight.max(f64::MIN_POSITIVE);
+                peers += 1.0;
+            }
+        }
+        if peers == 0.0 {
+            return false;
+        }
+        let capacity = COLD_SAFETY * sum / peers * entry.weight;
+        let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
+        let budget = rule.multiple * share * capacity * rule.window;
+        let since = self.now - rule.window;
+        self.servers[i].sent.since(since) + weight <= budget
+    }
+
+    /// The edge cache for a request: the first in hash order that is usable, was not tried, has room and is not
+    /// far busier than its zone; else the first that is usable and has room.
+    fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
+        let key = self.open[at].req.object.0;
+        let mut order = self.in_order(Role::Edge, key);
+        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.server == *i));
+        order.retain(|i| self.has_room(*i, weight));
+        let load = |i: &usize| self.servers[*i].work / self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
+        let mean = order.iter().map(load).sum::<f64>() / order.len().max(1) as f64;
+        let home = order.iter().find(|i| load(i) <= SPILL * (mean + weight)).or(order.first());
+        home.copied()
+    }
+
+    /// The source for a miss: the object's home among all listed parents, else the next in hash order, else the
+    /// origin.
+    fn pick_source(&mut self, at: usize, weight: f64) -> Option<usize> {
+        let key = mix(self.open[at].req.object.0, 0);
+        let failed = |r: &Self, i: usize| r.open[at].tries.iter().any(|t| t.over && t.source == Some(i));
+        let parents = self.in_order(Role::Parent, key);
+        let ready: Vec<usize> =
+            parents.into_iter().filter(|i| self.usable(*i) && !failed(self, *i)).collect();
+        let parent = ready.into_iter().find(|i| self.has_room(*i, weight));
+        parent.or_else(|| self.in_order(Role::Origin, key).into_iter().find(|i| self.usable(*i)))
+    }
+
+    // ---- Sending ----
+
+    /// The work of a request: its sending time if its size is told, else its class's mean.
+    fn weight(&self, open: &Open, own: bool) -> f64 {
+        if own && open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0 {
+            return open.req.size_kb / self.set.pace_kb_per_s * 1000.0;
+        }
+        self.sending[open.class].get().unwrap_or(self.set.classes[open.class].aim)
+    }
+
+    /// Makes the next attempt, or gives up at once if none can help.
+    fn dispatch(&mut self, at: usize, acts: &mut Vec<Action>) {
+        let open = &self.open[at];
+        let class = &self.set.classes[open.class];
+        let left = open.end - self.now;
+        let (mean, own) = (self.weight(open, false), self.weight(open, true));
+        let through = class.uncacheable || open.req.write;
+        let sized = open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0;
+        let hopeless = left <= 0.0 || (sized && own > left && !through);
+        if hopeless || open.tries.len() >= MAX_ATTEMPTS.min(self.set.max_attempts) || !self.may_send(open) {
+            if self.open[at].out() == 0 {
+                self.give_up(at, acts);
+            }
+            return;
+        }
+        let (server, source) = if through {
+            self.pick_through(at)
+        } else if let Some(edge) = self.pick_edge(at, mean) {
+            (Some(edge), self.pick_source(at, own))
+        } else if self.set.direct {
+            // No cache of the zone can serve: the parent itself, with the origin behind it.
+            (self.pick_source(at, own), None)
+        } else {
+            (None, None)
+        };
+        match server {
+            Some(server) => self.send(at, server, source, mean, own, acts),
+            None if self.open[at].out() > 0 => {}
+            None => self.give_up(at, acts),
+        }
+    }
+
+    /// Where a request that runs at the origin goes: straight there, else by a parent or an edge cache.
+    fn pick_through(&mut self, at: usize) -> (Option<usize>, Option<usize>) {
+        let key = self.open[at].req.object.0;
+        let tried = |i: &usize| self.open[at].tries.iter().any(|t| t.server == *i);
+        let origin = self.in_order(Role::Origin, key).first().copied();
+        if self.set.direct {
+            let straight = origin.filter(|i| !tried(i) && self.usable(*i));
+            if straight.is_some() {
+                return (straight, None);
+            }
+            let cold = |i: &usize| self.is_cold(*i).is_some();
+            let parents = self.in_order(Role::Parent, mix(key, 0));
+            let parent = parents.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i));
+            return (parent.or(origin.filter(|i| !tried(i))), origin);
+        }
+        let edges = self.in_order(Role::Edge, key);
+        let cold = |i: &usize| self.is_cold(*i).is_some();
+        (edges.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i)), origin)
+    }
+
+    /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one within
+    /// its group and window. Groups narrower than all get no further attempt once one may have run.
+    fn may_send(&self, open: &Open) -> bool {
+        let class = &self.set.classes[open.class];
+        match (class.effect, open.may_have_run) {
+            (Effect::Safe, _) => true,
+            (_, _) if open.out() > 0 => false,
+            (_, None) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed, Some((since, _))) => {
+                class.key_scope == KeyScope::All && self.now < since + class.key_window
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        at: usize,
+        server: usize,
+        source: Option<usize>,
+        mean: f64,
+        own: f64,
+        acts: &mut Vec<Action>,
+    ) {
+        self.keys += 1;
+        let (key, now) = (self.keys, self.now);
+        let max_age = self.max_age(&self.open[at]);
+        let class = &self.set.classes[self.open[at].class];
+        let (renew, join) = (class.fresh > 0.0, self.set.joins && self.open[at].tries.is_empty());
+        let s = &mut self.servers[server];
+        if let Health::Out(_) = s.health {
+            s.health = Health::Trial(0);
+        }
+        if s.out == 0 {
+            s.answered = now;
+        }
+        s.out += 1;
+        s.work += mean;
+        s.sent.add(now, if s.entry.role == Role::Edge { mean } else { own }, key);
+        let edge = s.entry.role == Role::Edge;
+        if let Some(i) = source {
+            self.servers[i].sent.add(now, own, key);
+            if let Health::Out(_) = self.servers[i].health {
+                self.servers[i].health = Health::Trial(0);
+            }
+        }
+        let open = &mut self.open[at];
+        open.tries.push(Try { server, source, sent: now, weight: mean, key, over: false });
+        acts.push(Action::Fetch(Fetch {
+            request: open.req.id.clone(),
+            server: self.servers[server].entry.id.clone(),
+            timeout: open.end - now,
+            fill_from: self.servers[source.unwrap_or(server)].entry.id.clone(),
+            rank: if edge { open.rank } else { Rank::None },
+            max_age,
+            join,
+            held_only: false,
+            renew,
+        }));
+    }
+
+    /// The age limit: the class's fresh time, and while a purge may be unsettled no copy older than it.
+    fn max_age(&self, open: &Open) -> Option<Ms> {
+        let object = self.purged_objects.get(&open.req.object);
+        let purged = object.into_iter().chain(self.purged_groups.get(&open.req.group)).copied();
+        let purged = purged.fold(f64::NEG_INFINITY, f64::max);
+        let settles = self.set.purge_settles.max(self.set.purge_grace) + PURGE_EXTRA_MS;
+        if self.now > purged + settles {
+            return None;
+        }
+        let fresh = self.set.classes[open.class].fresh;
+        let age = (self.now - purged - AGE_MARGIN_MS).max(AGE_LEAST_MS);
+        Some(if fresh > 0.0 { age.min(fresh) } else { age })
+    }
+
+    // ---- Outcomes ----
+
+    fn on_outcome(&mut self, o: Outcome, acts: &mut Vec<Action>) {
+        let Some(at) = self.open.get_index_of(&o.request) else {
+            return;
+        };
+        let Some(t) = self.open[at].tries.get_mut(o.attempt.0).filter(|t| !t.over) else {
+            return;
+        };
+        t.over = true;
+        let (server, source, sent, weight, key) = (t.server, t.source, t.sent, t.weight, t.key);
+        let s = &mut self.servers[server];
+        s.out = s.out.saturating_sub(1);
+        s.work = (s.work - weight).max(0.0);
+        self.learn(at, server, source, weight, key, &o);
+        let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
+        let open = &mut self.open[at];
+        if !proved {
+            open.may_have_run.get_or_insert((sent, server));
+        }
+        self.judge(server, source, &o, acts);
+        if o.last || o.end == End::Served {
+            self.finish(at, acts);
+        } else if self.open[at].done || self.open[at].out() > 0 {
+            self.forget(at);
+        } else {
+            self.dispatch(at, acts);
+        }
+    }
+
+    /// Takes in what an outcome tells of latencies, sending times and what a server carries.
+    fn learn(&mut self, at: usize, server: usize, source: Option<usize>, weight: f64, key: u64, o: &Outcome) {
+        let open = &self.open[at];
+        let (class, req) = (open.class, &open.req);
+        let own = self.weight(open, true);
+        let filled = matches!(o.note, Note::FilledBySource | Note::FilledByOrigin);
+        if o.end == End::Served {
+            self.servers[server].carried.add(self.now, weight);
+            self.delay[class].add(o.delay, AVERAGE_SHARE);
+            if o.note == Note::Hit && req.size_kb <= 0.0 {
+                self.sending[class].add(o.delay, AVERAGE_SHARE);
+            }
+        }
+        if filled && req.part == Part(0) && open.rank != Rank::None {
+            self.missed.file(req.object.0);
+        }
+        if filled && o.source_wait > 0.0 {
+            let layer = usize::from(o.note == Note::FilledByOrigin);
+            self.latency[layer].add(o.source_wait, AVERAGE_SHARE);
+        }
+        if let Some(source) = source {
+            if filled {
+                self.servers[source].carried.add(self.now, own);
+            } else if o.end == End::Served {
+                // No fill came to the source, so it weighs nothing there.
+                self.servers[source].sent.take_back(key);
+            }
+        }
+    }
+
+    // ---- Health ----
+
+    /// Holds an outcome against the server it speaks of: the source where the note names it, else the server.
+    fn judge(&mut self, server: usize, source: Option<usize>, o: &Outcome, acts: &mut Vec<Action>) {
+        let now = self.now;
+        if !matches!(o.end, End::Late | End::Cancelled | End::NotSent) {
+            self.servers[server].answered = now;
+        }
+        match (o.note, o.end) {
+            (_, End::Served) => {
+                self.mark(server, 0.0, ERROR_SHARE, acts);
+                if let (Some(i), Note::FilledBySource | Note::FilledByOrigin) = (source, o.note) {
+                    self.servers[i].answered = now;
+                    self.mark(i, 0.0, ERROR_SHARE, acts);
+                }
+            }
+            (Note::SourceFailed | Note::SourceRefused, _) => {
+                if let Some(i) = source {
+                    self.mark(i, 1.0, ERROR_SHARE, acts);
+                }
+            }
+            (Note::SourceLacks | Note::NoFillPlace | Note::OriginFailed, _) => {}
+            (_, End::Error) => self.mark(server, 1.0, ERROR_SHARE, acts),
+            (_, End::NoConnection | End::Broken) => self.mark(server, 1.0, BREAK_SHARE, acts),
+            (_, End::Full | End::Miss | End::Late | End::Cancelled | End::NotSent) => {}
+        }
+    }
+
+    /// Moves a server's error share and takes it out, or brings it back, where that crosses the limit.
+    fn mark(&mut self, i: usize, bad: f64, share: f64, acts: &mut Vec<Action>) {
+        let s = &mut self.servers[i];
+        s.errors += share * (bad - s.errors);
+        match s.health {
+            Health::Good if s.errors > ERROR_LIMIT => {
+                let vanished = share == BREAK_SHARE;
+                self.take_out(i, vanished, "errors", acts);
+            }
+            Health::Trial(_) if bad > 0.0 => self.take_out(i, share == BREAK_SHARE, "failed its trial", acts),
+            Health::Trial(wins) if wins + 1 >= TRIAL_WINS => {
+                (s.health, s.strikes, s.errors) = (Health::Good, 0, 0.0);
+                if s.vanished {
+                    // It may have been replaced by a cold process that the list does not show yet.
+                    s.started = Some(self.now);
+                    s.vanished = false;
+                }
+                let text = format!("{} back after its trial", s.entry.id.0);
+                self.report(acts, text);
+            }
+            Health::Trial(wins) => s.health = Health::Trial(wins + 1),
+            Health::Good | Health::Out(_) => {}
+        }
+    }
+
+    fn take_out(&mut self, i: usize, vanished: bool, why: &str, acts: &mut Vec<Action>) {
+        let s = &mut self.servers[i];
+        let span = (OUT_MS * f64::from(1u32 << s.strikes.min(16))).min(OUT_LIMIT_MS);
+        s.health = Health::Out(self.now + span);
+        s.strikes += 1;
+        s.vanished |= vanished;
+        let text = format!("{} out for {span:.0} ms: {why}", s.entry.id.0);
+        self.report(acts, text);
+    }
+
+    // ---- Sweep ----
+
+    fn sweep(&mut self, acts: &mut Vec<Action>) {
+        if self.now >= self.next_period {
+            self.next_period = self.now + PERIOD_MS;
+            self.adapt(acts);
+            let keep = self.now - self.set.purge_settles.max(self.set.purge_grace) - PURGE_EXTRA_MS;
+            self.purged_objects.retain(|_, at| *at >= keep);
+            self.purged_groups.retain(|_, at| *at >= keep);
+        }
+        let due: Vec<RequestId> =
+            self.open.values().filter(|o| !o.done && self.now >= o.end).map(|o| o.req.id.clone()).collect();
+        for id in due {
+            if let Some(at) = self.open.get_index_of(&id) {
+                self.give_up(at, acts);
+            }
+        }
+        self.find_silent(acts);
+    }
+
+    /// Silence: a server that should have answered several times by now, at the classes' mean delays, is taken
+    /// out and what it holds is moved.
+    fn find_silent(&mut self, acts: &mut Vec<Action>) {
+        let mut lacking = vec![(0.0, 0usize); self.servers.len()];
+        for open in self.open.values() {
+            let mean = self.delay[open.class].get().unwrap_or(self.set.classes[open.class].aim);
+            for t in open.tries.iter().filter(|t| !t.over) {
+                lacking[t.server].0 +=
+                    (self.now - t.sent.max(self.servers[t.server].answered)) / mean.max(1.0);
+                lacking[t.server].1 += 1;
+            }
+        }
+        for (i, (answers, out)) in lacking.into_iter().enumerate() {
+            let s = &self.servers[i];
+            let limit = match s.health {
+                Health::Trial(_) => SILENT_ANSWERS_TRIAL,
+                Health::Good if out > 2 => SILENT_ANSWERS,
+                Health::Good => SILENT_ANSWERS_FEW,
+                Health::Out(_) => continue,
+            };
+            if out > 0 && answers >= limit && self.now - s.answered >= SILENT_LEAST_MS {
+                self.take_out(i, true, "silent", acts);
+                self.move_off(i, acts);
+            }
+        }
+    }
+
+    /// Gives the requests that wait on a server another attempt, beside the first where copies are allowed, else
+    /// in its place once it has been called off.
+    fn move_off(&mut self, server: usize, acts: &mut Vec<Action>) {
+        let waiting = |o: &&Open| !o.done && o.tries.iter().any(|t| !t.over && t.server == server);
+        let ids: Vec<RequestId> = self.open.values().filter(waiting).map(|o| o.req.id.clone()).collect();
+        for id in ids {
+            let Some(at) = self.open.get_index_of(&id) else {
+                continue;
+            };
+            if self.set.classes[self.open[at].class].effect != Effect::Safe {
+                continue;
+            }
+            if self.set.second_copies && self.open[at].out() == 1 {
+                self.dispatch(at, acts);
+            } else if self.set.cancel {
+                self.cancel_all(at, acts);
+            }
+        }
+    }
+
+    // ---- Final answers ----
+
+    /// Gives a request up, at once: a refusal where trying again is harmless, else a failure.
+    fn give_up(&mut self, at: usize, acts: &mut Vec<Action>) {
+        let open = &self.open[at];
+        let class = &self.set.classes[open.class];
+        let untouched = open.may_have_run.is_none() && open.out() == 0;
+        let refuse = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => untouched || class.key_scope == KeyScope::All,
+            Effect::Unsafe => untouched,
+        };
+        let id = open.req.id.clone();
+        if !open.done {
+            acts.push(if refuse { Action::Refuse(id, self.hold_off()) } else { Action::Fail(id) });
+        }
+        self.finish(at, acts);
+    }
+
+    /// How long a refused client is asked to stay away.
+    fn hold_off(&self) -> Ms {
+        if self.set.retry_after {
+            self.set.max_retry_after
+        } else {
+            0.0
+        }
+    }
+
+    /// The request has its answer: calls off what is still out and forgets it once all is over.
+    fn finish(&mut self, at: usize, acts: &mut Vec<Action>) {
+        self.open[at].done = true;
+        self.cancel_all(at, acts);
+        self.forget(at);
+    }
+
+    fn cancel_all(&mut self, at: usize, acts: &mut Vec<Action>) {
+        if !self.set.cancel {
+            return;
+        }
+        let open = &self.open[at];
+        for (n, _) in open.tries.iter().enumerate().filter(|(_, t)| !t.over) {
+            acts.push(Action::Cancel(open.req.id.clone(), AttemptNo(n)));
+        }
+    }
+
+    fn forget(&mut self, at: usize) {
+        if self.open[at].done && self.open[at].out() == 0 {
+            self.open.swap_remove_index(at);
+        }
+    }
+}
--- /dev/null
+++ b/src/window.rs
@@ -0,0 +1,80 @@
+//! Sums over time: a sliding window with entries that can be taken back, and a decaying rate.
+
+use std::collections::VecDeque;
+
+/// Weights of the last so many milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct SlidingSum {
+    entries: VecDeque<(f64, f64, u64)>,
+    sum: f64,
+}
+
+impl SlidingSum {
+    /// Adds a weight at a time, under a key by which it can be taken back.
+    pub fn add(&mut self, now: f64, weight: f64, key: u64) {
+        self.entries.push_back((now, weight, key));
+        self.sum += weight;
+    }
+
+    /// Takes an entry back.
+    pub fn take_back(&mut self, key: u64) {
+        if let Some(i) = self.entries.iter().position(|e| e.2 == key) {
+            self.sum -= self.entries.remove(i).map_or(0.0, |e| e.1);
+        }
+    }
+
+    /// Drops what is older than `since` and returns the sum of the rest.
+    pub fn since(&mut self, since: f64) -> f64 {
+        while self.entries.front().is_some_and(|e| e.0 < since) {
+            self.sum -= self.entries.pop_front().map_or(0.0, |e| e.1);
+        }
+        if self.entries.is_empty() {
+            self.sum = 0.0;
+        }
+        self.sum
+    }
+}
+
+/// A rate that decays with a time constant, corrected for a short past.
+#[derive(Clone, Debug)]
+pub struct DecayingRate {
+    sum: f64,
+    at: f64,
+    born: f64,
+    tau: f64,
+}
+
+impl DecayingRate {
+    /// A rate of nothing since `now`.
+    pub fn new(now: f64, tau: f64) -> Self {
+        Self { sum: 0.0, at: now, born: now, tau }
+    }
+
+    /// Adds a weight.
+    pub fn add(&mut self, now: f64, weight: f64) {
+        self.sum = self.sum * (-(now - self.at) / self.tau).exp() + weight;
+        self.at = now;
+    }
+
+    /// The rate per millisecond.
+    pub fn rate(&self, now: f64) -> f64 {
+        let sum = self.sum * (-(now - self.at) / self.tau).exp();
+        sum / (self.tau * (1.0 - (-(now - self.born) / self.tau).exp())).max(1.0)
+    }
+}
+
+/// A moving average that starts with its first sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Average(Option<f64>);
+
+impl Average {
+    /// Takes a sample in with that weight.
+    pub fn add(&mut self, sample: f64, share: f64) {
+        self.0 = Some(self.0.map_or(sample, |v| v + share * (sample - v)));
+    }
+
+    /// The average, if there was a sample.
+    pub fn get(&self) -> Option<f64> {
+        self.0
+    }
+}
