--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,11 +36,12 @@
 const BREAK_SHARE: f64 = 0.5;
 /// A server whose error share is above this is taken out.
 const ERROR_LIMIT: f64 = 0.45;
-/// Answers that a server should have given by now, at its class's mean pace, before it counts as silent.
-const SILENT_ANSWERS: f64 = 6.0;
-/// The same while only one or two attempts are out (sizes vary too much to tell sooner), and in a trial.
-const SILENT_ANSWERS_FEW: f64 = 8.0;
-const SILENT_ANSWERS_TRIAL: f64 = 2.0;
+/// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending time, where
+/// that is told).
+const OVERDUE_DEVIATIONS: f64 = 5.0;
+/// Attempts overdue, with no answer of any kind meanwhile, that make a server silent; or one, this much overdue.
+const SILENT_ATTEMPTS: usize = 2;
+const SILENT_ALONE: f64 = 2.0;
 /// No server is silent before this, so that short pauses pass.
 const SILENT_LEAST_MS: Ms = 350.0;
 /// A server taken out gets its first trial after this, doubled with each failed trial up to the limit.
@@ -144,7 +145,7 @@
     /// L1 and L2.
     latency: [Average; 2],
     /// By class: delay of what was served, and sending time.
-    delay: Vec<Average>,
+    delay: Vec<(Average, Average)>,
     sending: Vec<Average>,
     purged_objects: IndexMap<ObjectId, Ms>,
     purged_groups: IndexMap<GroupId, Ms>,
@@ -168,7 +169,7 @@
             split: SHADOW_ENTRIES / 2,
             next_period: 0.0,
             latency: [Average::default(); 2],
-            delay: vec![Average::default(); classes],
+            delay: vec![Default::default(); classes],
             sending: vec![Average::default(); classes],
             purged_objects: IndexMap::new(),
             purged_groups: IndexMap::new(),
@@ -438,9 +439,13 @@
 
     // ---- Sending ----
 
+    fn sized(&self, open: &Open) -> bool {
+        open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0
+    }
+
     /// The work of a request: its sending time if its size is told, else its class's mean.
     fn weight(&self, open: &Open, own: bool) -> f64 {
-        if own && open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0 {
+        if own && self.sized(open) {
             return open.req.size_kb / self.set.pace_kb_per_s * 1000.0;
         }
         self.sending[open.class].get().unwrap_or(self.set.classes[open.class].aim)
@@ -453,7 +458,7 @@
         let left = open.end - self.now;
         let (mean, own) = (self.weight(open, false), self.weight(open, true));
         let through = class.uncacheable || open.req.write;
-        let sized = open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0;
+        let sized = self.sized(open);
         let hopeless = left <= 0.0 || (sized && own > left && !through);
         if hopeless || open.tries.len() >= MAX_ATTEMPTS.min(self.set.max_attempts) || !self.may_send(open) {
             if self.open[at].out() == 0 {
@@ -612,7 +617,11 @@
         let filled = matches!(o.note, Note::FilledBySource | Note::FilledByOrigin);
         if o.end == End::Served {
             self.servers[server].carried.add(self.now, weight);
-            self.delay[class].add(o.delay, AVERAGE_SHARE);
+            let told = if self.sized(open) { own } else { 0.0 };
+            let (mean, deviation) = &mut self.delay[class];
+            let beyond = (o.delay - told).max(0.0);
+            deviation.add((beyond - mean.get().unwrap_or(0.0)).abs(), AVERAGE_SHARE);
+            mean.add(beyond, AVERAGE_SHARE);
             if o.note == Note::Hit && req.size_kb <= 0.0 {
                 self.sending[class].add(o.delay, AVERAGE_SHARE);
             }
@@ -717,27 +726,35 @@
         self.find_silent(acts);
     }
 
-    /// Silence: a server that should have answered several times by now, at the classes' mean delays, is taken
-    /// out and what it holds is moved.
+    /// How long an attempt for a request takes at the outside, as delays go.
+    fn overdue_after(&self, open: &Open) -> Ms {
+        let (mean, deviation) = self.delay[open.class];
+        let usual = mean.get().map(|m| m + OVERDUE_DEVIATIONS * deviation.get().unwrap_or(m));
+        let told = if self.sized(open) { self.weight(open, true) } else { 0.0 };
+        usual.unwrap_or(self.set.classes[open.class].deadline) + told
+    }
+
+    /// Silence: a server with several attempts overdue and no answer of any kind while they were is taken out, and
+    /// what it holds is moved. Catches hangs, vanished machines, lost links; harms where one long pause passes
+    /// for silence, which a trial ends.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
-        let mut lacking = vec![(0.0, 0usize); self.servers.len()];
+        let mut overdue = vec![0usize; self.servers.len()];
         for open in self.open.values() {
-            let mean = self.delay[open.class].get().unwrap_or(self.set.classes[open.class].aim);
+            let after = self.overdue_after(open);
             for t in open.tries.iter().filter(|t| !t.over) {
-                lacking[t.server].0 +=
-                    (self.now - t.sent.max(self.servers[t.server].answered)) / mean.max(1.0);
-                lacking[t.server].1 += 1;
+                let span = self.now - t.sent.max(self.servers[t.server].answered);
+                let trial = matches!(self.servers[t.server].health, Health::Trial(_));
+                if span > SILENT_ALONE * after || (trial && span > after) {
+                    overdue[t.server] += SILENT_ATTEMPTS;
+                } else if span > after {
+                    overdue[t.server] += 1;
+                }
             }
         }
-        for (i, (answers, out)) in lacking.into_iter().enumerate() {
+        for (i, attempts) in overdue.into_iter().enumerate() {
             let s = &self.servers[i];
-            let limit = match s.health {
-                Health::Trial(_) => SILENT_ANSWERS_TRIAL,
-                Health::Good if out > 2 => SILENT_ANSWERS,
-                Health::Good => SILENT_ANSWERS_FEW,
-                Health::Out(_) => continue,
-            };
-            if out > 0 && answers >= limit && self.now - s.answered >= SILENT_LEAST_MS {
+            let out = matches!(s.health, Health::Out(_));
+            if !out && attempts >= SILENT_ATTEMPTS && self.now - s.answered >= SILENT_LEAST_MS {
                 self.take_out(i, true, "silent", acts);
                 self.move_off(i, acts);
             }
