--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,9 @@
 
 // Load.
 /// A cache with more than this multiple of its zone's mean work out passes a request to the next in hash order.
-const SPILL: f64 = 1.75;
+const SPILL: f64 = 1.25;
+/// Further slack, in requests of the class, so that few small ones out do not spill.
+const SPILL_SLACK: f64 = 1.0;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
 /// Time constant of the rates carried, from which capacity is inferred.
@@ -421,8 +423,14 @@
         order.retain(|i| self.has_room(*i, weight));
         let load = |i: &usize| self.servers[*i].work / self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
         let mean = order.iter().map(load).sum::<f64>() / order.len().max(1) as f64;
-        let home = order.iter().find(|i| load(i) <= SPILL * (mean + weight)).or(order.first());
-        home.copied()
+        let bound = SPILL * (mean + SPILL_SLACK * weight);
+        let home = order.first().copied()?;
+        if load(&home) <= bound {
+            return Some(home);
+        }
+        let place = mix(key, self.open[at].req.part.0 + 1);
+        let spread = self.in_order(Role::Edge, place).into_iter().filter(|i| order.contains(i));
+        spread.into_iter().find(|i| load(i) <= bound).or(Some(home))
     }
 
     /// The source for a miss: the object's home among all listed parents, else the next in hash order, else the
