--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,6 +55,21 @@
 const SPILL: f64 = 1.25;
 /// Further slack, in requests of the class, so that few small ones out do not spill.
 const SPILL_SLACK: f64 = 1.0;
+/// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's link, is full.
+const SLOW_CACHE: f64 = 4.0;
+const SLOW_LINK: f64 = 5.0;
+/// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up with each.
+const SLOW_SHARE: f64 = 0.1;
+const UNHURRIED_CREEP: f64 = 0.002;
+/// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never below the least.
+const GATE_CUT: f64 = 0.85;
+const GATE_REST_MS: Ms = 250.0;
+const GATE_LEAST: f64 = 2.0;
+/// It grows by about this much in each round of answers while this share of it is in use.
+const GATE_STEP: f64 = 1.0;
+const GATE_USED: f64 = 0.7;
+/// A request waits at a closed gate for at most this share of its class's aim.
+const WAIT_SHARE: f64 = 0.5;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
 /// Time constant of the rates carried, from which capacity is inferred.
@@ -80,6 +95,41 @@
     Trial(u32),
 }
 
+/// A limit on what is out at a cache, or on the fills over the zone's link: none until it first proves full, then
+/// cut when full and grown when not.
+struct Gate {
+    limit: f64,
+    cut: Ms,
+    slow: Average,
+}
+
+impl Gate {
+    fn new() -> Self {
+        Self { limit: f64::INFINITY, cut: f64::NEG_INFINITY, slow: Average::default() }
+    }
+
+    fn lets(&self, out: f64) -> bool {
+        out + 1.0 <= self.limit
+    }
+
+    /// Takes in how slow an answer was, as a logarithm, while so much was out.
+    fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
+        self.slow.add(slow, SLOW_SHARE);
+        if self.slow.get().is_some_and(|s| s > limit.ln()) {
+            self.full(now, out);
+        } else if out >= GATE_USED * self.limit {
+            self.limit += GATE_STEP / self.limit;
+        }
+    }
+
+    fn full(&mut self, now: Ms, out: f64) {
+        if now - self.cut >= GATE_REST_MS && (self.limit.is_infinite() || out >= GATE_USED * self.limit) {
+            self.limit = (self.limit.min(out) * GATE_CUT).max(GATE_LEAST);
+            self.cut = now;
+        }
+    }
+}
+
 /// What a router knows of a server.
 struct Server {
     entry: ServerEntry,
@@ -92,6 +142,7 @@
     /// When it started, or came back as if it had.
     started: Option<Ms>,
     errors: f64,
+    gate: Gate,
     /// Its last answer of any kind.
     answered: Ms,
     /// Attempts out and their work.
@@ -109,9 +160,21 @@
     sent: Ms,
     weight: f64,
     key: u64,
+    /// The chance that it needs a fill over the zone's link.
+    fill: f64,
+    /// It was only a look, and found nothing.
+    looked: bool,
     over: bool,
 }
 
+/// What a look at the cache has shown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Found {
+    Unknown,
+    Nothing,
+    FillUnderWay,
+}
+
 /// A request that has come in and what is out for it.
 struct Open {
     req: Request,
@@ -120,6 +183,10 @@
     end: Ms,
     rank: Rank,
     tries: Vec<Try>,
+    /// When it came in; whether it waits at a gate; and whether its cache lacks the object.
+    came: Ms,
+    waits: bool,
+    found: Found,
     /// Attempts that may have run are over, the first at that time on that server.
     may_have_run: Option<(Ms, usize)>,
     done: bool,
@@ -149,6 +216,12 @@
     /// By class: delay of what was served, and sending time.
     delay: Vec<(Average, Average)>,
     sending: Vec<Average>,
+    /// By class: logarithm of what a hit takes lately, and unhurried.
+    hurry: Vec<(Average, Option<f64>)>,
+    /// By class: the share of answers that needed a fill.
+    fills: Vec<Average>,
+    /// The fills over the zone's link.
+    link: Gate,
     purged_objects: IndexMap<ObjectId, Ms>,
     purged_groups: IndexMap<GroupId, Ms>,
     keys: u64,
@@ -173,6 +246,9 @@
             latency: [Average::default(); 2],
             delay: vec![Default::default(); classes],
             sending: vec![Average::default(); classes],
+            hurry: vec![Default::default(); classes],
+            fills: vec![Average::default(); classes],
+            link: Gate::new(),
             purged_objects: IndexMap::new(),
             purged_groups: IndexMap::new(),
             keys: 0,
@@ -256,6 +332,7 @@
                 vanished: false,
                 started: entry.started,
                 errors: 0.0,
+                gate: Gate::new(),
                 answered: now,
                 out: 0,
                 work: 0.0,
@@ -293,7 +370,18 @@
         }
         let end = self.now + req.budget - margin;
         let id = req.id.clone();
-        let open = Open { req, class, end, rank, tries: Vec::new(), may_have_run: None, done: false };
+        let open = Open {
+            req,
+            class,
+            end,
+            rank,
+            tries: Vec::new(),
+            came: self.now,
+            waits: false,
+            found: Found::Unknown,
+            may_have_run: None,
+            done: false,
+        };
         let (at, _) = self.open.insert_full(id, open);
         self.dispatch(at, acts);
     }
@@ -419,8 +507,9 @@
     fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
         let mut order = self.in_order(Role::Edge, key);
-        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.server == *i));
-        order.retain(|i| self.has_room(*i, weight));
+        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.server == *i && !t.looked));
+        order
+            .retain(|i| self.servers[*i].gate.lets(self.servers[*i].out as f64) && self.has_room(*i, weight));
         let load = |i: &usize| self.servers[*i].work / self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
         let mean = order.iter().map(load).sum::<f64>() / order.len().max(1) as f64;
         let bound = SPILL * (mean + SPILL_SLACK * weight);
@@ -474,10 +563,20 @@
             }
             return;
         }
+        let usable = |i: &usize| self.usable(*i);
         let (server, source) = if through {
             self.pick_through(at)
-        } else if let Some(edge) = self.pick_edge(at, mean) {
-            (Some(edge), self.pick_source(at, own))
+        } else if self.in_order(Role::Edge, 0).iter().any(usable) {
+            let Some(edge) = self.pick_edge(at, mean) else { return self.wait(at, acts) };
+            // While the link is full, a look first: only what the cache lacks needs a place on the link.
+            let found = self.open[at].found;
+            if found == Found::FillUnderWay || self.link.lets(self.fills_out()) {
+                (Some(edge), self.pick_source(at, own))
+            } else if found == Found::Nothing {
+                return self.wait(at, acts);
+            } else {
+                (Some(edge), None)
+            }
         } else if self.set.direct {
             // No cache of the zone can serve: the parent itself, with the origin behind it.
             (self.pick_source(at, own), None)
@@ -491,6 +590,20 @@
         }
     }
 
+    /// Fills expected to be out over the zone's link.
+    fn fills_out(&self) -> f64 {
+        self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over).map(|t| t.fill).sum()
+    }
+
+    /// Holds a request at a closed gate while it may still be in time, else gives it up at once.
+    fn wait(&mut self, at: usize, acts: &mut Vec<Action>) {
+        let open = &mut self.open[at];
+        open.waits = self.now < open.came + WAIT_SHARE * self.set.classes[open.class].aim;
+        if !open.waits && open.out() == 0 {
+            self.give_up(at, acts);
+        }
+    }
+
     /// Where a request that runs at the origin goes: straight there, else by a parent or an edge cache.
     fn pick_through(&mut self, at: usize) -> (Option<usize>, Option<usize>) {
         let key = self.open[at].req.object.0;
@@ -540,7 +653,16 @@
         let (key, now) = (self.keys, self.now);
         let max_age = self.max_age(&self.open[at]);
         let class = &self.set.classes[self.open[at].class];
-        let (renew, join) = (class.fresh > 0.0, self.set.joins && self.open[at].tries.is_empty());
+        let open = &self.open[at];
+        let looked = open.tries.iter().all(|t| t.source.is_none());
+        let (renew, join) = (class.fresh > 0.0, self.set.joins && looked);
+        let edge = self.servers[server].entry.role == Role::Edge;
+        let fill = match source {
+            Some(_) if open.found == Found::Nothing => 1.0,
+            Some(_) if open.found == Found::FillUnderWay => 0.0,
+            None if edge => 0.0,
+            _ => self.fills[open.class].get().unwrap_or(0.5),
+        };
         let s = &mut self.servers[server];
         if let Health::Out(_) = s.health {
             s.health = Health::Trial(0);
@@ -550,8 +672,7 @@
         }
         s.out += 1;
         s.work += mean;
-        s.sent.add(now, if s.entry.role == Role::Edge { mean } else { own }, key);
-        let edge = s.entry.role == Role::Edge;
+        s.sent.add(now, if edge { mean } else { own }, key);
         if let Some(i) = source {
             self.servers[i].sent.add(now, own, key);
             if let Health::Out(_) = self.servers[i].health {
@@ -559,7 +680,17 @@
             }
         }
         let open = &mut self.open[at];
-        open.tries.push(Try { server, source, sent: now, weight: mean, key, over: false });
+        open.waits = false;
+        open.tries.push(Try {
+            server,
+            source,
+            sent: now,
+            weight: mean,
+            key,
+            fill,
+            looked: false,
+            over: false,
+        });
         acts.push(Action::Fetch(Fetch {
             request: open.req.id.clone(),
             server: self.servers[server].entry.id.clone(),
@@ -599,6 +730,7 @@
         t.over = true;
         let (server, source, sent, weight, key) = (t.server, t.source, t.sent, t.weight, t.key);
         let s = &mut self.servers[server];
+        let out = s.out as f64;
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
         self.learn(at, server, source, weight, key, &o);
@@ -607,6 +739,16 @@
         if !proved {
             open.may_have_run.get_or_insert((sent, server));
         }
+        if o.end == End::Miss {
+            let open = &mut self.open[at];
+            if let Some(t) = open.tries.get_mut(o.attempt.0) {
+                t.looked = true;
+            }
+            // Where a fill is under way, joining it takes no place on the link.
+            let joins = o.note == Note::Joined && self.set.joins;
+            open.found = if joins { Found::FillUnderWay } else { Found::Nothing };
+        }
+        self.gates(at, server, out, &o);
         self.judge(server, source, &o, acts);
         if o.last || o.end == End::Served {
             self.finish(at, acts);
@@ -651,6 +793,39 @@
         }
     }
 
+    /// Tells the cache's gate and the link's how an attempt went.
+    fn gates(&mut self, at: usize, server: usize, out: f64, o: &Outcome) {
+        if self.servers[server].entry.role != Role::Edge {
+            return;
+        }
+        let class = self.open[at].class;
+        let told = if self.sized(&self.open[at]) { self.weight(&self.open[at], true).max(1.0) } else { 1.0 };
+        let fills = self.fills_out();
+        let gate = &mut self.servers[server].gate;
+        match (o.end, o.note) {
+            (End::Served, Note::Hit) => {
+                let took = (o.delay.max(1.0) / told).ln();
+                let (lately, unhurried) = &mut self.hurry[class];
+                lately.add(took, AVERAGE_SHARE);
+                let now = lately.get().unwrap_or(took);
+                let least = unhurried.map_or(now, |u| (u + UNHURRIED_CREEP * (now - u)).min(now));
+                *unhurried = Some(least);
+                gate.answer(self.now, took - least, SLOW_CACHE, out);
+                self.fills[class].add(0.0, AVERAGE_SHARE);
+            }
+            (End::Served, Note::FilledBySource | Note::FilledByOrigin) => {
+                self.fills[class].add(1.0, AVERAGE_SHARE);
+                if let Some(least) = self.hurry[class].1 {
+                    let took = ((o.delay - o.source_wait).max(1.0) / told).ln();
+                    self.link.answer(self.now, took - least, SLOW_LINK, fills);
+                }
+            }
+            (_, Note::NoFillPlace | Note::SourceFailed) => self.link.full(self.now, fills),
+            (End::Full, Note::Untold) => gate.full(self.now, out),
+            _ => {}
+        }
+    }
+
     // ---- Health ----
 
     /// Holds an outcome against the server it speaks of: the source where the note names it, else the server.
@@ -731,6 +906,13 @@
                 self.give_up(at, acts);
             }
         }
+        let waiting: Vec<RequestId> =
+            self.open.values().filter(|o| o.waits && !o.done).map(|o| o.req.id.clone()).collect();
+        for id in waiting {
+            if let Some(at) = self.open.get_index_of(&id) {
+                self.dispatch(at, acts);
+            }
+        }
         self.find_silent(acts);
     }
 
