--- a/src/rules.rs
+++ b/src/rules.rs
@@ -162,8 +162,8 @@
     key: u64,
     /// The chance that it needs a fill over the zone's link.
     fill: f64,
-    /// It was only a look, and found nothing.
-    looked: bool,
+    /// The server to be passed over by the request's further attempts: this one's cache or its source.
+    fault: Option<usize>,
     over: bool,
 }
 
@@ -507,7 +507,7 @@
     fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
         let mut order = self.in_order(Role::Edge, key);
-        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.server == *i && !t.looked));
+        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.fault == Some(*i)));
         order
             .retain(|i| self.servers[*i].gate.lets(self.servers[*i].out as f64) && self.has_room(*i, weight));
         let load = |i: &usize| self.servers[*i].work / self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
@@ -526,7 +526,7 @@
     /// origin.
     fn pick_source(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = mix(self.open[at].req.object.0, 0);
-        let failed = |r: &Self, i: usize| r.open[at].tries.iter().any(|t| t.over && t.source == Some(i));
+        let failed = |r: &Self, i: usize| r.open[at].tries.iter().any(|t| t.fault == Some(i));
         let parents = self.in_order(Role::Parent, key);
         let ready: Vec<usize> =
             parents.into_iter().filter(|i| self.usable(*i) && !failed(self, *i)).collect();
@@ -675,6 +675,7 @@
         s.sent.add(now, if edge { mean } else { own }, key);
         if let Some(i) = source {
             self.servers[i].sent.add(now, own, key);
+            self.servers[i].out += 1;
             if let Health::Out(_) = self.servers[i].health {
                 self.servers[i].health = Health::Trial(0);
             }
@@ -688,7 +689,7 @@
             weight: mean,
             key,
             fill,
-            looked: false,
+            fault: Some(server),
             over: false,
         });
         acts.push(Action::Fetch(Fetch {
@@ -733,6 +734,9 @@
         let out = s.out as f64;
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
+        if let Some(i) = source {
+            self.servers[i].out = self.servers[i].out.saturating_sub(1);
+        }
         self.learn(at, server, source, weight, key, &o);
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
@@ -741,13 +745,18 @@
         }
         if o.end == End::Miss {
             let open = &mut self.open[at];
-            if let Some(t) = open.tries.get_mut(o.attempt.0) {
-                t.looked = true;
-            }
             // Where a fill is under way, joining it takes no place on the link.
             let joins = o.note == Note::Joined && self.set.joins;
             open.found = if joins { Found::FillUnderWay } else { Found::Nothing };
         }
+        let fault = &mut self.open[at].tries[o.attempt.0].fault;
+        match o.note {
+            Note::SourceRefused | Note::SourceFailed | Note::SourceLacks | Note::OriginFailed => {
+                *fault = source
+            }
+            _ if o.end == End::Miss => *fault = None,
+            _ => {}
+        }
         self.gates(at, server, out, &o);
         self.judge(server, source, &o, acts);
         if o.last || o.end == End::Served {
@@ -820,7 +829,10 @@
                     self.link.answer(self.now, took - least, SLOW_LINK, fills);
                 }
             }
-            (_, Note::NoFillPlace | Note::SourceFailed) => self.link.full(self.now, fills),
+            // Places for fills also run out where a source hangs: only a slow link says that the link is full.
+            (_, Note::NoFillPlace) if self.link.slow.get().is_some_and(|s| s > SLOW_LINK.ln() / 2.0) => {
+                self.link.full(self.now, fills);
+            }
             (End::Full, Note::Untold) => gate.full(self.now, out),
             _ => {}
         }
@@ -924,45 +936,72 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + told
     }
 
-    /// Silence: a server with several attempts overdue and no answer of any kind while they were is taken out, and
-    /// what it holds is moved. Catches hangs, vanished machines, lost links; harms where one long pause passes
-    /// for silence, which a trial ends.
+    /// Silence: a server with several attempts overdue and no answer of its own while they were is taken out, and
+    /// what waits on it is moved. A source is judged first, by fills through more than one cache or through caches
+    /// that answer otherwise; what it explains does not count against the caches. Catches hangs, vanished
+    /// machines, lost links; harms where one long pause passes for silence, which a trial ends.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
-        let mut overdue = vec![0usize; self.servers.len()];
+        let mut overdue: Vec<(usize, Option<usize>, Ms, f64)> = Vec::new();
         for open in self.open.values() {
             let after = self.overdue_after(open);
-            for t in open.tries.iter().filter(|t| !t.over) {
-                let span = self.now - t.sent.max(self.servers[t.server].answered);
-                let trial = matches!(self.servers[t.server].health, Health::Trial(_));
-                if span > SILENT_ALONE * after || (trial && span > after) {
-                    overdue[t.server] += SILENT_ATTEMPTS;
-                } else if span > after {
-                    overdue[t.server] += 1;
-                }
-            }
+            let late = open.tries.iter().filter(|t| !t.over && self.now - t.sent > after);
+            overdue.extend(late.map(|t| (t.server, t.source, t.sent, after)));
+        }
+        if overdue.is_empty() {
+            return;
         }
-        for (i, attempts) in overdue.into_iter().enumerate() {
-            let s = &self.servers[i];
-            let out = matches!(s.health, Health::Out(_));
-            if !out && attempts >= SILENT_ATTEMPTS && self.now - s.answered >= SILENT_LEAST_MS {
-                self.take_out(i, true, "silent", acts);
-                self.move_off(i, acts);
+        for judged_as_source in [true, false] {
+            for i in 0..self.servers.len() {
+                let s = &self.servers[i];
+                if matches!(s.health, Health::Out(_)) {
+                    continue;
+                }
+                let trial = matches!(s.health, Health::Trial(_));
+                let (mut attempts, mut others) = (0, Vec::new());
+                for (server, source, sent, after) in &overdue {
+                    let span = self.now - sent.max(s.answered);
+                    let (other, other_answers) = if judged_as_source && *source == Some(i) {
+                        (Some(*server), self.servers[*server].answered > *sent)
+                    } else if !judged_as_source && *server == i {
+                        if source.is_some_and(|p| self.servers[p].health != Health::Good) && !trial {
+                            continue;
+                        }
+                        (*source, source.is_none())
+                    } else {
+                        continue;
+                    };
+                    if span > *after {
+                        attempts += 1;
+                        others.push(other);
+                        if other_answers || trial || span > SILENT_ALONE * after {
+                            attempts += 1;
+                            others.push(None);
+                        }
+                    }
+                }
+                others.sort_unstable();
+                others.dedup();
+                if attempts >= SILENT_ATTEMPTS && others.len() > 1 && self.now - s.answered >= SILENT_LEAST_MS
+                {
+                    self.take_out(i, true, "silent", acts);
+                    self.move_off(i, acts);
+                }
             }
         }
     }
 
     /// Gives the requests that wait on a server another attempt, beside the first where copies are allowed, else
     /// in its place once it has been called off.
-    fn move_off(&mut self, server: usize, acts: &mut Vec<Action>) {
-        let waiting = |o: &&Open| !o.done && o.tries.iter().any(|t| !t.over && t.server == server);
+    fn move_off(&mut self, silent: usize, acts: &mut Vec<Action>) {
+        let waits_on = |t: &Try| !t.over && (t.server == silent || t.source == Some(silent));
+        let waiting = |o: &&Open| !o.done && o.tries.iter().any(waits_on);
         let ids: Vec<RequestId> = self.open.values().filter(waiting).map(|o| o.req.id.clone()).collect();
         for id in ids {
-            let Some(at) = self.open.get_index_of(&id) else {
-                continue;
-            };
+            let Some(at) = self.open.get_index_of(&id) else { continue };
             if self.set.classes[self.open[at].class].effect != Effect::Safe {
                 continue;
             }
+            self.open[at].tries.iter_mut().filter(|t| waits_on(t)).for_each(|t| t.fault = Some(silent));
             if self.set.second_copies && self.open[at].out() == 1 {
                 self.dispatch(at, acts);
             } else if self.set.cancel {
