--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 /// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending time, where
 /// that is told).
 const OVERDUE_DEVIATIONS: f64 = 5.0;
+/// Answers of a class before its delays tell anything.
+const OVERDUE_SAMPLES: u32 = 20;
 /// Attempts overdue, with no answer of any kind meanwhile, that make a server silent; or one, this much overdue.
 const SILENT_ATTEMPTS: usize = 2;
 const SILENT_ALONE: f64 = 2.0;
@@ -64,7 +66,9 @@
 /// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never below the least.
 const GATE_CUT: f64 = 0.85;
 const GATE_REST_MS: Ms = 250.0;
-const GATE_LEAST: f64 = 2.0;
+const GATE_LEAST: f64 = 4.0;
+/// With fewer out than this, slowness is not of this router's making.
+const GATE_FLOOR: f64 = 6.0;
 /// It grows by about this much in each round of answers while this share of it is in use.
 const GATE_STEP: f64 = 1.0;
 const GATE_USED: f64 = 0.7;
@@ -123,7 +127,8 @@
     }
 
     fn full(&mut self, now: Ms, out: f64) {
-        if now - self.cut >= GATE_REST_MS && (self.limit.is_infinite() || out >= GATE_USED * self.limit) {
+        let used = out >= GATE_FLOOR && (self.limit.is_infinite() || out >= GATE_USED * self.limit);
+        if used && now - self.cut >= GATE_REST_MS {
             self.limit = (self.limit.min(out) * GATE_CUT).max(GATE_LEAST);
             self.cut = now;
         }
@@ -510,9 +515,11 @@
         order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.fault == Some(*i)));
         order
             .retain(|i| self.servers[*i].gate.lets(self.servers[*i].out as f64) && self.has_room(*i, weight));
-        let load = |i: &usize| self.servers[*i].work / self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
-        let mean = order.iter().map(load).sum::<f64>() / order.len().max(1) as f64;
-        let bound = SPILL * (mean + SPILL_SLACK * weight);
+        let size = |i: &usize| self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
+        let load = |i: &usize| self.servers[*i].work / size(i);
+        let all = order.iter().map(size).sum::<f64>();
+        let mean = order.iter().map(|i| self.servers[*i].work).sum::<f64>() / all;
+        let bound = SPILL * (mean + SPILL_SLACK * weight * order.len() as f64 / all);
         let home = order.first().copied()?;
         if load(&home) <= bound {
             return Some(home);
@@ -931,7 +938,8 @@
     /// How long an attempt for a request takes at the outside, as delays go.
     fn overdue_after(&self, open: &Open) -> Ms {
         let (mean, deviation) = self.delay[open.class];
-        let usual = mean.get().map(|m| m + OVERDUE_DEVIATIONS * deviation.get().unwrap_or(m));
+        let usual =
+            mean.after(OVERDUE_SAMPLES).map(|m| m + OVERDUE_DEVIATIONS * deviation.get().unwrap_or(m));
         let told = if self.sized(open) { self.weight(open, true) } else { 0.0 };
         usual.unwrap_or(self.set.classes[open.class].deadline) + told
     }
--- a/src/window.rs
+++ b/src/window.rs
@@ -65,16 +65,25 @@
 
 /// A moving average that starts with its first sample.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Average(Option<f64>);
+pub struct Average {
+    value: Option<f64>,
+    samples: u32,
+}
 
 impl Average {
     /// Takes a sample in with that weight.
     pub fn add(&mut self, sample: f64, share: f64) {
-        self.0 = Some(self.0.map_or(sample, |v| v + share * (sample - v)));
+        self.value = Some(self.value.map_or(sample, |v| v + share * (sample - v)));
+        self.samples = self.samples.saturating_add(1);
     }
 
     /// The average, if there was a sample.
     pub fn get(&self) -> Option<f64> {
-        self.0
+        self.value
+    }
+
+    /// The average, if there were at least so many samples.
+    pub fn after(&self, samples: u32) -> Option<f64> {
+        self.value.filter(|_| self.samples >= samples)
     }
 }
