--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod hash;
 pub mod rules;
 pub mod shadow;
+mod state;
 pub mod window;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 use crate::api::*;
 use crate::hash::{address, mix, rendezvous};
 use crate::shadow::ShadowList;
+use crate::state::{Found, Gate, Health, Open, Server, Try};
 use crate::window::{Average, DecayingRate, SlidingSum};
 use indexmap::IndexMap;
 
@@ -88,25 +89,6 @@
 /// Lines a router reports in one life.
 const REPORT_LINES: usize = 120;
 
-/// Whether a server is sent to.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Health {
-    /// As usual.
-    Good,
-    /// Not until then.
-    Out(Ms),
-    /// One attempt at a time; so many served in a row.
-    Trial(u32),
-}
-
-/// A limit on what is out at a cache, or on the fills over the zone's link: none until it first proves full, then
-/// cut when full and grown when not.
-struct Gate {
-    limit: f64,
-    cut: Ms,
-    slow: Average,
-}
-
 impl Gate {
     fn new() -> Self {
         Self { limit: f64::INFINITY, cut: f64::NEG_INFINITY, slow: Average::default() }
@@ -135,74 +117,6 @@
     }
 }
 
-/// What a router knows of a server.
-struct Server {
-    entry: ServerEntry,
-    hash: u64,
-    health: Health,
-    /// Failed trials in a row.
-    strikes: u32,
-    /// It was unreachable or silent when taken out, so it may come back cold.
-    vanished: bool,
-    /// When it started, or came back as if it had.
-    started: Option<Ms>,
-    errors: f64,
-    gate: Gate,
-    /// Its last answer of any kind.
-    answered: Ms,
-    /// Attempts out and their work.
-    out: usize,
-    work: f64,
-    /// What was sent to it lately (a parent: fills too), and what it carried.
-    sent: SlidingSum,
-    carried: DecayingRate,
-}
-
-/// An attempt.
-struct Try {
-    server: usize,
-    source: Option<usize>,
-    sent: Ms,
-    weight: f64,
-    key: u64,
-    /// The chance that it needs a fill over the zone's link.
-    fill: f64,
-    /// The server to be passed over by the request's further attempts: this one's cache or its source.
-    fault: Option<usize>,
-    over: bool,
-}
-
-/// What a look at the cache has shown.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Found {
-    Unknown,
-    Nothing,
-    FillUnderWay,
-}
-
-/// A request that has come in and what is out for it.
-struct Open {
-    req: Request,
-    class: usize,
-    /// By then it must have its final answer.
-    end: Ms,
-    rank: Rank,
-    tries: Vec<Try>,
-    /// When it came in; whether it waits at a gate; and whether its cache lacks the object.
-    came: Ms,
-    waits: bool,
-    found: Found,
-    /// Attempts that may have run are over, the first at that time on that server.
-    may_have_run: Option<(Ms, usize)>,
-    done: bool,
-}
-
-impl Open {
-    fn out(&self) -> usize {
-        self.tries.iter().filter(|t| !t.over).count()
-    }
-}
-
 /// One router: decides for its own requests from its own events alone.
 pub struct Router {
     set: Settings,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,92 @@
+//! What a router holds of its servers and open requests; plain data, nothing here decides.
+
+use crate::api::{Ms, Rank, Request, ServerEntry};
+use crate::window::{Average, DecayingRate, SlidingSum};
+
+/// A limit on what is out at a cache, or on the fills over the zone's link: none until it first proves full, then
+/// cut when full and grown when not.
+pub struct Gate {
+    pub limit: f64,
+    pub cut: Ms,
+    pub slow: Average,
+}
+
+/// Whether a server is sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Health {
+    /// As usual.
+    Good,
+    /// Not until then.
+    Out(Ms),
+    /// One attempt at a time; so many served in a row.
+    Trial(u32),
+}
+
+/// What a router knows of a server.
+pub struct Server {
+    pub entry: ServerEntry,
+    pub hash: u64,
+    pub health: Health,
+    /// Failed trials in a row.
+    pub strikes: u32,
+    /// It was unreachable or silent when taken out, so it may come back cold.
+    pub vanished: bool,
+    /// When it started, or came back as if it had.
+    pub started: Option<Ms>,
+    pub errors: f64,
+    pub gate: Gate,
+    /// Its last answer of any kind.
+    pub answered: Ms,
+    /// Attempts out and their work.
+    pub out: usize,
+    pub work: f64,
+    /// What was sent to it lately (a parent: fills too), and what it carried.
+    pub sent: SlidingSum,
+    pub carried: DecayingRate,
+}
+
+/// An attempt.
+pub struct Try {
+    pub server: usize,
+    pub source: Option<usize>,
+    pub sent: Ms,
+    pub weight: f64,
+    pub key: u64,
+    /// The chance that it needs a fill over the zone's link.
+    pub fill: f64,
+    /// The server to be passed over by the request's further attempts: this one's cache or its source.
+    pub fault: Option<usize>,
+    pub over: bool,
+}
+
+/// What a look at the cache has shown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Found {
+    Unknown,
+    Nothing,
+    FillUnderWay,
+}
+
+/// A request that has come in and what is out for it.
+pub struct Open {
+    pub req: Request,
+    pub class: usize,
+    /// By then it must have its final answer.
+    pub end: Ms,
+    pub rank: Rank,
+    pub tries: Vec<Try>,
+    /// When it came in; whether it waits at a gate; and whether its cache lacks the object.
+    pub came: Ms,
+    pub waits: bool,
+    pub found: Found,
+    /// Attempts that may have run are over, the first at that time on that server.
+    pub may_have_run: Option<(Ms, usize)>,
+    pub done: bool,
+}
+
+impl Open {
+    /// Attempts that are out.
+    pub fn out(&self) -> usize {
+        self.tries.iter().filter(|t| !t.over).count()
+    }
+}
