--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,7 +5,7 @@
 mod read;
 mod write;
 
-pub use read::{event, settings, BadInput, Names};
+pub use read::{event, settings, BadInput, Message, Names};
 pub use write::action;
 
 use basaltgw::{api::Action, rules::Router};
--- a/crates/adapter/src/read.rs
+++ b/crates/adapter/src/read.rs
@@ -390,6 +390,7 @@
         },
         pace_kb_per_s: family.number("pace-kb-per-s", 0.0)?,
         must_subscribe: s.text("discovery", "automatic")? == "subscribe",
+        weights_move: s.text("weight-kind", "silent")? == "live",
         tick: s.number("granularity", 0.0)?,
     };
     Ok((names, parsed))
--- /dev/null
+++ b/crates/adapter/tests/wire.rs
@@ -0,0 +1,238 @@
+//! The wire, both ways, and bad input.
+
+use basaltgw::api::*;
+use basaltgw_adapter::{action, event, settings, Host, Message, Names};
+use serde_json::{json, Value};
+use std::io::Write;
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+
+fn start() -> Value {
+    json!({
+        "areas": ["hub", "edge-1"], "my-zone": "edge-1", "kinds": ["box", "parent", "origin"], "peers-total": 3,
+        "services": [
+            {"name": "big", "idempotency": "read_like", "slo": 400.0, "deadline": 5000.0, "worth": 2.0,
+             "aim-stretch": 2.0, "late-worth": 0.15, "key-scope": "all", "window": 5000.0, "stream": false},
+            {"name": "loan", "idempotency": "non_idempotent", "slo": 700.0, "deadline": 3000.0}],
+        "contract": {"cold": 17000.0, "cold-share": 0.24, "drain-grace": 250.0, "fall": 1500.0, "fall-multiple": 4.0},
+        "family-info": {"shield-kind": 1, "store-kind": 2, "pass-through-ok": true, "purge-settles": 6000.0,
+                        "heed-within": 300.0, "goes-through": [false, true], "lifetime-by-class": [0.0, 8000.0],
+                        "count-by-zone": [0, 2], "zone-hub": [0, 0], "lateral": "any", "a-new-key": [1, 2]},
+        "limits": {"cancel": true, "try-limit": 8, "parallel-tries": true, "retry-after": true, "max-retry-after": 500.0},
+        "granularity": 2.0, "weight-kind": "rough", "something-unknown": {"x": 1}
+    })
+}
+
+fn names() -> Names {
+    settings(&start()).expect("settings").0
+}
+
+fn read(v: Value) -> Result<Option<Event>, String> {
+    event(&Message::new(&v).map_err(|e| e.to_string())?, &names()).map_err(|e| e.to_string())
+}
+
+fn rid() -> RequestId {
+    RequestId(Arc::from("5d3a91c4-b7d2-4fd7-a9d2-afa6fcacb40e"))
+}
+
+const R: &str = "5d3a91c4-b7d2-4fd7-a9d2-afa6fcacb40e";
+const C: &str = "10.18.74.7:9003";
+
+fn cache() -> ServerId {
+    ServerId(Arc::from(C))
+}
+
+#[test]
+fn settings_are_typed_unknown_keys_ignored_and_absent_ones_have_their_meaning() {
+    let (_, s) = settings(&start()).expect("settings");
+    assert_eq!((s.zone, s.zone_routers, s.routers), (ZoneId(1), 2, 3));
+    assert_eq!(s.classes[0].effect, Effect::Safe);
+    assert_eq!((s.classes[1].effect, s.classes[1].uncacheable), (Effect::Unsafe, true));
+    assert_eq!((s.classes[1].fresh, s.classes[1].aim_stretch), (8000.0, 0.0));
+    assert_eq!((s.cold_edge.share, s.cold_edge.window), (0.24, 1500.0));
+    assert_eq!((s.lateral, s.direct, s.joins, s.probes), (Lateral::Any, true, false, false));
+    assert!(!s.must_subscribe && !s.weights_move);
+    let (_, bare) = settings(&json!({})).expect("an empty object");
+    assert_eq!((bare.routers, bare.max_attempts, bare.second_copies), (1, 1, false));
+    let mut asked = start();
+    asked["discovery"] = json!("subscribe");
+    asked["weight-kind"] = json!("live");
+    let (_, s) = settings(&asked).expect("settings");
+    assert!(s.must_subscribe && s.weights_move);
+}
+
+#[test]
+fn every_event_is_read_with_its_ids_unchanged() {
+    let list = json!([
+        "TARGETS",
+        3,
+        41,
+        "stale_copy",
+        [
+            [C, "edge-1", "box", 2, "up", 1.5, null],
+            ["p:1", "hub", "parent", 0, "draining", 1, 6100.0],
+            ["o:1", "hub", "origin", 0, "removed", 1, 0]
+        ]
+    ]);
+    let Ok(Some(Event::Servers(ListMode::Whole, entries))) = read(list) else { panic!("a list") };
+    assert_eq!((entries[0].id.clone(), entries[0].role, entries[0].cell), (cache(), Role::Edge, 2));
+    assert_eq!(
+        (entries[1].role, entries[1].listed, entries[1].started),
+        (Role::Parent, Listed::Draining, Some(6100.0))
+    );
+    assert_eq!((entries[2].role, entries[2].listed, entries[2].started), (Role::Origin, Listed::Gone, None));
+    let patch = read(json!(["TARGETS", 3, 42, "patch", []]));
+    assert_eq!(patch, Ok(Some(Event::Servers(ListMode::Changes, vec![]))));
+    assert_eq!(read(json!(["TARGETS", 3, 42, "broken"])), Ok(Some(Event::Servers(ListMode::Failed, vec![]))));
+    let query = read(json!(["QUERY", 3, R, null, 640, 5, 240.0, 11, 4569004829183723u64, 3, "big"]));
+    let expected = Request {
+        id: rid(),
+        class: Some(ClassId(0)),
+        object: ObjectId(4569004829183723),
+        part: Part(3),
+        group: GroupId(11),
+        size_kb: 640.0,
+        write: true,
+        budget: 240.0,
+    };
+    assert_eq!(query, Ok(Some(Event::Request(expected))));
+    let Ok(Some(Event::Request(r))) = read(json!(["QUERY", 3, R, null, null, 0, 9, null, null, null, "new"]))
+    else {
+        panic!("a request of an unknown class")
+    };
+    assert_eq!((r.class, r.size_kb, r.object), (None, 0.0, ObjectId(0)));
+    assert_eq!(read(json!(["FLOWING", 3, R, 1, C, 9.25])), Ok(Some(Event::Flowing(rid(), AttemptNo(1)))));
+    let done = json!(["FINISHED", 3, R, 2, C, "GOOD", 18.5, true, 2, 9.4, {"busy": 0.62, "rif": 7, "x0": 0.4, "x1": 2}]);
+    let expected = Outcome {
+        request: rid(),
+        attempt: AttemptNo(2),
+        server: cache(),
+        end: End::Served,
+        delay: 18.5,
+        last: true,
+        note: Note::FilledBySource,
+        source_wait: 9.4,
+        load: Load { inflight: Some(7.0), util: Some(0.62), hits: Some(0.4), link: Some(2.0) },
+    };
+    assert_eq!(read(done), Ok(Some(Event::Outcome(expected))));
+    assert_eq!(read(json!(["EXPIRED", 3, R])), Ok(Some(Event::ClientLeft(rid()))));
+    assert_eq!(read(json!(["TICK_DUE", 3, 77])), Ok(Some(Event::Timer(77))));
+    assert_eq!(
+        read(json!(["PONG", 3, C, "GOOD", 1.4, null])),
+        Ok(Some(Event::Probed(cache(), true, Load::default())))
+    );
+    let purge = |o| Ok(Some(Event::Purged(GroupId(11), o, 85.0)));
+    assert_eq!(read(json!(["VOIDED", 3, 11, 85.0, 534015773185u64])), purge(Some(ObjectId(534015773185))));
+    assert_eq!(read(json!(["VOIDED", 3, 11, 85.0])), purge(None));
+    assert_eq!(read(json!(["VOIDED", 3, 11, 85.0, 0])), purge(None));
+    assert_eq!(read(json!(["MEMO", 3, 2, "hi"])), Ok(None));
+}
+
+#[test]
+fn every_outcome_and_detail_is_read() {
+    let ends = ["GOOD", "BAD", "FULL", "LATE", "NOCONN", "RST", "CXL", "NOP", "MISS"];
+    let mut met = Vec::new();
+    for (n, code) in ends.iter().enumerate() {
+        let v = json!(["FINISHED", 3, R, 0, C, code, 1.0, false, n, 0.0, null]);
+        let Ok(Some(Event::Outcome(o))) = read(v) else { panic!("{code}") };
+        assert!(!met.contains(&(o.end, o.note)));
+        met.push((o.end, o.note));
+    }
+    assert!(read(json!(["FINISHED", 3, R, 0, C, "WHAT", 1.0, false])).is_err());
+    assert!(read(json!(["FINISHED", 3, R, 0, C, "BAD", 1.0, false, 11])).is_err());
+}
+
+#[test]
+fn every_action_is_written_with_its_ids_unchanged() {
+    let fetch = |join, held_only, renew| Fetch {
+        request: rid(),
+        server: cache(),
+        timeout: 900.0,
+        fill_from: ServerId(Arc::from("p:1")),
+        rank: Rank::Top,
+        max_age: Some(1500.0),
+        join,
+        held_only,
+        renew,
+    };
+    let written = action(3, Action::Fetch(fetch(true, false, true)));
+    assert_eq!(written, json!(["DELIVER_VIA", 3, R, C, 900.0, "p:1", 3, 1500.0, 9]));
+    let plain = Fetch { max_age: None, rank: Rank::Low, ..fetch(false, true, false) };
+    assert_eq!(action(3, Action::Fetch(plain)), json!(["DELIVER_VIA", 3, R, C, 900.0, "p:1", 1, 0.0, 2]));
+    assert_eq!(action(3, Action::Cancel(rid(), AttemptNo(4))), json!(["DROP_ATTEMPT", 3, R, 4]));
+    assert_eq!(action(3, Action::Refuse(rid(), 250.0)), json!(["PUSH_BACK", 3, R, 250.0]));
+    assert_eq!(action(3, Action::Fail(rid())), json!(["ERROR", 3, R]));
+    assert_eq!(action(3, Action::Timer(500.0, 77)), json!(["DEFER", 3, 500.0, 77]));
+    assert_eq!(action(3, Action::Probe(cache())), json!(["PROBE", 3, C]));
+    assert_eq!(action(3, Action::Subscribe), json!(["SUBSCRIBE", 3, true]));
+    assert_eq!(action(3, Action::Report("x".into())), json!(["JOURNAL_LINE", 3, "x"]));
+}
+
+#[test]
+fn instances_are_apart_and_end_with_retire() {
+    let mut host = Host::default();
+    let begin = |i: u64| json!(["BEGIN", i, 9, start()]);
+    let list = |i: u64| json!(["TARGETS", i, 1, "whole", [[C, "edge-1", "box", 0, "up", 1, null]]]);
+    let batch = json!({"now": 5.0, "events": [begin(0), list(0), begin(1),
+        ["QUERY", 0, R, null, null, 0, 900.0, 1, 2, 0, "big"], ["QUERY", 1, R, null, null, 0, 900.0, 1, 2, 0, "big"]]});
+    let reply: Value = serde_json::from_str(&host.batch(&batch.to_string()).expect("a reply")).expect("JSON");
+    let of = |name: &str, i: u64| {
+        let all = reply["decisions"].as_array().expect("decisions");
+        all.iter().filter(|d| d[0] == name && d[1] == i && d[2] == R).count()
+    };
+    assert_eq!((of("DELIVER_VIA", 0), of("PUSH_BACK", 0)), (1, 0));
+    assert_eq!((of("DELIVER_VIA", 1), of("PUSH_BACK", 1)), (0, 1), "instance 1 knows no server");
+    assert_eq!(host.batch(r#"{"now":6,"events":[["RETIRE",0]]}"#).expect("a reply"), r#"{"decisions":[]}"#);
+    assert!(host.batch(r#"{"now":7,"events":[["EXPIRED",0,"x"]]}"#).is_err(), "never begun again");
+}
+
+fn run(input: &str) -> (Option<i32>, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_basaltgw-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter");
+    // It may have ended already on bad input; then the rest of the input is not wanted.
+    let _ = child.stdin.take().expect("stdin").write_all(input.as_bytes());
+    let out = child.wait_with_output().expect("its end");
+    let text = |b: Vec<u8>| String::from_utf8(b).expect("UTF-8");
+    (out.status.code(), text(out.stdout), text(out.stderr))
+}
+
+#[test]
+fn the_process_answers_each_line_and_ends_well() {
+    let (code, out, err) = run("{\"now\":8412.25,\"events\":[]}\n{\"now\":8412.25,\"events\":[]}\n");
+    assert_eq!((code, err.as_str()), (Some(0), ""));
+    assert_eq!(out, "{\"decisions\":[]}\n{\"decisions\":[]}\n");
+    assert_eq!(run("").0, Some(0));
+}
+
+#[test]
+fn bad_input_is_one_message_with_line_and_field() {
+    let begin = json!({"now": 1.0, "events": [["BEGIN", 0, 9, start()]]}).to_string();
+    let cases = [
+        ("{\"now\":", "batch"),
+        ("[]", "now"),
+        ("", "empty line"),
+        (r#"{"now":"x","events":[]}"#, "now"),
+        (r#"{"now":2,"events":3}"#, "events"),
+        (r#"{"now":2,"events":[["NOVEL",0]]}"#, "unknown event"),
+        (r#"{"now":2,"events":[["TICK_DUE","x",1]]}"#, "events[0].i"),
+        (r#"{"now":2,"events":[["TICK_DUE",0,"x"]]}"#, "events[0].cookie"),
+        (r#"{"now":2,"events":[["QUERY",0,"a",null,0,0,"soon",1,2,0,"big"]]}"#, "events[0].budget"),
+        (
+            r#"{"now":2,"events":[["TARGETS",0,1,"whole",[["a","nowhere","box",0,"up",1,null]]]]}"#,
+            "items[0].area",
+        ),
+        (r#"{"now":2,"events":[["TICK_DUE",8,1]]}"#, "never begun"),
+        (r#"{"now":2,"events":[[]]}"#, "name"),
+    ];
+    for (bad, field) in cases {
+        let (code, out, err) = run(&format!("{begin}\n{bad}\n"));
+        assert_eq!(code, Some(1), "{bad}");
+        assert_eq!(out.lines().count(), 1, "{bad}: only the reply to the first line");
+        assert!(err.contains("line 2") && err.contains(field) && err.lines().count() == 1, "{bad}: {err}");
+        assert!(!err.contains("panicked"));
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -153,6 +153,8 @@
     pub pace_kb_per_s: f64,
     /// The server list has to be asked for.
     pub must_subscribe: bool,
+    /// The list's weights follow the servers' load and change from list to list.
+    pub weights_move: bool,
     /// The least interval between two batches of events.
     pub tick: Ms,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 /// Weight of one outcome in a server's error share.
 const ERROR_SHARE: f64 = 0.2;
 /// Weight of a lost or refused connection in it: it tells of the whole process, not of one request.
-const BREAK_SHARE: f64 = 0.5;
+const BREAK_SHARE: f64 = 0.3;
 /// A server whose error share is above this is taken out.
 const ERROR_LIMIT: f64 = 0.45;
 /// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending time, where
@@ -42,8 +42,7 @@
 const OVERDUE_DEVIATIONS: f64 = 5.0;
 /// Answers of a class before its delays tell anything.
 const OVERDUE_SAMPLES: u32 = 20;
-/// Attempts overdue, with no answer of any kind meanwhile, that make a server silent; or one, this much overdue.
-const SILENT_ATTEMPTS: usize = 2;
+/// A single attempt makes its cache silent when it is overdue by this multiple.
 const SILENT_ALONE: f64 = 2.0;
 /// No server is silent before this, so that short pauses pass.
 const SILENT_LEAST_MS: Ms = 350.0;
@@ -117,6 +116,17 @@
     }
 }
 
+/// The bounded search: among the splits within `step` of `split`, the one that minimizes MR1(s)*L1 + MR2(St-s)*L2;
+/// the nearest of equals.
+pub fn best_split(split: usize, step: usize, mr1: &[f64], mr2: &[f64], l1: f64, l2: f64) -> usize {
+    let entries = mr1.len() - 1;
+    let cost = |s: usize| mr1[s] * l1 + mr2[entries - s] * l2;
+    let near = split.saturating_sub(step)..=(split + step).min(entries);
+    let better =
+        |a: &usize, b: &usize| cost(*a).total_cmp(&cost(*b)).then(a.abs_diff(split).cmp(&b.abs_diff(split)));
+    near.min_by(better).unwrap_or(split)
+}
+
 /// One router: decides for its own requests from its own events alone.
 pub struct Router {
     set: Settings,
@@ -242,8 +252,11 @@
                 server.entry.listed = Listed::Gone;
             }
         }
-        for entry in entries {
+        for mut entry in entries {
             let now = self.now;
+            // Weights that follow the load would move every object's home with each list.
+            let steady = !self.set.weights_move && entry.weight > 0.0;
+            entry.weight = if steady { entry.weight } else { 1.0 };
             let server = self.servers.entry(entry.id.clone()).or_insert_with(|| Server {
                 hash: address(&entry.id.0),
                 health: Health::Good,
@@ -326,16 +339,9 @@
     /// Each period: among the splits within q, the one with the least expected latency; then both lists age.
     fn adapt(&mut self, acts: &mut Vec<Action>) {
         if let (Some(l1), Some(l2)) = (self.latency[0].get(), self.latency[1].get()) {
-            let (mr1, mr2) = (self.edge.misses_from(), self.missed.misses_from());
             let step = (SPLIT_STEP * SHADOW_ENTRIES as f64) as usize;
-            let cost = |s: usize| mr1[s] * l1 + mr2[SHADOW_ENTRIES - s] * l2;
-            let mut best = self.split;
-            for s in self.split.saturating_sub(step)..=(self.split + step).min(SHADOW_ENTRIES) {
-                let nearer = s.abs_diff(self.split) < best.abs_diff(self.split);
-                if cost(s) < cost(best) || (cost(s) == cost(best) && nearer) {
-                    best = s;
-                }
-            }
+            let (mr1, mr2) = (self.edge.misses_from(), self.missed.misses_from());
+            let best = best_split(self.split, step, &mr1, &mr2, l1, l2);
             if best != self.split {
                 let text = format!("split moved from {} to {best}: L1 {l1:.0} ms, L2 {l2:.0} ms", self.split);
                 self.split = best;
@@ -356,7 +362,7 @@
                 && s.entry.listed == Listed::Up
                 && (role != Role::Edge || s.entry.zone == self.set.zone)
             {
-                order.push((rendezvous(key, s.hash, s.entry.weight.max(f64::MIN_POSITIVE)), s.hash, i));
+                order.push((rendezvous(key, s.hash, s.entry.weight), s.hash, i));
             }
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -407,7 +413,7 @@
                 && s.entry.listed == Listed::Up
                 && self.is_cold(p).is_none()
             {
-                sum += s.carried.rate(self.now) / s.entry.weight.max(f64::MIN_POSITIVE);
+                sum += s.carried.rate(self.now) / s.entry.weight;
                 peers += 1.0;
             }
         }
@@ -429,7 +435,7 @@
         order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.fault == Some(*i)));
         order
             .retain(|i| self.servers[*i].gate.lets(self.servers[*i].out as f64) && self.has_room(*i, weight));
-        let size = |i: &usize| self.servers[*i].entry.weight.max(f64::MIN_POSITIVE);
+        let size = |i: &usize| self.servers[*i].entry.weight;
         let load = |i: &usize| self.servers[*i].work / size(i);
         let all = order.iter().map(size).sum::<f64>();
         let mean = order.iter().map(|i| self.servers[*i].work).sum::<f64>() / all;
@@ -858,53 +864,40 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + told
     }
 
-    /// Silence: a server with several attempts overdue and no answer of its own while they were is taken out, and
-    /// what waits on it is moved. A source is judged first, by fills through more than one cache or through caches
-    /// that answer otherwise; what it explains does not count against the caches. Catches hangs, vanished
-    /// machines, lost links; harms where one long pause passes for silence, which a trial ends.
+    /// Silence: a server with attempts overdue and no answer of its own while they were is taken out, and what waits
+    /// on it is moved. A source is judged first, by fills through caches that answer otherwise; a cache by what goes
+    /// by more than one source, or is long overdue, and not by what waits on a source in trouble. Catches hangs,
+    /// vanished machines, lost links; harms where one long pause passes for silence, which a trial ends.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
-        let mut overdue: Vec<(usize, Option<usize>, Ms, f64)> = Vec::new();
+        let mut overdue: Vec<(usize, Option<usize>, Ms, f64, Ms)> = Vec::new();
         for open in self.open.values() {
             let after = self.overdue_after(open);
             let late = open.tries.iter().filter(|t| !t.over && self.now - t.sent > after);
-            overdue.extend(late.map(|t| (t.server, t.source, t.sent, after)));
-        }
-        if overdue.is_empty() {
-            return;
+            overdue.extend(late.map(|t| (t.server, t.source, t.sent, t.fill, after)));
         }
-        for judged_as_source in [true, false] {
-            for i in 0..self.servers.len() {
+        for as_source in [true, false] {
+            for i in 0..if overdue.is_empty() { 0 } else { self.servers.len() } {
                 let s = &self.servers[i];
-                if matches!(s.health, Health::Out(_)) {
-                    continue;
-                }
                 let trial = matches!(s.health, Health::Trial(_));
-                let (mut attempts, mut others) = (0, Vec::new());
-                for (server, source, sent, after) in &overdue {
+                let (mut evidence, mut sources) = (0.0, Vec::new());
+                for (server, source, sent, fill, after) in &overdue {
                     let span = self.now - sent.max(s.answered);
-                    let (other, other_answers) = if judged_as_source && *source == Some(i) {
-                        (Some(*server), self.servers[*server].answered > *sent)
-                    } else if !judged_as_source && *server == i {
-                        if source.is_some_and(|p| self.servers[p].health != Health::Good) && !trial {
-                            continue;
-                        }
-                        (*source, source.is_none())
-                    } else {
-                        continue;
-                    };
-                    if span > *after {
-                        attempts += 1;
-                        others.push(other);
-                        if other_answers || trial || span > SILENT_ALONE * after {
-                            attempts += 1;
-                            others.push(None);
+                    let by_source = as_source && *source == Some(i) && self.servers[*server].answered > *sent;
+                    let sick = |p: usize| self.servers[p].health != Health::Good;
+                    let by_cache = !as_source && *server == i && !source.is_some_and(sick);
+                    if span > *after && (by_source || by_cache) {
+                        evidence += if by_source { *fill } else { 0.5 };
+                        sources.push(*source);
+                        if trial || (by_cache && span > SILENT_ALONE * after) {
+                            evidence += 1.0;
                         }
                     }
                 }
-                others.sort_unstable();
-                others.dedup();
-                if attempts >= SILENT_ATTEMPTS && others.len() > 1 && self.now - s.answered >= SILENT_LEAST_MS
-                {
+                sources.sort_unstable();
+                sources.dedup();
+                let enough = evidence >= 1.0 && (as_source || evidence > 1.0 || sources.len() > 1);
+                let out = matches!(s.health, Health::Out(_));
+                if !out && enough && self.now - s.answered >= SILENT_LEAST_MS {
                     self.take_out(i, true, "silent", acts);
                     self.move_off(i, acts);
                 }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,205 @@
+//! Settings, servers and a driver for tests without the bench.
+#![allow(dead_code)]
+
+use basaltgw::api::*;
+use basaltgw::rules::Router;
+use std::sync::Arc;
+
+pub const SAFE: ClassId = ClassId(0);
+pub const SMALL: ClassId = ClassId(1);
+pub const WRITE: ClassId = ClassId(2);
+pub const KEYED: ClassId = ClassId(3);
+
+pub fn id(s: &str) -> ServerId {
+    ServerId(Arc::from(s))
+}
+
+pub fn rid(n: usize) -> RequestId {
+    RequestId(Arc::from(format!("r{n}").as_str()))
+}
+
+pub fn class(name: &str, effect: Effect) -> Class {
+    Class {
+        name: name.into(),
+        aim: 400.0,
+        aim_stretch: 2.0,
+        deadline: 4000.0,
+        effect,
+        key_scope: KeyScope::All,
+        key_window: 1000.0,
+        worth: 1.0,
+        late_worth: 0.2,
+        fresh: 0.0,
+        grace: 0.0,
+        uncacheable: false,
+    }
+}
+
+pub fn settings() -> Settings {
+    let mut write = class("write", Effect::Unsafe);
+    write.uncacheable = true;
+    let mut small = class("small", Effect::Safe);
+    small.fresh = 8000.0;
+    Settings {
+        zone: ZoneId(1),
+        zone_routers: 1,
+        routers: 2,
+        zone_hub: vec![ZoneId(0), ZoneId(0)],
+        classes: vec![class("safe", Effect::Safe), small, write, class("keyed", Effect::Keyed)],
+        cold_edge: ColdRule { share: 0.2, span: 10_000.0, multiple: 2.0, window: 1000.0 },
+        cold_parent: ColdRule { share: 0.1, span: 10_000.0, multiple: 2.0, window: 1000.0 },
+        drain_grace: 250.0,
+        purge_grace: 300.0,
+        purge_settles: 6000.0,
+        second_copies: false,
+        cancel: true,
+        probes: false,
+        retry_after: true,
+        max_retry_after: 500.0,
+        max_attempts: 8,
+        direct: true,
+        joins: true,
+        lateral: Lateral::None,
+        pace_kb_per_s: 8000.0,
+        must_subscribe: false,
+        weights_move: false,
+        tick: 2.0,
+    }
+}
+
+pub fn entry(name: &str, role: Role) -> ServerEntry {
+    let zone = if role == Role::Edge { 1 } else { 0 };
+    ServerEntry {
+        id: id(name),
+        zone: ZoneId(zone),
+        role,
+        cell: 0,
+        listed: Listed::Up,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// Four caches, two parents and the origin.
+pub fn fleet() -> Vec<ServerEntry> {
+    let mut all: Vec<ServerEntry> = (0..4).map(|n| entry(&format!("edge-{n}"), Role::Edge)).collect();
+    all.extend((0..2).map(|n| entry(&format!("parent-{n}"), Role::Parent)));
+    all.push(entry("origin", Role::Origin));
+    all
+}
+
+pub fn request(n: usize, class: ClassId, object: u64, budget: Ms) -> Request {
+    Request {
+        id: rid(n),
+        class: Some(class),
+        object: ObjectId(object),
+        part: Part(0),
+        group: GroupId(object % 8),
+        size_kb: 0.0,
+        write: class == WRITE,
+        budget,
+    }
+}
+
+/// A router with a clock; timers come due as the clock is moved.
+pub struct Driver {
+    pub router: Router,
+    pub now: Ms,
+    timers: Vec<(Ms, u64)>,
+    /// Everything decided so far.
+    pub log: Vec<(Ms, Action)>,
+}
+
+impl Driver {
+    pub fn new(settings: Settings, servers: Vec<ServerEntry>) -> Self {
+        let mut driver =
+            Self { router: Router::new(settings, 7), now: 1000.0, timers: Vec::new(), log: Vec::new() };
+        driver.tell(Event::Servers(ListMode::Whole, servers));
+        driver
+    }
+
+    /// Hands an event over and returns what was decided, timers apart.
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut acts = Vec::new();
+        self.router.handle(self.now, event, &mut acts);
+        let mut rest = Vec::new();
+        for act in acts {
+            if let Action::Timer(delay, token) = act {
+                self.timers.push((self.now + delay, token));
+            } else {
+                self.log.push((self.now, act.clone()));
+                rest.push(act);
+            }
+        }
+        rest
+    }
+
+    /// Moves the clock, timers included, and returns what they led to.
+    pub fn wait(&mut self, span: Ms) -> Vec<Action> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while let Some(at) = (0..self.timers.len())
+            .min_by(|a, b| self.timers[*a].0.total_cmp(&self.timers[*b].0))
+            .filter(|at| self.timers[*at].0 <= end)
+        {
+            let (due, token) = self.timers.remove(at);
+            self.now = due.max(self.now);
+            all.extend(self.tell(Event::Timer(token)));
+        }
+        self.now = end;
+        all
+    }
+
+    pub fn ask(&mut self, n: usize, class: ClassId, object: u64) -> Vec<Action> {
+        self.tell(Event::Request(request(n, class, object, 4000.0)))
+    }
+
+    pub fn end(&mut self, n: usize, attempt: usize, server: &ServerId, end: End, note: Note) -> Vec<Action> {
+        self.outcome(n, attempt, server, end, note, 100.0)
+    }
+
+    pub fn outcome(
+        &mut self,
+        n: usize,
+        attempt: usize,
+        server: &ServerId,
+        end: End,
+        note: Note,
+        delay: Ms,
+    ) -> Vec<Action> {
+        self.tell(Event::Outcome(Outcome {
+            request: rid(n),
+            attempt: AttemptNo(attempt),
+            server: server.clone(),
+            end,
+            delay,
+            last: end == End::Served,
+            note,
+            source_wait: if note == Note::Hit { 0.0 } else { 20.0 },
+            load: Load::default(),
+        }))
+    }
+
+    /// Asks for an object and serves it as a hit; returns where it went.
+    pub fn serve(&mut self, n: usize, class: ClassId, object: u64, note: Note) -> Fetch {
+        let fetch = fetch(&self.ask(n, class, object)).expect("a fetch");
+        self.end(n, 0, &fetch.server, End::Served, note);
+        fetch
+    }
+}
+
+/// The first attempt among some actions.
+pub fn fetch(acts: &[Action]) -> Option<Fetch> {
+    acts.iter().find_map(|a| match a {
+        Action::Fetch(f) => Some(f.clone()),
+        _ => None,
+    })
+}
+
+pub fn refused(acts: &[Action], n: usize) -> bool {
+    acts.iter().any(|a| matches!(a, Action::Refuse(r, _) if *r == rid(n)))
+}
+
+pub fn failed(acts: &[Action], n: usize) -> bool {
+    acts.iter().any(|a| matches!(a, Action::Fail(r) if *r == rid(n)))
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,142 @@
+//! The mechanism of docs/design.md.
+
+mod common;
+use basaltgw::api::*;
+use basaltgw::rules::{best_split, PERIOD_MS, SHADOW_ENTRIES, SPLIT_STEP};
+use basaltgw::shadow::ShadowList;
+use common::*;
+use std::collections::BTreeSet;
+
+#[test]
+fn reuse_distance_is_the_place_in_the_list() {
+    let mut list = ShadowList::new(3);
+    assert_eq!(list.file(1), None);
+    assert_eq!(list.file(2), None);
+    assert_eq!(list.file(1), Some(1));
+    assert_eq!(list.file(1), Some(0));
+    list.file(3);
+    list.file(4);
+    assert!(!list.holds(2), "the fourth key pushes the oldest out");
+    assert_eq!(list.file(2), None);
+}
+
+#[test]
+fn misses_from_sum_the_histogram_and_halve() {
+    let mut list = ShadowList::new(3);
+    for key in [1, 2, 1, 1, 2] {
+        list.file(key);
+    }
+    // Two not found, one at place 0, two at place 1.
+    assert_eq!(list.misses_from(), vec![5.0, 4.0, 2.0, 2.0]);
+    list.halve();
+    assert_eq!(list.misses_from(), vec![2.5, 2.0, 1.0, 1.0]);
+}
+
+#[test]
+fn the_bounded_search_moves_either_way_and_holds() {
+    // By hand, St = 4: MR1 falls by 4, 3, 2, 1; MR2 likewise, so with s2 = 4 - s the sums are
+    // s: 0 -> 10 L1 + 0, 1 -> 6 L1 + 1 L2, 2 -> 3 L1 + 3 L2, 3 -> 1 L1 + 6 L2, 4 -> 0 + 10 L2.
+    let mr = [10.0, 6.0, 3.0, 1.0, 0.0];
+    assert_eq!(best_split(2, 1, &mr, &mr, 10.0, 1.0), 3, "dear misses at the edge widen its share");
+    assert_eq!(best_split(2, 1, &mr, &mr, 1.0, 10.0), 1, "dear misses behind it narrow it");
+    assert_eq!(best_split(2, 1, &mr, &mr, 1.0, 1.0), 2, "the least stays");
+    assert_eq!(best_split(2, 2, &mr, &mr, 10.0, 1.0), 4, "33 at 2, 16 at 3, 10 at 4: only q held it back");
+}
+
+#[test]
+fn equal_costs_hold_the_split() {
+    let flat = [5.0; 5];
+    assert_eq!(best_split(2, 2, &flat, &flat, 1.0, 1.0), 2);
+}
+
+#[test]
+fn the_split_starts_in_the_middle_and_holds_until_both_latencies_have_samples() {
+    let mut d = Driver::new(settings(), fleet());
+    assert_eq!(d.router.split(), SHADOW_ENTRIES / 2);
+    // Misses with a short reuse distance and only parent fills: no L2 yet.
+    for n in 0..60 {
+        d.serve(n, SAFE, n as u64 % 20, Note::FilledBySource);
+        d.wait(20.0);
+    }
+    d.wait(PERIOD_MS);
+    assert_eq!(d.router.split(), SHADOW_ENTRIES / 2);
+}
+
+#[test]
+fn the_split_moves_by_at_most_q_once_both_latencies_are_known() {
+    let mut d = Driver::new(settings(), fleet());
+    // A sweep over more objects than s1 holds, twice: every second look is at a distance just beyond s1.
+    let many = SHADOW_ENTRIES / 2 + 50;
+    for n in 0..2 * many {
+        let note = if n % 2 == 0 { Note::FilledBySource } else { Note::FilledByOrigin };
+        let fetch = fetch(&d.ask(n, SAFE, (n % many) as u64)).expect("a fetch");
+        let note = if n < 4 { note } else { Note::Hit };
+        d.end(n, 0, &fetch.server, End::Served, note);
+    }
+    let before = d.router.split();
+    d.wait(PERIOD_MS + 20.0);
+    let moved = d.router.split().abs_diff(before);
+    assert!(moved > 0 && moved <= (SPLIT_STEP * SHADOW_ENTRIES as f64) as usize, "moved by {moved}");
+    assert!(d.router.split() > before);
+}
+
+#[test]
+fn rank_follows_reuse_distance_and_later_parts_follow_the_first() {
+    let mut d = Driver::new(settings(), fleet());
+    assert_eq!(d.serve(0, SAFE, 9, Note::Hit).rank, Rank::Low, "never seen");
+    let part =
+        |n: usize, part: u64| Event::Request(Request { part: Part(part), ..request(n, SAFE, 9, 4000.0) });
+    let acts = d.tell(part(1, 1));
+    assert_eq!(fetch(&acts).map(|f| f.rank), Some(Rank::Low), "a later part is not filed");
+    assert_eq!(d.serve(2, SAFE, 9, Note::Hit).rank, Rank::Top, "the second first part was near");
+    let acts = d.tell(part(3, 2));
+    assert_eq!(fetch(&acts).map(|f| f.rank), Some(Rank::Top));
+}
+
+#[test]
+fn all_fills_are_kept_and_uncacheable_ones_pass() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..50 {
+        assert!(d.serve(n, SAFE, n as u64, Note::FilledBySource).rank >= Rank::Low);
+    }
+    assert_eq!(d.serve(99, WRITE, 1, Note::Untold).rank, Rank::None);
+}
+
+#[test]
+fn placement_is_stable_when_one_cache_leaves() {
+    let homes = |servers: Vec<ServerEntry>| -> Vec<Fetch> {
+        let mut d = Driver::new(settings(), servers);
+        (0..200).map(|n| d.serve(n, SAFE, n as u64 * 7919, Note::Hit)).collect()
+    };
+    let all = homes(fleet());
+    let mut fewer = fleet();
+    fewer.remove(1);
+    // The list's order must not matter either.
+    fewer.reverse();
+    let rest = homes(fewer);
+    for (a, b) in all.iter().zip(&rest) {
+        if a.server != id("edge-1") {
+            assert_eq!(a.server, b.server);
+        } else {
+            assert_ne!(b.server, id("edge-1"));
+        }
+        assert_eq!(a.fill_from, b.fill_from, "the parent does not depend on the caches");
+    }
+    assert_eq!(all.iter().map(|f| &f.server).collect::<BTreeSet<_>>().len(), 4);
+    assert_eq!(all.iter().map(|f| &f.fill_from).collect::<BTreeSet<_>>().len(), 2);
+}
+
+#[test]
+fn fills_meet_at_one_parent_from_every_location() {
+    let mut here = Driver::new(settings(), fleet());
+    let mut there_settings = settings();
+    there_settings.zone = ZoneId(2);
+    let mut servers = fleet();
+    servers.iter_mut().filter(|s| s.role == Role::Edge).for_each(|s| s.zone = ZoneId(2));
+    let mut there = Driver::new(there_settings, servers);
+    for n in 0..50 {
+        let a = here.serve(n, SAFE, n as u64 * 31, Note::Hit);
+        let b = there.serve(n, SAFE, n as u64 * 31, Note::Hit);
+        assert_eq!(a.fill_from, b.fill_from);
+    }
+}
--- /dev/null
+++ b/tests/property.rs
@@ -0,0 +1,212 @@
+//! Generated legal event sequences, without any model of servers.
+
+mod common;
+use basaltgw::api::*;
+use common::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { class: usize, object: u64, part: u64, budget: f64, known: bool },
+    End { pick: usize, end: u8, note: u8, delay: f64 },
+    Leave { pick: usize },
+    List { server: usize, listed: u8, restart: bool },
+    Whole { keep: u8 },
+    Purge { object: Option<u64>, group: u64, age: f64 },
+    Wait { span: f64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0usize..4, 0u64..6, 0u64..3, -10.0..3000.0f64, prop::bool::weighted(0.95))
+            .prop_map(|(class, object, part, budget, known)| Step::Ask { class, object, part, budget, known }),
+        8 => (any::<usize>(), 0u8..9, 0u8..11, 0.0..2000.0f64)
+            .prop_map(|(pick, end, note, delay)| Step::End { pick, end, note, delay }),
+        1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
+        1 => (0usize..7, 0u8..3, any::<bool>())
+            .prop_map(|(server, listed, restart)| Step::List { server, listed, restart }),
+        1 => any::<u8>().prop_map(|keep| Step::Whole { keep }),
+        1 => (prop::option::of(0u64..6), 0u64..6, 0.0..500.0f64)
+            .prop_map(|(object, group, age)| Step::Purge { object, group, age }),
+        4 => (0.0..400.0f64).prop_map(|span| Step::Wait { span }),
+    ]
+}
+
+const ENDS: [End; 9] = [
+    End::Served,
+    End::Error,
+    End::Full,
+    End::Late,
+    End::NoConnection,
+    End::Broken,
+    End::Cancelled,
+    End::NotSent,
+    End::Miss,
+];
+const NOTES: [Note; 11] = [
+    Note::Untold,
+    Note::Hit,
+    Note::FilledBySource,
+    Note::FilledByOrigin,
+    Note::Joined,
+    Note::Old,
+    Note::SourceRefused,
+    Note::SourceFailed,
+    Note::SourceLacks,
+    Note::NoFillPlace,
+    Note::OriginFailed,
+];
+
+/// What the test knows of a request, from events and actions alone.
+struct Seen {
+    class: usize,
+    object: u64,
+    due: f64,
+    answers: usize,
+    ended: bool,
+    tries: Vec<(ServerId, bool)>,
+    may_have_run: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_rules_hold_on_any_legal_sequence(
+        steps in prop::collection::vec(step(), 1..160), copies in any::<bool>(), direct in any::<bool>(),
+    ) {
+        let mut s = settings();
+        (s.second_copies, s.direct) = (copies, direct);
+        let (settles, grace) = (s.purge_settles, s.purge_grace);
+        let effects: Vec<Effect> = s.classes.iter().map(|c| c.effect).collect();
+        let mut d = Driver::new(s, fleet());
+        let mut seen: BTreeMap<RequestId, Seen> = BTreeMap::new();
+        let mut banned: BTreeMap<ServerId, f64> = BTreeMap::new();
+        let mut purges: Vec<(Option<u64>, u64, f64, f64)> = Vec::new();
+        let (mut read, mut count) = (0, 0);
+        for step in steps {
+            match step {
+                Step::Ask { class, object, part, budget, known } => {
+                    count += 1;
+                    let mut r = request(count, ClassId(class), object, budget);
+                    r.part = Part(part);
+                    if !known {
+                        r.class = None;
+                    }
+                    seen.insert(r.id.clone(), Seen {
+                        class, object, due: d.now + budget.max(0.0), answers: 0, ended: false, tries: Vec::new(),
+                        may_have_run: false,
+                    });
+                    d.tell(Event::Request(r));
+                }
+                Step::End { pick, end, note, delay } => {
+                    let mut open: Vec<(RequestId, usize)> = Vec::new();
+                    for (id, r) in &seen {
+                        open.extend(r.tries.iter().enumerate().filter(|(_, t)| !t.1).map(|(n, _)| (id.clone(), n)));
+                    }
+                    if open.is_empty() {
+                        continue;
+                    }
+                    let (id, n) = open[pick % open.len()].clone();
+                    let r = seen.get_mut(&id).expect("seen");
+                    r.tries[n].1 = true;
+                    let end = ENDS[end as usize];
+                    let proved =
+                        matches!(end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
+                    r.may_have_run |= !proved;
+                    if end == End::Served && !r.ended {
+                        r.ended = true;
+                        r.answers += 1;
+                    }
+                    let (server, last) = (r.tries[n].0.clone(), r.ended);
+                    d.tell(Event::Outcome(Outcome {
+                        request: id, attempt: AttemptNo(n), server, end, delay, last, note: NOTES[note as usize],
+                        source_wait: delay / 3.0, load: Load::default(),
+                    }));
+                }
+                Step::Leave { pick } => {
+                    let open: Vec<RequestId> =
+                        seen.iter().filter(|(_, r)| !r.ended).map(|(id, _)| id.clone()).collect();
+                    if !open.is_empty() {
+                        let id = open[pick % open.len()].clone();
+                        let r = seen.get_mut(&id).expect("seen");
+                        (r.ended, r.answers) = (true, 1);
+                        d.tell(Event::ClientLeft(id));
+                    }
+                }
+                Step::List { server, listed, restart } => {
+                    let mut e = fleet()[server].clone();
+                    e.listed = [Listed::Up, Listed::Draining, Listed::Gone][listed as usize];
+                    e.started = restart.then_some(d.now);
+                    if e.listed == Listed::Up {
+                        banned.remove(&e.id);
+                    } else {
+                        banned.insert(e.id.clone(), d.now);
+                    }
+                    d.tell(Event::Servers(ListMode::Changes, vec![e]));
+                }
+                Step::Whole { keep } => {
+                    let kept: Vec<ServerEntry> =
+                        fleet().into_iter().enumerate().filter(|(n, _)| keep >> n & 1 == 1).map(|(_, e)| e).collect();
+                    banned = fleet().into_iter().map(|e| (e.id, d.now)).collect();
+                    kept.iter().for_each(|e| { banned.remove(&e.id); });
+                    d.tell(Event::Servers(ListMode::Whole, kept));
+                }
+                Step::Purge { object, group, age } => {
+                    purges.push((object, group, d.now - age, d.now));
+                    d.tell(Event::Purged(GroupId(group), object.map(ObjectId), age));
+                }
+                Step::Wait { span } => {
+                    d.wait(span);
+                }
+            }
+            for (at, act) in &d.log[read..] {
+                match act {
+                    Action::Fetch(f) => {
+                        let r = seen.get_mut(&f.request).expect("a request that came in");
+                        prop_assert!(!r.ended, "sent after the end");
+                        let out = r.tries.iter().filter(|t| !t.1).count();
+                        prop_assert!(out == 0 || (copies && out == 1 && effects[r.class] == Effect::Safe));
+                        prop_assert!(effects[r.class] != Effect::Unsafe || !r.may_have_run, "run twice");
+                        for name in [&f.server, &f.fill_from] {
+                            prop_assert!(!banned.contains_key(name), "{name:?} drains or is gone");
+                        }
+                        for (object, group, purged, told) in &purges {
+                            let named = object.map_or(*group == r.object % 8, |o| o == r.object);
+                            if named && *at > told + grace && *at < purged + settles {
+                                let age = f.max_age.expect("an age bound");
+                                prop_assert!(age > 0.0 && age <= at - purged);
+                            }
+                        }
+                        r.tries.push((f.server.clone(), false));
+                    }
+                    Action::Refuse(id, _) | Action::Fail(id) => {
+                        let r = seen.get_mut(id).expect("a request that came in");
+                        prop_assert!(!r.ended, "answered after the end");
+                        prop_assert!(*at <= r.due, "answered late");
+                        let untouched = !r.may_have_run && r.tries.iter().all(|t| t.1);
+                        if matches!(act, Action::Refuse(..)) && effects[r.class] == Effect::Unsafe {
+                            prop_assert!(untouched, "refused though it may have run");
+                        }
+                        (r.ended, r.answers) = (true, r.answers + 1);
+                    }
+                    Action::Cancel(id, n) => prop_assert!(n.0 < seen[id].tries.len()),
+                    Action::Timer(..) | Action::Probe(_) | Action::Subscribe | Action::Report(_) => {}
+                }
+            }
+            read = d.log.len();
+        }
+        d.wait(5000.0);
+        for (at, act) in &d.log[read..] {
+            if let Action::Refuse(id, _) | Action::Fail(id) = act {
+                let r = seen.get_mut(id).expect("a request that came in");
+                prop_assert!(!r.ended && *at <= r.due);
+                (r.ended, r.answers) = (true, r.answers + 1);
+            }
+        }
+        for (id, r) in &seen {
+            prop_assert_eq!(r.answers, 1, "{:?}", id);
+        }
+    }
+}
