--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,8 +37,8 @@
 const BREAK_SHARE: f64 = 0.3;
 /// A server whose error share is above this is taken out.
 const ERROR_LIMIT: f64 = 0.45;
-/// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending time, where
-/// that is told).
+/// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending
+/// time, where that is told).
 const OVERDUE_DEVIATIONS: f64 = 5.0;
 /// Answers of a class before its delays tell anything.
 const OVERDUE_SAMPLES: u32 = 20;
@@ -53,17 +53,21 @@
 const TRIAL_WINS: u32 = 3;
 
 // Load.
-/// A cache with more than this multiple of its zone's mean work out passes a request to the next in hash order.
+/// A cache with more than this multiple of its zone's mean work out passes a request to the next in hash
+/// order.
 const SPILL: f64 = 1.25;
 /// Further slack, in requests of the class, so that few small ones out do not spill.
 const SPILL_SLACK: f64 = 1.0;
-/// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's link, is full.
+/// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's
+/// link, is full.
 const SLOW_CACHE: f64 = 4.0;
 const SLOW_LINK: f64 = 5.0;
-/// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up with each.
+/// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up
+/// with each.
 const SLOW_SHARE: f64 = 0.1;
 const UNHURRIED_CREEP: f64 = 0.002;
-/// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never below the least.
+/// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never
+/// below the least.
 const GATE_CUT: f64 = 0.85;
 const GATE_REST_MS: Ms = 250.0;
 const GATE_LEAST: f64 = 4.0;
@@ -116,8 +120,8 @@
     }
 }
 
-/// The bounded search: among the splits within `step` of `split`, the one that minimizes MR1(s)*L1 + MR2(St-s)*L2;
-/// the nearest of equals.
+/// The bounded search: among the splits within `step` of `split`, the one that minimizes MR1(s)*L1 +
+/// MR2(St-s)*L2; the nearest of equals.
 pub fn best_split(split: usize, step: usize, mr1: &[f64], mr2: &[f64], l1: f64, l2: f64) -> usize {
     let entries = mr1.len() - 1;
     let cost = |s: usize| mr1[s] * l1 + mr2[entries - s] * l2;
@@ -318,7 +322,8 @@
         self.dispatch(at, acts);
     }
 
-    /// Files a first part in the edge list and ranks it by its reuse distance against s1; later parts follow it.
+    /// Files a first part in the edge list and ranks it by its reuse distance against s1; later parts
+    /// follow it.
     fn rank(&mut self, req: &Request, class: usize) -> Rank {
         if self.set.classes[class].uncacheable || req.write {
             return Rank::None;
@@ -336,7 +341,8 @@
         rank
     }
 
-    /// Each period: among the splits within q, the one with the least expected latency; then both lists age.
+    /// Each period: among the splits within q, the one with the least expected latency; then both lists
+    /// age.
     fn adapt(&mut self, acts: &mut Vec<Action>) {
         if let (Some(l1), Some(l2)) = (self.latency[0].get(), self.latency[1].get()) {
             let step = (SPLIT_STEP * SHADOW_ENTRIES as f64) as usize;
@@ -427,8 +433,8 @@
         self.servers[i].sent.since(since) + weight <= budget
     }
 
-    /// The edge cache for a request: the first in hash order that is usable, was not tried, has room and is not
-    /// far busier than its zone; else the first that is usable and has room.
+    /// The edge cache for a request: the first in hash order that is usable, was not tried, has room and
+    /// is not far busier than its zone; else the first that is usable and has room.
     fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
         let mut order = self.in_order(Role::Edge, key);
@@ -449,8 +455,8 @@
         spread.into_iter().find(|i| load(i) <= bound).or(Some(home))
     }
 
-    /// The source for a miss: the object's home among all listed parents, else the next in hash order, else the
-    /// origin.
+    /// The source for a miss: the object's home among all listed parents, else the next in hash order,
+    /// else the origin.
     fn pick_source(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = mix(self.open[at].req.object.0, 0);
         let failed = |r: &Self, i: usize| r.open[at].tries.iter().any(|t| t.fault == Some(i));
@@ -551,8 +557,9 @@
         (edges.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i)), origin)
     }
 
-    /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one within
-    /// its group and window. Groups narrower than all get no further attempt once one may have run.
+    /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one
+    /// within its group and window. Groups narrower than all get no further attempt once one may have
+    /// run.
     fn may_send(&self, open: &Open) -> bool {
         let class = &self.set.classes[open.class];
         match (class.effect, open.may_have_run) {
@@ -756,7 +763,8 @@
                     self.link.answer(self.now, took - least, SLOW_LINK, fills);
                 }
             }
-            // Places for fills also run out where a source hangs: only a slow link says that the link is full.
+            // Places for fills also run out where a source hangs: only a slow link says that the link is
+            // full.
             (_, Note::NoFillPlace) if self.link.slow.get().is_some_and(|s| s > SLOW_LINK.ln() / 2.0) => {
                 self.link.full(self.now, fills);
             }
@@ -767,7 +775,8 @@
 
     // ---- Health ----
 
-    /// Holds an outcome against the server it speaks of: the source where the note names it, else the server.
+    /// Holds an outcome against the server it speaks of: the source where the note names it, else the
+    /// server.
     fn judge(&mut self, server: usize, source: Option<usize>, o: &Outcome, acts: &mut Vec<Action>) {
         let now = self.now;
         if !matches!(o.end, End::Late | End::Cancelled | End::NotSent) {
@@ -864,10 +873,11 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + told
     }
 
-    /// Silence: a server with attempts overdue and no answer of its own while they were is taken out, and what waits
-    /// on it is moved. A source is judged first, by fills through caches that answer otherwise; a cache by what goes
-    /// by more than one source, or is long overdue, and not by what waits on a source in trouble. Catches hangs,
-    /// vanished machines, lost links; harms where one long pause passes for silence, which a trial ends.
+    /// Silence: a server with attempts overdue and no answer of its own while they were is taken out, and
+    /// what waits on it is moved. A source is judged first, by fills through caches that answer
+    /// otherwise; a cache by what goes by more than one source, or is long overdue, and not by what waits
+    /// on a source in trouble. Catches hangs, vanished machines, lost links; harms where one long pause
+    /// passes for silence, which a trial ends.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
         let mut overdue: Vec<(usize, Option<usize>, Ms, f64, Ms)> = Vec::new();
         for open in self.open.values() {
@@ -905,8 +915,8 @@
         }
     }
 
-    /// Gives the requests that wait on a server another attempt, beside the first where copies are allowed, else
-    /// in its place once it has been called off.
+    /// Gives the requests that wait on a server another attempt, beside the first where copies are
+    /// allowed, else in its place once it has been called off.
     fn move_off(&mut self, silent: usize, acts: &mut Vec<Action>) {
         let waits_on = |t: &Try| !t.over && (t.server == silent || t.source == Some(silent));
         let waiting = |o: &&Open| !o.done && o.tries.iter().any(waits_on);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -70,7 +70,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn the_rules_hold_on_any_legal_sequence(
