--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,12 +60,14 @@
 const SPILL_SLACK: f64 = 1.0;
 /// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's
 /// link, is full.
-const SLOW_CACHE: f64 = 4.0;
-const SLOW_LINK: f64 = 5.0;
+const SLOW_CACHE: f64 = 2.5;
+const SLOW_LINK: f64 = 3.0;
 /// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up
 /// with each.
 const SLOW_SHARE: f64 = 0.1;
 const UNHURRIED_CREEP: f64 = 0.002;
+/// The most that an unhurried hit is taken to need in the middle: this share of its class's aim.
+const UNHURRIED_MOST: f64 = 0.5;
 /// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never
 /// below the least.
 const GATE_CUT: f64 = 0.85;
@@ -751,7 +753,12 @@
                 let (lately, unhurried) = &mut self.hurry[class];
                 lately.add(took, AVERAGE_SHARE);
                 let now = lately.get().unwrap_or(took);
-                let least = unhurried.map_or(now, |u| (u + UNHURRIED_CREEP * (now - u)).min(now));
+                // A router that starts amid overload has no unhurried hits; then the aim tells what they
+                // should take.
+                let most =
+                    UNHURRIED_MOST * if told > 1.0 { 2.0 } else { self.set.classes[class].aim.max(1.0) };
+                let least =
+                    unhurried.map_or(now, |u| u + UNHURRIED_CREEP * (now - u)).min(now).min(most.ln());
                 *unhurried = Some(least);
                 gate.answer(self.now, took - least, SLOW_CACHE, out);
                 self.fills[class].add(0.0, AVERAGE_SHARE);
