--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,7 +108,13 @@
         self.slow.add(slow, SLOW_SHARE);
         if self.slow.get().is_some_and(|s| s > limit.ln()) {
             self.full(now, out);
-        } else if out >= GATE_USED * self.limit {
+        } else {
+            self.grow(out);
+        }
+    }
+
+    fn grow(&mut self, out: f64) {
+        if out >= GATE_USED * self.limit {
             self.limit += GATE_STEP / self.limit;
         }
     }
@@ -388,8 +394,8 @@
             }
     }
 
-    fn is_cold(&self, i: usize) -> Option<Ms> {
-        let s = &self.servers[i];
+    /// How long ago a server started that may still be cold.
+    fn age_if_cold(&self, s: &Server) -> Option<Ms> {
         let span = self.cold_rule(s.entry.role).span;
         s.started.map(|t| self.now - t).filter(|age| *age < span)
     }
@@ -404,26 +410,16 @@
     /// True if a server may get this much more now. Only one that started lately has a budget: its share of
     /// what its warm peers carry for this router (all routers reckon alike, so their shares add up).
     fn has_room(&mut self, i: usize, weight: f64) -> bool {
-        let Some(age) = self.is_cold(i) else { return true };
+        let Some(age) = self.age_if_cold(&self.servers[i]) else { return true };
         let entry = self.servers[i].entry.clone();
         if entry.role == Role::Origin {
             return true;
         }
         let rule = self.cold_rule(entry.role);
         let (mut sum, mut peers) = (0.0, 0.0);
-        for p in 0..self.servers.len() {
-            let s = &self.servers[p];
-            let peer =
-                s.entry.role == entry.role && (entry.role == Role::Parent || s.entry.zone == entry.zone);
-            if p != i
-                && peer
-                && s.health == Health::Good
-                && s.entry.listed == Listed::Up
-                && self.is_cold(p).is_none()
-            {
-                sum += s.carried.rate(self.now) / s.entry.weight;
-                peers += 1.0;
-            }
+        for s in self.peers(i).filter(|s| self.age_if_cold(s).is_none()) {
+            sum += s.carried.rate(self.now) / s.entry.weight;
+            peers += 1.0;
         }
         if peers == 0.0 {
             return false;
@@ -503,14 +499,16 @@
             self.pick_through(at)
         } else if self.in_order(Role::Edge, 0).iter().any(usable) {
             let Some(edge) = self.pick_edge(at, mean) else { return self.wait(at, acts) };
-            // While the link is full, a look first: only what the cache lacks needs a place on the link.
-            let found = self.open[at].found;
-            if found == Found::FillUnderWay || self.link.lets(self.fills_out()) {
-                (Some(edge), self.pick_source(at, own))
-            } else if found == Found::Nothing {
-                return self.wait(at, acts);
-            } else {
-                (Some(edge), None)
+            // While the link or the source is full, a look first: only what the cache lacks needs a place
+            // there.
+            let (found, source) = (self.open[at].found, self.pick_source(at, own));
+            let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)));
+            let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None));
+            match (source, found) {
+                (Some(_), _) if lets || found == Found::FillUnderWay => (Some(edge), source),
+                (Some(_), Found::Nothing) => return self.wait(at, acts),
+                (None, Found::Nothing) => (None, None),
+                _ => (Some(edge), None),
             }
         } else if self.set.direct {
             // No cache of the zone can serve: the parent itself, with the origin behind it.
@@ -525,9 +523,10 @@
         }
     }
 
-    /// Fills expected to be out over the zone's link.
-    fn fills_out(&self) -> f64 {
-        self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over).map(|t| t.fill).sum()
+    /// Fills expected to be out over the zone's link, or from one source.
+    fn fills_out(&self, source: Option<usize>) -> f64 {
+        let tries = self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over);
+        tries.filter(|t| source.is_none() || t.source == source).map(|t| t.fill).sum()
     }
 
     /// Holds a request at a closed gate while it may still be in time, else gives it up at once.
@@ -549,13 +548,13 @@
             if straight.is_some() {
                 return (straight, None);
             }
-            let cold = |i: &usize| self.is_cold(*i).is_some();
+            let cold = |i: &usize| self.age_if_cold(&self.servers[*i]).is_some();
             let parents = self.in_order(Role::Parent, mix(key, 0));
             let parent = parents.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i));
             return (parent.or(origin.filter(|i| !tried(i))), origin);
         }
         let edges = self.in_order(Role::Edge, key);
-        let cold = |i: &usize| self.is_cold(*i).is_some();
+        let cold = |i: &usize| self.age_if_cold(&self.servers[*i]).is_some();
         (edges.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i)), origin)
     }
 
@@ -687,18 +686,20 @@
         }
         let fault = &mut self.open[at].tries[o.attempt.0].fault;
         match o.note {
-            Note::SourceRefused | Note::SourceFailed | Note::SourceLacks | Note::OriginFailed => {
-                *fault = source
-            }
+            Note::SourceFailed | Note::SourceLacks => *fault = source,
+            Note::SourceRefused | Note::OriginFailed => *fault = None,
             _ if o.end == End::Miss => *fault = None,
             _ => {}
         }
-        self.gates(at, server, out, &o);
+        self.gates(at, server, source, out, &o);
         self.judge(server, source, &o, acts);
         if o.last || o.end == End::Served {
             self.finish(at, acts);
         } else if self.open[at].done || self.open[at].out() > 0 {
             self.forget(at);
+        } else if matches!(o.note, Note::OriginFailed | Note::SourceRefused) {
+            // Another source would ask the same origin, at once: wait for a place.
+            self.wait(at, acts);
         } else {
             self.dispatch(at, acts);
         }
@@ -739,13 +740,22 @@
     }
 
     /// Tells the cache's gate and the link's how an attempt went.
-    fn gates(&mut self, at: usize, server: usize, out: f64, o: &Outcome) {
+    fn gates(&mut self, at: usize, server: usize, source: Option<usize>, out: f64, o: &Outcome) {
+        if let Some(i) = source {
+            let fills = self.fills_out(source) + 1.0;
+            let gate = &mut self.servers[i].gate;
+            match o.note {
+                Note::FilledBySource | Note::FilledByOrigin => gate.grow(fills),
+                Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
+                _ => {}
+            }
+        }
         if self.servers[server].entry.role != Role::Edge {
             return;
         }
         let class = self.open[at].class;
         let told = if self.sized(&self.open[at]) { self.weight(&self.open[at], true).max(1.0) } else { 1.0 };
-        let fills = self.fills_out();
+        let fills = self.fills_out(None);
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
             (End::Served, Note::Hit) => {
@@ -811,10 +821,12 @@
 
     /// Moves a server's error share and takes it out, or brings it back, where that crosses the limit.
     fn mark(&mut self, i: usize, bad: f64, share: f64, acts: &mut Vec<Action>) {
+        // Errors that its best peer has too are not a server's own.
+        let peers = self.peers(i).map(|s| s.errors).fold(1.0, f64::min);
         let s = &mut self.servers[i];
         s.errors += share * (bad - s.errors);
         match s.health {
-            Health::Good if s.errors > ERROR_LIMIT => {
+            Health::Good if s.errors > ERROR_LIMIT + if share == BREAK_SHARE { 0.0 } else { peers } => {
                 let vanished = share == BREAK_SHARE;
                 self.take_out(i, vanished, "errors", acts);
             }
@@ -834,6 +846,16 @@
         }
     }
 
+    /// The other servers that could do a server's work and are not out.
+    fn peers(&self, i: usize) -> impl Iterator<Item = &Server> {
+        let of = &self.servers[i].entry;
+        let like = move |s: &&Server| {
+            let near = of.role != Role::Edge || s.entry.zone == of.zone;
+            s.entry.id != of.id && near && s.entry.role == of.role && s.entry.listed == Listed::Up
+        };
+        self.servers.values().filter(like).filter(|s| s.health == Health::Good)
+    }
+
     fn take_out(&mut self, i: usize, vanished: bool, why: &str, acts: &mut Vec<Action>) {
         let s = &mut self.servers[i];
         let span = (OUT_MS * f64::from(1u32 << s.strikes.min(16))).min(OUT_LIMIT_MS);
@@ -912,7 +934,8 @@
                 }
                 sources.sort_unstable();
                 sources.dedup();
-                let enough = evidence >= 1.0 && (as_source || evidence > 1.0 || sources.len() > 1);
+                let alone = as_source && self.peers(i).next().is_none();
+                let enough = evidence >= 1.0 && (as_source || evidence > 1.0 || sources.len() > 1) && !alone;
                 let out = matches!(s.health, Health::Out(_));
                 if !out && enough && self.now - s.answered >= SILENT_LEAST_MS {
                     self.take_out(i, true, "silent", acts);
