--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::hash::{address, mix, rendezvous};
 use crate::shadow::ShadowList;
-use crate::state::{Found, Gate, Health, Open, Server, Try};
+use crate::state::{Found, Gate, Health, Known, Open, Server, Try};
 use crate::window::{Average, DecayingRate, SlidingSum};
 use indexmap::IndexMap;
 
@@ -61,13 +61,18 @@
 /// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's
 /// link, is full.
 const SLOW_CACHE: f64 = 2.5;
-const SLOW_LINK: f64 = 3.0;
+const SLOW_LINK: f64 = 2.5;
+const SLOW_SOURCE: f64 = 4.0;
 /// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up
 /// with each.
 const SLOW_SHARE: f64 = 0.1;
 const UNHURRIED_CREEP: f64 = 0.002;
-/// The most that an unhurried hit is taken to need in the middle: this share of its class's aim.
-const UNHURRIED_MOST: f64 = 0.5;
+/// Answers that tell an object's sending time: the least of them.
+const KNOWN_ANSWERS: u32 = 2;
+/// The usual sending time of an object not known yet, as a share of its class's mean: most are smaller.
+const NEW_OF_MEAN: f64 = 0.6;
+/// A class's usual hit takes no more than this share of its aim, unhurried.
+const HIT_OF_AIM: f64 = 0.5;
 /// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never
 /// below the least.
 const GATE_CUT: f64 = 0.85;
@@ -128,6 +133,16 @@
     }
 }
 
+/// How much slower a first byte was than the unhurried ones, as a logarithm: against the least that the
+/// average has been, which creeps up.
+fn hurry((lately, unhurried): &mut (Average, Option<f64>), took: f64) -> f64 {
+    lately.add(took, AVERAGE_SHARE);
+    let now = lately.get().unwrap_or(took);
+    let least = unhurried.map_or(now, |u| u + UNHURRIED_CREEP * (now - u)).min(now);
+    *unhurried = Some(least);
+    took - least
+}
+
 /// The bounded search: among the splits within `step` of `split`, the one that minimizes MR1(s)*L1 +
 /// MR2(St-s)*L2; the nearest of equals.
 pub fn best_split(split: usize, step: usize, mr1: &[f64], mr2: &[f64], l1: f64, l2: f64) -> usize {
@@ -148,8 +163,8 @@
     open: IndexMap<RequestId, Open>,
     edge: ShadowList,
     missed: ShadowList,
-    /// Rank of an object's first part, for the later ones.
-    ranks: IndexMap<ObjectId, Rank>,
+    /// Objects seen lately.
+    known: IndexMap<ObjectId, Known>,
     split: usize,
     next_period: Ms,
     /// L1 and L2.
@@ -157,8 +172,10 @@
     /// By class: delay of what was served, and sending time.
     delay: Vec<(Average, Average)>,
     sending: Vec<Average>,
-    /// By class: logarithm of what a hit takes lately, and unhurried.
-    hurry: Vec<(Average, Option<f64>)>,
+    /// By class: the logarithm of what a hit takes.
+    hits: Vec<Average>,
+    /// The logarithm of the first bytes of fills by the parent and by the origin, late and least.
+    waits: [(Average, Option<f64>); 2],
     /// By class: the share of answers that needed a fill.
     fills: Vec<Average>,
     /// The fills over the zone's link.
@@ -181,13 +198,14 @@
             open: IndexMap::new(),
             edge: ShadowList::new(SHADOW_ENTRIES),
             missed: ShadowList::new(SHADOW_ENTRIES),
-            ranks: IndexMap::new(),
+            known: IndexMap::new(),
             split: SHADOW_ENTRIES / 2,
             next_period: 0.0,
             latency: [Average::default(); 2],
             delay: vec![Default::default(); classes],
             sending: vec![Average::default(); classes],
-            hurry: vec![Default::default(); classes],
+            hits: vec![Average::default(); classes],
+            waits: Default::default(),
             fills: vec![Average::default(); classes],
             link: Gate::new(),
             purged_objects: IndexMap::new(),
@@ -309,9 +327,6 @@
             return;
         };
         let rank = self.rank(&req, class);
-        if req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0 {
-            self.sending[class].add(req.size_kb / self.set.pace_kb_per_s * 1000.0, AVERAGE_SHARE);
-        }
         let end = self.now + req.budget - margin;
         let id = req.id.clone();
         let open = Open {
@@ -337,14 +352,14 @@
             return Rank::None;
         }
         if req.part != Part(0) {
-            return self.ranks.get(&req.object).copied().unwrap_or(Rank::Low);
+            return self.known.get(&req.object).map_or(Rank::Low, |k| k.rank);
         }
         let near = self.edge.file(req.object.0).is_some_and(|distance| distance < self.split);
         let rank = if near { Rank::Top } else { Rank::Low };
-        self.ranks.shift_remove(&req.object);
-        self.ranks.insert(req.object, rank);
-        if self.ranks.len() > SHADOW_ENTRIES {
-            self.ranks.shift_remove_index(0);
+        let known = self.known.shift_remove(&req.object).unwrap_or_default();
+        self.known.insert(req.object, Known { rank, ..known });
+        if self.known.len() > SHADOW_ENTRIES {
+            self.known.shift_remove_index(0);
         }
         rank
     }
@@ -467,16 +482,18 @@
 
     // ---- Sending ----
 
-    fn sized(&self, open: &Open) -> bool {
-        open.req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0
+    /// The sending time of a request's part: by its size where told, else the least that a part of the
+    /// object took.
+    fn own_time(&self, req: &Request) -> Option<Ms> {
+        if req.size_kb > 0.0 && self.set.pace_kb_per_s > 0.0 {
+            return Some(req.size_kb / self.set.pace_kb_per_s * 1000.0);
+        }
+        self.known.get(&req.object).filter(|k| k.seen >= KNOWN_ANSWERS).map(|k| k.least)
     }
 
-    /// The work of a request: its sending time if its size is told, else its class's mean.
-    fn weight(&self, open: &Open, own: bool) -> f64 {
-        if own && self.sized(open) {
-            return open.req.size_kb / self.set.pace_kb_per_s * 1000.0;
-        }
-        self.sending[open.class].get().unwrap_or(self.set.classes[open.class].aim)
+    /// The mean sending time of a class.
+    fn mean_time(&self, class: usize) -> Ms {
+        self.sending[class].get().unwrap_or(self.set.classes[class].aim)
     }
 
     /// Makes the next attempt, or gives up at once if none can help.
@@ -484,10 +501,10 @@
         let open = &self.open[at];
         let class = &self.set.classes[open.class];
         let left = open.end - self.now;
-        let (mean, own) = (self.weight(open, false), self.weight(open, true));
+        let (mean, known) = (self.mean_time(open.class), self.own_time(&open.req));
+        let own = known.unwrap_or(mean);
         let through = class.uncacheable || open.req.write;
-        let sized = self.sized(open);
-        let hopeless = left <= 0.0 || (sized && own > left && !through);
+        let hopeless = left <= 0.0 || (known.is_some_and(|own| own > left) && !through);
         if hopeless || open.tries.len() >= MAX_ATTEMPTS.min(self.set.max_attempts) || !self.may_send(open) {
             if self.open[at].out() == 0 {
                 self.give_up(at, acts);
@@ -709,19 +726,21 @@
     fn learn(&mut self, at: usize, server: usize, source: Option<usize>, weight: f64, key: u64, o: &Outcome) {
         let open = &self.open[at];
         let (class, req) = (open.class, &open.req);
-        let own = self.weight(open, true);
         let filled = matches!(o.note, Note::FilledBySource | Note::FilledByOrigin);
         if o.end == End::Served {
             self.servers[server].carried.add(self.now, weight);
-            let told = if self.sized(open) { own } else { 0.0 };
+            let beyond = (o.delay - self.own_time(req).unwrap_or(0.0)).max(0.0);
             let (mean, deviation) = &mut self.delay[class];
-            let beyond = (o.delay - told).max(0.0);
             deviation.add((beyond - mean.get().unwrap_or(0.0)).abs(), AVERAGE_SHARE);
             mean.add(beyond, AVERAGE_SHARE);
-            if o.note == Note::Hit && req.size_kb <= 0.0 {
-                self.sending[class].add(o.delay, AVERAGE_SHARE);
+            if let Some(known) = self.known.get_mut(&req.object).filter(|_| filled || o.note == Note::Hit) {
+                let took = (o.delay - o.source_wait).max(1.0);
+                known.least = if known.seen == 0 { took } else { known.least.min(took) };
+                known.seen += 1;
+                self.sending[class].add(known.least, AVERAGE_SHARE);
             }
         }
+        let own = self.own_time(req).unwrap_or(weight);
         if filled && req.part == Part(0) && open.rank != Rank::None {
             self.missed.file(req.object.0);
         }
@@ -745,7 +764,11 @@
             let fills = self.fills_out(source) + 1.0;
             let gate = &mut self.servers[i].gate;
             match o.note {
-                Note::FilledBySource | Note::FilledByOrigin => gate.grow(fills),
+                Note::FilledBySource | Note::FilledByOrigin if o.source_wait > 0.0 => {
+                    let layer = &mut self.waits[usize::from(o.note == Note::FilledByOrigin)];
+                    let slow = hurry(layer, o.source_wait.max(1.0).ln());
+                    gate.answer(self.now, slow, SLOW_SOURCE, fills);
+                }
                 Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
                 _ => {}
             }
@@ -754,31 +777,27 @@
             return;
         }
         let class = self.open[at].class;
-        let told = if self.sized(&self.open[at]) { self.weight(&self.open[at], true).max(1.0) } else { 1.0 };
+        let own = self.own_time(&self.open[at].req);
+        let slow = |wait: f64| own.map(|own| ((o.delay - wait).max(1.0) / own.max(1.0)).ln());
+        let usual = self.mean_time(class) * NEW_OF_MEAN;
         let fills = self.fills_out(None);
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
             (End::Served, Note::Hit) => {
-                let took = (o.delay.max(1.0) / told).ln();
-                let (lately, unhurried) = &mut self.hurry[class];
-                lately.add(took, AVERAGE_SHARE);
-                let now = lately.get().unwrap_or(took);
-                // A router that starts amid overload has no unhurried hits; then the aim tells what they
-                // should take.
-                let most =
-                    UNHURRIED_MOST * if told > 1.0 { 2.0 } else { self.set.classes[class].aim.max(1.0) };
-                let least =
-                    unhurried.map_or(now, |u| u + UNHURRIED_CREEP * (now - u)).min(now).min(most.ln());
-                *unhurried = Some(least);
-                gate.answer(self.now, took - least, SLOW_CACHE, out);
                 self.fills[class].add(0.0, AVERAGE_SHARE);
+                // A router that starts amid overload has seen no unhurried answer; there the aim tells.
+                self.hits[class].add(o.delay.max(1.0).ln(), AVERAGE_SHARE);
+                let late =
+                    self.hits[class].get().map(|h| h - (HIT_OF_AIM * self.set.classes[class].aim).ln());
+                if let Some(slow) = slow(0.0) {
+                    gate.answer(self.now, slow.max(late.unwrap_or(slow)), SLOW_CACHE, out);
+                }
             }
             (End::Served, Note::FilledBySource | Note::FilledByOrigin) => {
                 self.fills[class].add(1.0, AVERAGE_SHARE);
-                if let Some(least) = self.hurry[class].1 {
-                    let took = ((o.delay - o.source_wait).max(1.0) / told).ln();
-                    self.link.answer(self.now, took - least, SLOW_LINK, fills);
-                }
+                // Most fills are for objects not known yet; those are held against their class.
+                let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
+                self.link.answer(self.now, slow(o.source_wait).unwrap_or(new), SLOW_LINK, fills);
             }
             // Places for fills also run out where a source hangs: only a slow link says that the link is
             // full.
@@ -876,21 +895,25 @@
             self.purged_objects.retain(|_, at| *at >= keep);
             self.purged_groups.retain(|_, at| *at >= keep);
         }
-        let due: Vec<RequestId> =
-            self.open.values().filter(|o| !o.done && self.now >= o.end).map(|o| o.req.id.clone()).collect();
-        for id in due {
-            if let Some(at) = self.open.get_index_of(&id) {
-                self.give_up(at, acts);
-            }
-        }
-        let waiting: Vec<RequestId> =
-            self.open.values().filter(|o| o.waits && !o.done).map(|o| o.req.id.clone()).collect();
-        for id in waiting {
+        let now = self.now;
+        self.each(|o| now >= o.end, acts, Self::give_up);
+        self.each(|o| o.waits, acts, Self::dispatch);
+        self.find_silent(acts);
+    }
+
+    /// Does something for each open request of a kind.
+    fn each(
+        &mut self,
+        kind: impl Fn(&Open) -> bool,
+        acts: &mut Vec<Action>,
+        what: fn(&mut Self, usize, &mut Vec<Action>),
+    ) {
+        let of_kind = self.open.values().filter(|o| !o.done && kind(o));
+        for id in of_kind.map(|o| o.req.id.clone()).collect::<Vec<_>>() {
             if let Some(at) = self.open.get_index_of(&id) {
-                self.dispatch(at, acts);
+                what(self, at, acts);
             }
         }
-        self.find_silent(acts);
     }
 
     /// How long an attempt for a request takes at the outside, as delays go.
@@ -898,8 +921,7 @@
         let (mean, deviation) = self.delay[open.class];
         let usual =
             mean.after(OVERDUE_SAMPLES).map(|m| m + OVERDUE_DEVIATIONS * deviation.get().unwrap_or(m));
-        let told = if self.sized(open) { self.weight(open, true) } else { 0.0 };
-        usual.unwrap_or(self.set.classes[open.class].deadline) + told
+        usual.unwrap_or(self.set.classes[open.class].deadline) + self.own_time(&open.req).unwrap_or(0.0)
     }
 
     /// Silence: a server with attempts overdue and no answer of its own while they were is taken out, and
@@ -949,20 +971,21 @@
     /// allowed, else in its place once it has been called off.
     fn move_off(&mut self, silent: usize, acts: &mut Vec<Action>) {
         let waits_on = |t: &Try| !t.over && (t.server == silent || t.source == Some(silent));
-        let waiting = |o: &&Open| !o.done && o.tries.iter().any(waits_on);
-        let ids: Vec<RequestId> = self.open.values().filter(waiting).map(|o| o.req.id.clone()).collect();
-        for id in ids {
-            let Some(at) = self.open.get_index_of(&id) else { continue };
-            if self.set.classes[self.open[at].class].effect != Effect::Safe {
-                continue;
-            }
-            self.open[at].tries.iter_mut().filter(|t| waits_on(t)).for_each(|t| t.fault = Some(silent));
-            if self.set.second_copies && self.open[at].out() == 1 {
-                self.dispatch(at, acts);
-            } else if self.set.cancel {
-                self.cancel_all(at, acts);
-            }
+        let safe: Vec<bool> = self.set.classes.iter().map(|c| c.effect == Effect::Safe).collect();
+        for t in self.open.values_mut().flat_map(|o| &mut o.tries).filter(|t| waits_on(t)) {
+            t.fault = Some(silent);
         }
+        self.each(
+            |o| safe[o.class] && o.tries.iter().any(waits_on),
+            acts,
+            |r, at, acts| {
+                if r.set.second_copies && r.open[at].out() == 1 {
+                    r.dispatch(at, acts);
+                } else {
+                    r.cancel_all(at, acts);
+                }
+            },
+        );
     }
 
     // ---- Final answers ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,3 +90,19 @@
         self.tries.iter().filter(|t| !t.over).count()
     }
 }
+
+/// What is known of an object.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// The rank of its first part, for the later ones.
+    pub rank: Rank,
+    /// The least time in which a part was sent, and of how many.
+    pub least: Ms,
+    pub seen: u32,
+}
+
+impl Default for Known {
+    fn default() -> Self {
+        Self { rank: Rank::Low, least: 0.0, seen: 0 }
+    }
+}
