--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,8 +60,8 @@
 const SPILL_SLACK: f64 = 1.0;
 /// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's
 /// link, is full.
-const SLOW_CACHE: f64 = 2.5;
-const SLOW_LINK: f64 = 2.5;
+const SLOW_CACHE: f64 = 3.0;
+const SLOW_LINK: f64 = 2.0;
 const SLOW_SOURCE: f64 = 4.0;
 /// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up
 /// with each.
