--- a/src/rules.rs
+++ b/src/rules.rs
@@ -511,27 +511,32 @@
             }
             return;
         }
-        let usable = |i: &usize| self.usable(*i);
+        let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
+        let any_warm = self.in_order(Role::Edge, 0).iter().any(warm);
         let (server, source) = if through {
             self.pick_through(at)
-        } else if self.in_order(Role::Edge, 0).iter().any(usable) {
-            let Some(edge) = self.pick_edge(at, mean) else { return self.wait(at, acts) };
-            // While the link or the source is full, a look first: only what the cache lacks needs a place
-            // there.
-            let (found, source) = (self.open[at].found, self.pick_source(at, own));
+        } else {
+            let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
             let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)));
             let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None));
-            match (source, found) {
-                (Some(_), _) if lets || found == Found::FillUnderWay => (Some(edge), source),
-                (Some(_), Found::Nothing) => return self.wait(at, acts),
-                (None, Found::Nothing) => (None, None),
-                _ => (Some(edge), None),
+            match (edge, source, self.open[at].found) {
+                (Some(_), _, Found::FillUnderWay) => (edge, source),
+                (Some(_), Some(_), _) if lets => (edge, source),
+                (Some(_), Some(_), Found::Nothing) => return self.wait(at, acts),
+                (Some(_), None, Found::Nothing) => (None, None),
+                // While the link or the source is full, a look first: only what the cache lacks needs a
+                // place there.
+                (Some(_), _, Found::Unknown) => (edge, None),
+                // No warm cache of the zone can serve: the parent itself, with the origin behind it.
+                (None, Some(_), _) if !any_warm && self.set.direct => {
+                    if !lets {
+                        return self.wait(at, acts);
+                    }
+                    (source, self.in_order(Role::Origin, 0).first().copied().filter(|o| source != Some(*o)))
+                }
+                (None, ..) if any_warm => return self.wait(at, acts),
+                (None, ..) => (None, None),
             }
-        } else if self.set.direct {
-            // No cache of the zone can serve: the parent itself, with the origin behind it.
-            (self.pick_source(at, own), None)
-        } else {
-            (None, None)
         };
         match server {
             Some(server) => self.send(at, server, source, mean, own, acts),
@@ -543,7 +548,8 @@
     /// Fills expected to be out over the zone's link, or from one source.
     fn fills_out(&self, source: Option<usize>) -> f64 {
         let tries = self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over);
-        tries.filter(|t| source.is_none() || t.source == source).map(|t| t.fill).sum()
+        let of = |t: &&Try| source.is_none() || t.source == source || source == Some(t.server);
+        tries.filter(of).map(|t| t.fill).sum()
     }
 
     /// Holds a request at a closed gate while it may still be in time, else gives it up at once.
@@ -613,6 +619,7 @@
             Some(_) if open.found == Found::Nothing => 1.0,
             Some(_) if open.found == Found::FillUnderWay => 0.0,
             None if edge => 0.0,
+            _ if !edge => 1.0,
             _ => self.fills[open.class].get().unwrap_or(0.5),
         };
         let s = &mut self.servers[server];
