--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,11 +62,8 @@
 /// link, is full.
 const SLOW_CACHE: f64 = 3.0;
 const SLOW_LINK: f64 = 2.0;
-const SLOW_SOURCE: f64 = 4.0;
-/// Weight of a sample in a cache's or the link's slowness, and by how much the unhurried delay creeps up
-/// with each.
+/// Weight of a sample in a cache's or the link's slowness.
 const SLOW_SHARE: f64 = 0.1;
-const UNHURRIED_CREEP: f64 = 0.002;
 /// Answers that tell an object's sending time: the least of them.
 const KNOWN_ANSWERS: u32 = 2;
 /// The usual sending time of an object not known yet, as a share of its class's mean: most are smaller.
@@ -83,8 +80,6 @@
 /// It grows by about this much in each round of answers while this share of it is in use.
 const GATE_STEP: f64 = 1.0;
 const GATE_USED: f64 = 0.7;
-/// A request waits at a closed gate for at most this share of its class's aim.
-const WAIT_SHARE: f64 = 0.5;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
 /// Time constant of the rates carried, from which capacity is inferred.
@@ -133,16 +128,6 @@
     }
 }
 
-/// How much slower a first byte was than the unhurried ones, as a logarithm: against the least that the
-/// average has been, which creeps up.
-fn hurry((lately, unhurried): &mut (Average, Option<f64>), took: f64) -> f64 {
-    lately.add(took, AVERAGE_SHARE);
-    let now = lately.get().unwrap_or(took);
-    let least = unhurried.map_or(now, |u| u + UNHURRIED_CREEP * (now - u)).min(now);
-    *unhurried = Some(least);
-    took - least
-}
-
 /// The bounded search: among the splits within `step` of `split`, the one that minimizes MR1(s)*L1 +
 /// MR2(St-s)*L2; the nearest of equals.
 pub fn best_split(split: usize, step: usize, mr1: &[f64], mr2: &[f64], l1: f64, l2: f64) -> usize {
@@ -174,14 +159,14 @@
     sending: Vec<Average>,
     /// By class: the logarithm of what a hit takes.
     hits: Vec<Average>,
-    /// The logarithm of the first bytes of fills by the parent and by the origin, late and least.
-    waits: [(Average, Option<f64>); 2],
     /// By class: the share of answers that needed a fill.
     fills: Vec<Average>,
     /// The fills over the zone's link.
     link: Gate,
     purged_objects: IndexMap<ObjectId, Ms>,
     purged_groups: IndexMap<GroupId, Ms>,
+    /// The most that warm caches, and parents, carried on average for a unit of weight.
+    carried: [f64; 2],
     keys: u64,
     lines: usize,
 }
@@ -205,11 +190,11 @@
             delay: vec![Default::default(); classes],
             sending: vec![Average::default(); classes],
             hits: vec![Average::default(); classes],
-            waits: Default::default(),
             fills: vec![Average::default(); classes],
             link: Gate::new(),
             purged_objects: IndexMap::new(),
             purged_groups: IndexMap::new(),
+            carried: [0.0; 2],
             keys: 0,
             lines: 0,
         }
@@ -335,8 +320,6 @@
             end,
             rank,
             tries: Vec::new(),
-            came: self.now,
-            waits: false,
             found: Found::Unknown,
             may_have_run: None,
             done: false,
@@ -422,8 +405,9 @@
         }
     }
 
-    /// True if a server may get this much more now. Only one that started lately has a budget: its share of
-    /// what its warm peers carry for this router (all routers reckon alike, so their shares add up).
+    /// True if a server may get this much more now. Only one that started lately has a budget: its share
+    /// of the most that warm servers like it carried for this router (all routers reckon alike, so their
+    /// shares add up).
     fn has_room(&mut self, i: usize, weight: f64) -> bool {
         let Some(age) = self.age_if_cold(&self.servers[i]) else { return true };
         let entry = self.servers[i].entry.clone();
@@ -431,15 +415,7 @@
             return true;
         }
         let rule = self.cold_rule(entry.role);
-        let (mut sum, mut peers) = (0.0, 0.0);
-        for s in self.peers(i).filter(|s| self.age_if_cold(s).is_none()) {
-            sum += s.carried.rate(self.now) / s.entry.weight;
-            peers += 1.0;
-        }
-        if peers == 0.0 {
-            return false;
-        }
-        let capacity = COLD_SAFETY * sum / peers * entry.weight;
+        let capacity = COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)] * entry.weight;
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let budget = rule.multiple * share * capacity * rule.window;
         let since = self.now - rule.window;
@@ -511,35 +487,29 @@
             }
             return;
         }
-        let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
-        let any_warm = self.in_order(Role::Edge, 0).iter().any(warm);
         let (server, source) = if through {
             self.pick_through(at)
         } else {
+            let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
+            let any_warm = self.in_order(Role::Edge, 0).iter().any(warm);
             let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
             let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)));
             let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None));
-            match (edge, source, self.open[at].found) {
-                (Some(_), _, Found::FillUnderWay) => (edge, source),
-                (Some(_), Some(_), _) if lets => (edge, source),
-                (Some(_), Some(_), Found::Nothing) => return self.wait(at, acts),
-                (Some(_), None, Found::Nothing) => (None, None),
-                // While the link or the source is full, a look first: only what the cache lacks needs a
-                // place there.
-                (Some(_), _, Found::Unknown) => (edge, None),
+            match (edge, self.open[at].found) {
+                (Some(_), Found::FillUnderWay) => (edge, source),
+                (Some(_), _) if lets => (edge, source),
+                // While the link or the source is full, a look: only what the cache lacks needs a place
+                // there.
+                (Some(_), Found::Unknown) => (edge, None),
                 // No warm cache of the zone can serve: the parent itself, with the origin behind it.
-                (None, Some(_), _) if !any_warm && self.set.direct => {
-                    if !lets {
-                        return self.wait(at, acts);
-                    }
+                (None, _) if !any_warm && lets && self.set.direct => {
                     (source, self.in_order(Role::Origin, 0).first().copied().filter(|o| source != Some(*o)))
                 }
-                (None, ..) if any_warm => return self.wait(at, acts),
-                (None, ..) => (None, None),
+                _ => (None, None),
             }
         };
         match server {
-            Some(server) => self.send(at, server, source, mean, own, acts),
+            Some(server) => self.send(at, server, source, acts),
             None if self.open[at].out() > 0 => {}
             None => self.give_up(at, acts),
         }
@@ -552,33 +522,18 @@
         tries.filter(of).map(|t| t.fill).sum()
     }
 
-    /// Holds a request at a closed gate while it may still be in time, else gives it up at once.
-    fn wait(&mut self, at: usize, acts: &mut Vec<Action>) {
-        let open = &mut self.open[at];
-        open.waits = self.now < open.came + WAIT_SHARE * self.set.classes[open.class].aim;
-        if !open.waits && open.out() == 0 {
-            self.give_up(at, acts);
-        }
-    }
-
     /// Where a request that runs at the origin goes: straight there, else by a parent or an edge cache.
     fn pick_through(&mut self, at: usize) -> (Option<usize>, Option<usize>) {
         let key = self.open[at].req.object.0;
-        let tried = |i: &usize| self.open[at].tries.iter().any(|t| t.server == *i);
+        let fresh = |i: &usize| !self.open[at].tries.iter().any(|t| t.server == *i);
         let origin = self.in_order(Role::Origin, key).first().copied();
-        if self.set.direct {
-            let straight = origin.filter(|i| !tried(i) && self.usable(*i));
-            if straight.is_some() {
-                return (straight, None);
-            }
-            let cold = |i: &usize| self.age_if_cold(&self.servers[*i]).is_some();
-            let parents = self.in_order(Role::Parent, mix(key, 0));
-            let parent = parents.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i));
-            return (parent.or(origin.filter(|i| !tried(i))), origin);
+        let straight = origin.filter(|i| self.set.direct && fresh(i));
+        let way = self.in_order(if self.set.direct { Role::Parent } else { Role::Edge }, mix(key, 0));
+        let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
+        match straight.filter(|i| self.usable(*i)) {
+            Some(_) => (straight, None),
+            None => (way.into_iter().find(|i| warm(i) && fresh(i)).or(straight), origin),
         }
-        let edges = self.in_order(Role::Edge, key);
-        let cold = |i: &usize| self.age_if_cold(&self.servers[*i]).is_some();
-        (edges.into_iter().find(|i| self.usable(*i) && !tried(i) && !cold(i)), origin)
     }
 
     /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one
@@ -597,16 +552,9 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        at: usize,
-        server: usize,
-        source: Option<usize>,
-        mean: f64,
-        own: f64,
-        acts: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, at: usize, server: usize, source: Option<usize>, acts: &mut Vec<Action>) {
+        let mean = self.mean_time(self.open[at].class);
+        let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
         let (key, now) = (self.keys, self.now);
         let max_age = self.max_age(&self.open[at]);
@@ -640,7 +588,6 @@
             }
         }
         let open = &mut self.open[at];
-        open.waits = false;
         open.tries.push(Try {
             server,
             source,
@@ -721,9 +668,6 @@
             self.finish(at, acts);
         } else if self.open[at].done || self.open[at].out() > 0 {
             self.forget(at);
-        } else if matches!(o.note, Note::OriginFailed | Note::SourceRefused) {
-            // Another source would ask the same origin, at once: wait for a place.
-            self.wait(at, acts);
         } else {
             self.dispatch(at, acts);
         }
@@ -771,11 +715,7 @@
             let fills = self.fills_out(source) + 1.0;
             let gate = &mut self.servers[i].gate;
             match o.note {
-                Note::FilledBySource | Note::FilledByOrigin if o.source_wait > 0.0 => {
-                    let layer = &mut self.waits[usize::from(o.note == Note::FilledByOrigin)];
-                    let slow = hurry(layer, o.source_wait.max(1.0).ln());
-                    gate.answer(self.now, slow, SLOW_SOURCE, fills);
-                }
+                Note::FilledBySource | Note::FilledByOrigin => gate.grow(fills),
                 Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
                 _ => {}
             }
@@ -898,13 +838,20 @@
         if self.now >= self.next_period {
             self.next_period = self.now + PERIOD_MS;
             self.adapt(acts);
+            for (role, most) in [Role::Edge, Role::Parent].into_iter().zip(0..) {
+                let near = |i: &usize| self.age_if_cold(&self.servers[*i]).is_none();
+                let warm: Vec<usize> = self.in_order(role, 0).into_iter().filter(near).collect();
+                let rate =
+                    |i: &usize| self.servers[*i].carried.rate(self.now) / self.servers[*i].entry.weight;
+                let mean = warm.iter().map(rate).sum::<f64>() / warm.len().max(1) as f64;
+                self.carried[most] = mean.max(self.carried[most]);
+            }
             let keep = self.now - self.set.purge_settles.max(self.set.purge_grace) - PURGE_EXTRA_MS;
             self.purged_objects.retain(|_, at| *at >= keep);
             self.purged_groups.retain(|_, at| *at >= keep);
         }
         let now = self.now;
         self.each(|o| now >= o.end, acts, Self::give_up);
-        self.each(|o| o.waits, acts, Self::dispatch);
         self.find_silent(acts);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,9 +75,7 @@
     pub end: Ms,
     pub rank: Rank,
     pub tries: Vec<Try>,
-    /// When it came in; whether it waits at a gate; and whether its cache lacks the object.
-    pub came: Ms,
-    pub waits: bool,
+    /// What a look has shown.
     pub found: Found,
     /// Attempts that may have run are over, the first at that time on that server.
     pub may_have_run: Option<(Ms, usize)>,
