--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -178,7 +178,7 @@
 // 4. Cold servers.
 
 fn warm(d: &mut Driver) {
-    for n in 0..400 {
+    for n in 0..600 {
         d.serve(n, SAFE, n as u64, Note::FilledBySource);
         d.wait(10.0);
     }
