Ask refused clients back within a quarter of the aim; origin failures end at once

Cause: a refused client that stays away for the longest time it heeds comes back too late to be served in time.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -85,12 +85,14 @@
 /// Time constant of the rates carried, from which capacity is inferred.
 const CARRIED_TAU_MS: Ms = 10_000.0;
 /// Share of what the peers carry that a cold server is taken to be able to carry when warm.
-const COLD_SAFETY: f64 = 0.5;
+const COLD_SAFETY: f64 = 0.65;
 /// A purge is heeded for this much longer than it takes to settle.
 const PURGE_EXTRA_MS: Ms = 1000.0;
 /// Taken off an age limit for rounding; and the least limit, since 0 stands for the class's fresh time.
 const AGE_MARGIN_MS: Ms = 2.0;
 const AGE_LEAST_MS: Ms = 1.0;
+/// A refused client is asked to stay away for this share of its class's aim.
+const HOLD_OFF_OF_AIM: f64 = 0.25;
 /// Lines a router reports in one life.
 const REPORT_LINES: usize = 120;
 
@@ -668,6 +670,9 @@
             self.finish(at, acts);
         } else if self.open[at].done || self.open[at].out() > 0 {
             self.forget(at);
+        } else if matches!(o.note, Note::OriginFailed | Note::SourceRefused) {
+            // Any other source would ask the same origin.
+            self.give_up(at, acts);
         } else {
             self.dispatch(at, acts);
         }
@@ -956,15 +961,16 @@
         };
         let id = open.req.id.clone();
         if !open.done {
-            acts.push(if refuse { Action::Refuse(id, self.hold_off()) } else { Action::Fail(id) });
+            acts.push(if refuse { Action::Refuse(id, self.hold_off(open.class)) } else { Action::Fail(id) });
         }
         self.finish(at, acts);
     }
 
-    /// How long a refused client is asked to stay away.
-    fn hold_off(&self) -> Ms {
+    /// How long a refused client is asked to stay away: so long that its next try may still be in time.
+    fn hold_off(&self, class: usize) -> Ms {
+        let aim = HOLD_OFF_OF_AIM * self.set.classes[class].aim;
         if self.set.retry_after {
-            self.set.max_retry_after
+            aim.min(self.set.max_retry_after)
         } else {
             0.0
         }
