--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 use crate::hash::{address, mix, rendezvous};
 use crate::shadow::ShadowList;
 use crate::state::{Found, Gate, Health, Known, Open, Server, Try};
-use crate::window::{Average, DecayingRate, SlidingSum};
+use crate::window::Average;
 use indexmap::IndexMap;
 
 // The mechanism.
@@ -80,6 +80,10 @@
 /// It grows by about this much in each round of answers while this share of it is in use.
 const GATE_STEP: f64 = 1.0;
 const GATE_USED: f64 = 0.7;
+/// A class whose sending time is under this share of the longest class's may go beyond a gate's limit by
+/// this.
+const SMALL_SHARE: f64 = 0.5;
+const SMALL_EASE: f64 = 1.5;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
 /// Time constant of the rates carried, from which capacity is inferred.
@@ -97,12 +101,8 @@
 const REPORT_LINES: usize = 120;
 
 impl Gate {
-    fn new() -> Self {
-        Self { limit: f64::INFINITY, cut: f64::NEG_INFINITY, slow: Average::default() }
-    }
-
-    fn lets(&self, out: f64) -> bool {
-        out + 1.0 <= self.limit
+    fn lets(&self, out: f64, ease: f64) -> bool {
+        out + 1.0 <= self.limit * ease
     }
 
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
@@ -141,6 +141,9 @@
     near.min_by(better).unwrap_or(split)
 }
 
+/// What is done to the open request at a place.
+type Step = fn(&mut Router, usize, &mut Vec<Action>);
+
 /// One router: decides for its own requests from its own events alone.
 pub struct Router {
     set: Settings,
@@ -193,7 +196,7 @@
             sending: vec![Average::default(); classes],
             hits: vec![Average::default(); classes],
             fills: vec![Average::default(); classes],
-            link: Gate::new(),
+            link: Gate::default(),
             purged_objects: IndexMap::new(),
             purged_groups: IndexMap::new(),
             carried: [0.0; 2],
@@ -274,21 +277,8 @@
             // Weights that follow the load would move every object's home with each list.
             let steady = !self.set.weights_move && entry.weight > 0.0;
             entry.weight = if steady { entry.weight } else { 1.0 };
-            let server = self.servers.entry(entry.id.clone()).or_insert_with(|| Server {
-                hash: address(&entry.id.0),
-                health: Health::Good,
-                strikes: 0,
-                vanished: false,
-                started: entry.started,
-                errors: 0.0,
-                gate: Gate::new(),
-                answered: now,
-                out: 0,
-                work: 0.0,
-                sent: SlidingSum::default(),
-                carried: DecayingRate::new(now, CARRIED_TAU_MS),
-                entry: entry.clone(),
-            });
+            let new = || Server::new(entry.clone(), address(&entry.id.0), now, CARRIED_TAU_MS);
+            let server = self.servers.entry(entry.id.clone()).or_insert_with(new);
             if entry.started > server.entry.started {
                 // A new process: what was held against the old one is void, and it is cold.
                 server.started = entry.started;
@@ -315,18 +305,7 @@
         };
         let rank = self.rank(&req, class);
         let end = self.now + req.budget - margin;
-        let id = req.id.clone();
-        let open = Open {
-            req,
-            class,
-            end,
-            rank,
-            tries: Vec::new(),
-            found: Found::Unknown,
-            may_have_run: None,
-            done: false,
-        };
-        let (at, _) = self.open.insert_full(id, open);
+        let (at, _) = self.open.insert_full(req.id.clone(), Open::new(req, class, end, rank));
         self.dispatch(at, acts);
     }
 
@@ -428,10 +407,11 @@
     /// is not far busier than its zone; else the first that is usable and has room.
     fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
-        let mut order = self.in_order(Role::Edge, key);
+        let (mut order, ease) = (self.in_order(Role::Edge, key), self.ease(self.open[at].class));
         order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.fault == Some(*i)));
-        order
-            .retain(|i| self.servers[*i].gate.lets(self.servers[*i].out as f64) && self.has_room(*i, weight));
+        order.retain(|i| {
+            self.servers[*i].gate.lets(self.servers[*i].out as f64, ease) && self.has_room(*i, weight)
+        });
         let size = |i: &usize| self.servers[*i].entry.weight;
         let load = |i: &usize| self.servers[*i].work / size(i);
         let all = order.iter().map(size).sum::<f64>();
@@ -469,6 +449,17 @@
         self.known.get(&req.object).filter(|k| k.seen >= KNOWN_ANSWERS).map(|k| k.least)
     }
 
+    /// By how much a class may go beyond a gate's limit: one that takes little earns more for the same
+    /// room.
+    fn ease(&self, class: usize) -> f64 {
+        let longest = self.sending.iter().filter_map(|a| a.get()).fold(0.0, f64::max);
+        if self.mean_time(class) < SMALL_SHARE * longest {
+            SMALL_EASE
+        } else {
+            1.0
+        }
+    }
+
     /// The mean sending time of a class.
     fn mean_time(&self, class: usize) -> Ms {
         self.sending[class].get().unwrap_or(self.set.classes[class].aim)
@@ -494,9 +485,10 @@
         } else {
             let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
             let any_warm = self.in_order(Role::Edge, 0).iter().any(warm);
+            let ease = self.ease(self.open[at].class);
             let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
-            let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)));
-            let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None));
+            let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)), ease);
+            let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None), ease);
             match (edge, self.open[at].found) {
                 (Some(_), Found::FillUnderWay) => (edge, source),
                 (Some(_), _) if lets => (edge, source),
@@ -548,7 +540,7 @@
             (_, _) if open.out() > 0 => false,
             (_, None) => true,
             (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some((since, _))) => {
+            (Effect::Keyed, Some(since)) => {
                 class.key_scope == KeyScope::All && self.now < since + class.key_window
             }
         }
@@ -649,7 +641,7 @@
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
         if !proved {
-            open.may_have_run.get_or_insert((sent, server));
+            open.may_have_run.get_or_insert(sent);
         }
         if o.end == End::Miss {
             let open = &mut self.open[at];
@@ -861,12 +853,7 @@
     }
 
     /// Does something for each open request of a kind.
-    fn each(
-        &mut self,
-        kind: impl Fn(&Open) -> bool,
-        acts: &mut Vec<Action>,
-        what: fn(&mut Self, usize, &mut Vec<Action>),
-    ) {
+    fn each(&mut self, kind: impl Fn(&Open) -> bool, acts: &mut Vec<Action>, what: Step) {
         let of_kind = self.open.values().filter(|o| !o.done && kind(o));
         for id in of_kind.map(|o| o.req.id.clone()).collect::<Vec<_>>() {
             if let Some(at) = self.open.get_index_of(&id) {
@@ -926,25 +913,14 @@
         }
     }
 
-    /// Gives the requests that wait on a server another attempt, beside the first where copies are
-    /// allowed, else in its place once it has been called off.
+    /// Calls off what waits on a server; the request's next attempt passes it over.
     fn move_off(&mut self, silent: usize, acts: &mut Vec<Action>) {
         let waits_on = |t: &Try| !t.over && (t.server == silent || t.source == Some(silent));
         let safe: Vec<bool> = self.set.classes.iter().map(|c| c.effect == Effect::Safe).collect();
         for t in self.open.values_mut().flat_map(|o| &mut o.tries).filter(|t| waits_on(t)) {
             t.fault = Some(silent);
         }
-        self.each(
-            |o| safe[o.class] && o.tries.iter().any(waits_on),
-            acts,
-            |r, at, acts| {
-                if r.set.second_copies && r.open[at].out() == 1 {
-                    r.dispatch(at, acts);
-                } else {
-                    r.cancel_all(at, acts);
-                }
-            },
-        );
+        self.each(|o| safe[o.class] && o.tries.iter().any(waits_on), acts, Self::cancel_all);
     }
 
     // ---- Final answers ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,12 +77,18 @@
     pub tries: Vec<Try>,
     /// What a look has shown.
     pub found: Found,
-    /// Attempts that may have run are over, the first at that time on that server.
-    pub may_have_run: Option<(Ms, usize)>,
+    /// When the first attempt was sent that is over and may have run.
+    pub may_have_run: Option<Ms>,
     pub done: bool,
 }
 
 impl Open {
+    /// A request that has just come in.
+    pub fn new(req: Request, class: usize, end: Ms, rank: Rank) -> Self {
+        let (tries, found) = (Vec::new(), Found::Unknown);
+        Self { req, class, end, rank, tries, found, may_have_run: None, done: false }
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| !t.over).count()
@@ -104,3 +110,31 @@
         Self { rank: Rank::Low, least: 0.0, seen: 0 }
     }
 }
+
+impl Default for Gate {
+    /// A gate that has never been full.
+    fn default() -> Self {
+        Self { limit: f64::INFINITY, cut: f64::NEG_INFINITY, slow: Average::default() }
+    }
+}
+
+impl Server {
+    /// A server that the list has just named.
+    pub fn new(entry: ServerEntry, hash: u64, now: Ms, tau: Ms) -> Self {
+        Self {
+            started: entry.started,
+            entry,
+            hash,
+            health: Health::Good,
+            strikes: 0,
+            vanished: false,
+            errors: 0.0,
+            gate: Gate::default(),
+            answered: now,
+            out: 0,
+            work: 0.0,
+            sent: SlidingSum::default(),
+            carried: DecayingRate::new(now, tau),
+        }
+    }
+}
