--- a/src/rules.rs
+++ b/src/rules.rs
@@ -717,17 +717,18 @@
                 _ => {}
             }
         }
-        if self.servers[server].entry.role != Role::Edge {
+        let edge = self.servers[server].entry.role == Role::Edge;
+        if !edge && self.open[at].rank == Rank::None {
             return;
         }
-        let class = self.open[at].class;
+        let (class, sure) = (self.open[at].class, self.open[at].tries[o.attempt.0].fill >= 1.0);
         let own = self.own_time(&self.open[at].req);
         let slow = |wait: f64| own.map(|own| ((o.delay - wait).max(1.0) / own.max(1.0)).ln());
         let usual = self.mean_time(class) * NEW_OF_MEAN;
         let fills = self.fills_out(None);
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
-            (End::Served, Note::Hit) => {
+            (End::Served, Note::Hit) if edge => {
                 self.fills[class].add(0.0, AVERAGE_SHARE);
                 // A router that starts amid overload has seen no unhurried answer; there the aim tells.
                 self.hits[class].add(o.delay.max(1.0).ln(), AVERAGE_SHARE);
@@ -737,8 +738,10 @@
                     gate.answer(self.now, slow.max(late.unwrap_or(slow)), SLOW_CACHE, out);
                 }
             }
-            (End::Served, Note::FilledBySource | Note::FilledByOrigin) => {
-                self.fills[class].add(1.0, AVERAGE_SHARE);
+            (End::Served, Note::Hit | Note::FilledBySource | Note::FilledByOrigin) => {
+                if edge {
+                    self.fills[class].add(1.0, AVERAGE_SHARE);
+                }
                 // Most fills are for objects not known yet; those are held against their class.
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 self.link.answer(self.now, slow(o.source_wait).unwrap_or(new), SLOW_LINK, fills);
@@ -748,6 +751,8 @@
             (_, Note::NoFillPlace) if self.link.slow.get().is_some_and(|s| s > SLOW_LINK.ln() / 2.0) => {
                 self.link.full(self.now, fills);
             }
+            // What goes past the caches, or fills for sure, and is late, is late on the link.
+            (End::Late, _) if sure => self.link.full(self.now, fills),
             (End::Full, Note::Untold) => gate.full(self.now, out),
             _ => {}
         }
