--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,301 @@
+//! A test for each failure that a measured day or a recorded incident showed.
+
+mod common;
+use basaltgw::api::*;
+use common::*;
+
+fn reports(acts: &[Action], what: &str) -> usize {
+    acts.iter().filter(|a| matches!(a, Action::Report(text) if text.contains(what))).count()
+}
+
+/// Serves so many hits, ten milliseconds apart, so that delays are known.
+fn usual(d: &mut Driver, from: usize, count: usize) {
+    for n in from..from + count {
+        d.serve(n, SAFE, n as u64 % 60, Note::Hit);
+        d.wait(10.0);
+    }
+}
+
+/// Sparse traffic: one attempt that takes three times as long as usual is no silence (stripbib-reader, quiet).
+#[test]
+fn one_long_answer_is_not_silence() {
+    let mut d = Driver::new(settings(), fleet());
+    usual(&mut d, 0, 100);
+    let f = fetch(&d.ask(1000, SAFE, 1)).expect("a fetch");
+    let acts = d.wait(300.0);
+    assert_eq!(reports(&acts, "out for"), 0);
+    assert!(d.outcome(1000, 0, &f.server, End::Served, Note::Hit, 300.0).is_empty());
+}
+
+/// The first answers tell nothing of delays, so nothing is silent yet (stripbib-reader, rough-2).
+#[test]
+fn no_silence_is_judged_before_delays_are_known() {
+    let mut d = Driver::new(settings(), fleet());
+    usual(&mut d, 0, 5);
+    for n in 100..104 {
+        d.ask(n, SAFE, n as u64);
+    }
+    assert_eq!(reports(&d.wait(2000.0), "out for"), 0);
+}
+
+/// A parent that takes fills and answers none is blamed, not the caches that wait for it (stripbib-reader, big-2).
+#[test]
+fn a_hung_parent_is_told_from_the_caches_that_wait_for_it() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..200 {
+        d.serve(n, SAFE, n as u64, Note::FilledBySource);
+        d.wait(10.0);
+    }
+    let mut acts = Vec::new();
+    for n in 1000..1400 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+        if f.fill_from != id("parent-1") {
+            d.end(n, 0, &f.server, End::Served, Note::FilledBySource);
+        }
+        acts.extend(d.wait(10.0));
+        if reports(&acts, "out for") > 0 {
+            break;
+        }
+    }
+    assert_eq!(reports(&acts, "parent-1 out for"), 1, "{acts:?}");
+    assert_eq!(reports(&acts, "edge"), 0);
+    // What waits is called off and then filled from elsewhere, at the same cache if need be.
+    let (n, at) = acts
+        .iter()
+        .find_map(|a| match a {
+            Action::Cancel(r, at) => Some((r.clone(), *at)),
+            _ => None,
+        })
+        .expect("something was called off");
+    let server = d
+        .log
+        .iter()
+        .find_map(|(_, a)| match a {
+            Action::Fetch(f) if f.request == n => Some(f.server.clone()),
+            _ => None,
+        })
+        .expect("its attempt");
+    let acts = d.tell(Event::Outcome(Outcome {
+        request: n,
+        attempt: at,
+        server,
+        end: End::Cancelled,
+        delay: 900.0,
+        last: false,
+        note: Note::Untold,
+        source_wait: 0.0,
+        load: Load::default(),
+    }));
+    assert_ne!(fetch(&acts).expect("another attempt").fill_from, id("parent-1"));
+}
+
+/// An origin that fails behind both parents takes neither out (dala-depot-cache, iae126f), and the request is not
+/// sent on to ask the same origin.
+#[test]
+fn errors_that_all_parents_have_are_not_a_parents_own() {
+    let mut d = Driver::new(settings(), fleet());
+    usual(&mut d, 0, 50);
+    let mut acts = Vec::new();
+    for n in 1000..1100 {
+        let asked = d.ask(n, SAFE, n as u64);
+        if let Some(f) = fetch(&asked) {
+            let end = d.end(n, 0, &f.server, End::Full, Note::OriginFailed);
+            assert!(refused(&end, n));
+            acts.extend(end);
+        }
+        acts.extend(d.wait(10.0));
+    }
+    for n in 2000..2100 {
+        if let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) {
+            acts.extend(d.end(n, 0, &f.server, End::Error, Note::SourceFailed));
+            d.tell(Event::ClientLeft(rid(n)));
+        }
+        d.wait(10.0);
+    }
+    assert_eq!(reports(&acts, "parent"), 0, "{acts:?}");
+}
+
+/// One parent that fails alone is taken out and tried again later, one fill at a time.
+#[test]
+fn a_parent_that_fails_alone_is_taken_out_and_comes_back_by_trial() {
+    let mut d = Driver::new(settings(), fleet());
+    let mut acts = Vec::new();
+    let failing = |d: &mut Driver, from: usize, acts: &mut Vec<Action>, ok: bool| {
+        let mut named = 0;
+        for n in from..from + 100 {
+            let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+            if f.fill_from == id("parent-0") && !ok {
+                acts.extend(d.end(n, 0, &f.server, End::Error, Note::SourceFailed));
+                d.tell(Event::ClientLeft(rid(n)));
+                named += 1;
+            } else {
+                acts.extend(d.end(n, 0, &f.server, End::Served, Note::FilledBySource));
+            }
+        }
+        named
+    };
+    let named = failing(&mut d, 0, &mut acts, false);
+    assert_eq!(reports(&acts, "parent-0 out for"), 1);
+    assert!(named < 10, "{named} fills went to it");
+    d.wait(1100.0);
+    failing(&mut d, 1000, &mut acts, true);
+    assert_eq!(reports(&acts, "parent-0 back after its trial"), 1);
+}
+
+/// A cache that fails most requests quickly is passed over (norte-recogida, fast errors).
+#[test]
+fn a_cache_that_errs_is_passed_over_and_the_request_goes_on() {
+    let mut d = Driver::new(settings(), fleet());
+    let mut met = 0;
+    for n in 0..200 {
+        let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
+        if f.server == id("edge-1") {
+            met += 1;
+            let next = fetch(&d.end(n, 0, &f.server, End::Error, Note::Untold)).expect("another attempt");
+            assert_ne!(next.server, id("edge-1"));
+            d.end(n, 1, &next.server, End::Served, Note::Hit);
+        } else {
+            d.end(n, 0, &f.server, End::Served, Note::Hit);
+        }
+    }
+    assert!((3..10).contains(&met), "{met} requests met it");
+}
+
+/// Slow fills close the link's gate: then a look goes first, and what the cache lacks is refused at once
+/// (norte-recogida, big-2).
+#[test]
+fn a_full_link_lets_hits_through_and_refuses_misses_at_once() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..200 {
+        d.serve(n, SAFE, n as u64, Note::FilledBySource);
+    }
+    // Forty out at a time, each fill ten times as slow as usual.
+    for round in 0..10 {
+        let first = 1000 + round * 40;
+        let out: Vec<(usize, Fetch)> =
+            (first..first + 40).filter_map(|n| fetch(&d.ask(n, SAFE, n as u64)).map(|f| (n, f))).collect();
+        d.wait(1000.0);
+        for (n, f) in out {
+            if f.fill_from == f.server {
+                d.end(n, 0, &f.server, End::Miss, Note::Untold);
+            } else {
+                d.outcome(n, 0, &f.server, End::Served, Note::FilledBySource, 1000.0);
+            }
+        }
+    }
+    let mut looks = 0;
+    for n in 5000..5060 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+        if f.fill_from == f.server {
+            looks += 1;
+            let now = d.now;
+            assert!(refused(&d.end(n, 0, &f.server, End::Miss, Note::Untold), n));
+            assert_eq!(now, d.now);
+        }
+    }
+    assert!(looks > 10, "{looks} looks");
+}
+
+/// A fill that is under way needs no place on the link.
+#[test]
+fn a_look_that_finds_a_fill_under_way_joins_it() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..200 {
+        d.serve(n, SAFE, n as u64, Note::FilledBySource);
+    }
+    for round in 0..10 {
+        let first = 1000 + round * 40;
+        let out: Vec<(usize, Fetch)> =
+            (first..first + 40).filter_map(|n| fetch(&d.ask(n, SAFE, n as u64)).map(|f| (n, f))).collect();
+        d.wait(1000.0);
+        for (n, f) in out {
+            d.outcome(n, 0, &f.server, End::Served, Note::FilledBySource, 1000.0);
+        }
+    }
+    for n in 5000..5100 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+        if f.fill_from == f.server {
+            let joined = fetch(&d.end(n, 0, &f.server, End::Miss, Note::Joined)).expect("it joins");
+            assert!(joined.join && joined.fill_from != joined.server);
+            return;
+        }
+    }
+    panic!("no look was sent");
+}
+
+/// A location without caches goes to the parents with the origin behind them (stripbib-reader, i1bc644), and
+/// late answers close the link's gate (norte-recogida, i1c132f).
+#[test]
+fn a_location_without_caches_goes_past_them_within_its_link() {
+    let servers: Vec<ServerEntry> = fleet().into_iter().filter(|s| s.role != Role::Edge).collect();
+    let mut d = Driver::new(settings(), servers);
+    let mut sent = 0;
+    for n in 0..100 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+        assert!(f.server.0.starts_with("parent") && f.fill_from == id("origin") && f.rank == Rank::None);
+        sent += 1;
+    }
+    assert_eq!(sent, 100, "nothing has been late yet");
+    d.wait(900.0);
+    for n in 0..100 {
+        let key = d.log.iter().find_map(|(_, a)| match a {
+            Action::Fetch(f) if f.request == rid(n) => Some(f.server.clone()),
+            _ => None,
+        });
+        d.end(n, 0, &key.expect("its server"), End::Late, Note::Untold);
+        d.tell(Event::ClientLeft(rid(n)));
+        d.wait(40.0);
+    }
+    let let_in = (1000..1100).filter(|n| fetch(&d.ask(*n, SAFE, *n as u64)).is_some()).count();
+    assert!((1..60).contains(&let_in), "{let_in} let in");
+}
+
+/// The slack for spilling is in units of the list's weights (dala-depot-cache, big-1).
+#[test]
+fn a_hot_home_spills_whatever_the_unit_of_weights() {
+    let spread = |weight: f64| {
+        let mut servers = fleet();
+        servers.iter_mut().for_each(|s| s.weight = weight);
+        let mut d = Driver::new(settings(), servers);
+        let mut homes: Vec<ServerId> = Vec::new();
+        for n in 0..24 {
+            let r = Request { part: Part(n as u64), ..request(n, SAFE, 5, 4000.0) };
+            homes.push(fetch(&d.tell(Event::Request(r))).expect("a fetch").server);
+        }
+        homes
+    };
+    let homes = spread(1.0);
+    assert_eq!(homes, spread(50.0));
+    let at_home = homes.iter().filter(|h| **h == homes[0]).count();
+    assert!((6..18).contains(&at_home), "{at_home} of 24 parts at one cache");
+}
+
+/// A whole zone that comes back cold is used again from what its caches once carried.
+#[test]
+fn a_zone_of_cold_caches_gets_a_budget_from_memory() {
+    let mut d = Driver::new(settings(), fleet());
+    usual(&mut d, 0, 600);
+    let now = d.now;
+    let cold = |s: ServerEntry| ServerEntry { started: Some(now), ..s };
+    d.tell(Event::Servers(
+        ListMode::Changes,
+        fleet().into_iter().filter(|s| s.role == Role::Edge).map(cold).collect(),
+    ));
+    let sent = (1000..1100)
+        .filter_map(|n| fetch(&d.ask(n, SAFE, n as u64)))
+        .filter(|f| f.server.0.starts_with("edge"))
+        .count();
+    assert!((1..60).contains(&sent), "{sent} to cold caches at once");
+}
+
+/// What cannot be sent in the time that is left is refused once that is known, also where sizes are not told.
+#[test]
+fn an_object_too_large_for_the_budget_is_refused_once_known() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..2 {
+        let f = fetch(&d.ask(n, SAFE, 7)).expect("a fetch");
+        d.outcome(n, 0, &f.server, End::Served, Note::Hit, 3000.0);
+    }
+    assert!(refused(&d.tell(Event::Request(request(2, SAFE, 7, 2000.0))), 2));
+    assert!(fetch(&d.ask(3, SAFE, 7)).is_some(), "4 s are enough");
+}
