--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,13 +53,9 @@
 const TRIAL_WINS: u32 = 3;
 
 // Load.
-/// A cache with more than this multiple of its zone's mean work out passes a request to the next in hash
-/// order.
+/// A cache with over this multiple of its zone's mean work, and one request more, out passes parts on.
 const SPILL: f64 = 1.25;
-/// Further slack, in requests of the class, so that few small ones out do not spill.
-const SPILL_SLACK: f64 = 1.0;
-/// Mean slowness (delay over what the class's hits take unhurried) above which a cache, or the zone's
-/// link, is full.
+/// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full.
 const SLOW_CACHE: f64 = 3.0;
 const SLOW_LINK: f64 = 2.0;
 /// Weight of a sample in a cache's or the link's slowness.
@@ -70,15 +66,13 @@
 const NEW_OF_MEAN: f64 = 0.6;
 /// A class's usual hit takes no more than this share of its aim, unhurried.
 const HIT_OF_AIM: f64 = 0.5;
-/// A full gate's limit is cut to this share of what is out, at most once in the rest time, and never
-/// below the least.
+/// A full gate's limit is cut to this share of what is out, once in the rest time, down to the least.
 const GATE_CUT: f64 = 0.85;
 const GATE_REST_MS: Ms = 250.0;
 const GATE_LEAST: f64 = 4.0;
 /// With fewer out than this, slowness is not of this router's making.
 const GATE_FLOOR: f64 = 6.0;
-/// It grows by about this much in each round of answers while this share of it is in use.
-const GATE_STEP: f64 = 1.0;
+/// It grows by one in each round of answers while this share of it is in use.
 const GATE_USED: f64 = 0.7;
 /// A class whose sending time is under this share of the longest class's may go beyond a gate's limit by
 /// this.
@@ -117,7 +111,7 @@
 
     fn grow(&mut self, out: f64) {
         if out >= GATE_USED * self.limit {
-            self.limit += GATE_STEP / self.limit;
+            self.limit += 1.0 / self.limit;
         }
     }
 
@@ -166,6 +160,8 @@
     hits: Vec<Average>,
     /// By class: the share of answers that needed a fill.
     fills: Vec<Average>,
+    /// The share of fills for which the origin was asked.
+    beyond: Average,
     /// The fills over the zone's link.
     link: Gate,
     purged_objects: IndexMap<ObjectId, Ms>,
@@ -196,6 +192,7 @@
             sending: vec![Average::default(); classes],
             hits: vec![Average::default(); classes],
             fills: vec![Average::default(); classes],
+            beyond: Average::default(),
             link: Gate::default(),
             purged_objects: IndexMap::new(),
             purged_groups: IndexMap::new(),
@@ -309,8 +306,7 @@
         self.dispatch(at, acts);
     }
 
-    /// Files a first part in the edge list and ranks it by its reuse distance against s1; later parts
-    /// follow it.
+    /// Files a first part in the edge list and ranks it by reuse distance; later parts follow it.
     fn rank(&mut self, req: &Request, class: usize) -> Rank {
         if self.set.classes[class].uncacheable || req.write {
             return Rank::None;
@@ -328,8 +324,7 @@
         rank
     }
 
-    /// Each period: among the splits within q, the one with the least expected latency; then both lists
-    /// age.
+    /// Each period: the best split within q by expected latency; then both lists age.
     fn adapt(&mut self, acts: &mut Vec<Action>) {
         if let (Some(l1), Some(l2)) = (self.latency[0].get(), self.latency[1].get()) {
             let step = (SPLIT_STEP * SHADOW_ENTRIES as f64) as usize;
@@ -379,6 +374,15 @@
         s.started.map(|t| self.now - t).filter(|age| *age < span)
     }
 
+    /// Usable, and not cold.
+    fn warm(&self, i: &usize) -> bool {
+        self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none()
+    }
+
+    fn origin(&self) -> Option<usize> {
+        self.in_order(Role::Origin, 0).first().copied()
+    }
+
     fn cold_rule(&self, role: Role) -> ColdRule {
         match role {
             Role::Edge => self.set.cold_edge,
@@ -399,7 +403,8 @@
         let capacity = COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)] * entry.weight;
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let budget = rule.multiple * share * capacity * rule.window;
-        let since = self.now - rule.window;
+        // What its former process was sent does not count.
+        let since = self.now - rule.window.min(age);
         self.servers[i].sent.since(since) + weight <= budget
     }
 
@@ -416,7 +421,7 @@
         let load = |i: &usize| self.servers[*i].work / size(i);
         let all = order.iter().map(size).sum::<f64>();
         let mean = order.iter().map(|i| self.servers[*i].work).sum::<f64>() / all;
-        let bound = SPILL * (mean + SPILL_SLACK * weight * order.len() as f64 / all);
+        let bound = SPILL * (mean + weight * order.len() as f64 / all);
         let home = order.first().copied()?;
         if load(&home) <= bound {
             return Some(home);
@@ -430,12 +435,11 @@
     /// else the origin.
     fn pick_source(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = mix(self.open[at].req.object.0, 0);
-        let failed = |r: &Self, i: usize| r.open[at].tries.iter().any(|t| t.fault == Some(i));
         let parents = self.in_order(Role::Parent, key);
-        let ready: Vec<usize> =
-            parents.into_iter().filter(|i| self.usable(*i) && !failed(self, *i)).collect();
+        let failed = |i: &usize| self.open[at].tries.iter().any(|t| t.fault == Some(*i));
+        let ready: Vec<usize> = parents.into_iter().filter(|i| self.usable(*i) && !failed(i)).collect();
         let parent = ready.into_iter().find(|i| self.has_room(*i, weight));
-        parent.or_else(|| self.in_order(Role::Origin, key).into_iter().find(|i| self.usable(*i)))
+        parent.or_else(|| self.origin().filter(|i| self.usable(*i)))
     }
 
     // ---- Sending ----
@@ -480,53 +484,64 @@
             }
             return;
         }
+        let mut held_only = false;
         let (server, source) = if through {
             self.pick_through(at)
         } else {
-            let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
-            let any_warm = self.in_order(Role::Edge, 0).iter().any(warm);
-            let ease = self.ease(self.open[at].class);
+            let any_warm = self.in_order(Role::Edge, 0).iter().any(|i| self.warm(i));
+            let (ease, origin) = (self.ease(self.open[at].class), self.origin());
             let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
             let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)), ease);
             let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None), ease);
+            let whole = origin.is_none_or(place);
             match (edge, self.open[at].found) {
                 (Some(_), Found::FillUnderWay) => (edge, source),
-                (Some(_), _) if lets => (edge, source),
-                // While the link or the source is full, a look: only what the cache lacks needs a place
-                // there.
+                (Some(_), Found::Beyond) if lets && whole => (edge, source),
+                (Some(_), Found::Unknown | Found::Nothing) if lets => {
+                    // While the origin is full, only what the parent holds.
+                    held_only = !whole && source != origin;
+                    (edge, source)
+                }
+                // While the link or the source is full, a look: only what the cache lacks needs it.
                 (Some(_), Found::Unknown) => (edge, None),
                 // No warm cache of the zone can serve: the parent itself, with the origin behind it.
                 (None, _) if !any_warm && lets && self.set.direct => {
-                    (source, self.in_order(Role::Origin, 0).first().copied().filter(|o| source != Some(*o)))
+                    (source, origin.filter(|o| source != Some(*o)))
                 }
                 _ => (None, None),
             }
         };
         match server {
-            Some(server) => self.send(at, server, source, acts),
+            Some(server) => self.send(at, server, source, held_only, acts),
             None if self.open[at].out() > 0 => {}
             None => self.give_up(at, acts),
         }
     }
 
-    /// Fills expected to be out over the zone's link, or from one source.
+    /// Fills expected to be out over the zone's link, or from one source; from the origin also those that
+    /// their parent is likely to lack.
     fn fills_out(&self, source: Option<usize>) -> f64 {
-        let tries = self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over);
-        let of = |t: &&Try| source.is_none() || t.source == source || source == Some(t.server);
-        tries.filter(of).map(|t| t.fill).sum()
+        let origin = source.is_some_and(|i| self.servers[i].entry.role == Role::Origin);
+        let beyond = if origin { self.beyond.get().unwrap_or(1.0) } else { 0.0 };
+        let share = |t: &Try| match source {
+            None => t.fill,
+            Some(_) if t.source == source || source == Some(t.server) => t.fill,
+            Some(_) if t.held_only || t.source.is_none() => 0.0,
+            Some(_) => t.fill * beyond,
+        };
+        self.open.values().flat_map(|o| &o.tries).filter(|t| !t.over).map(share).sum()
     }
 
     /// Where a request that runs at the origin goes: straight there, else by a parent or an edge cache.
     fn pick_through(&mut self, at: usize) -> (Option<usize>, Option<usize>) {
         let key = self.open[at].req.object.0;
         let fresh = |i: &usize| !self.open[at].tries.iter().any(|t| t.server == *i);
-        let origin = self.in_order(Role::Origin, key).first().copied();
+        let origin = self.origin();
         let straight = origin.filter(|i| self.set.direct && fresh(i));
         let way = self.in_order(if self.set.direct { Role::Parent } else { Role::Edge }, mix(key, 0));
-        let warm = |i: &usize| self.usable(*i) && self.age_if_cold(&self.servers[*i]).is_none();
         match straight.filter(|i| self.usable(*i)) {
             Some(_) => (straight, None),
-            None => (way.into_iter().find(|i| warm(i) && fresh(i)).or(straight), origin),
+            None => (way.into_iter().find(|i| self.warm(i) && fresh(i)).or(straight), origin),
         }
     }
 
@@ -546,7 +561,14 @@
         }
     }
 
-    fn send(&mut self, at: usize, server: usize, source: Option<usize>, acts: &mut Vec<Action>) {
+    fn send(
+        &mut self,
+        at: usize,
+        server: usize,
+        source: Option<usize>,
+        held_only: bool,
+        acts: &mut Vec<Action>,
+    ) {
         let mean = self.mean_time(self.open[at].class);
         let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
@@ -558,7 +580,7 @@
         let (renew, join) = (class.fresh > 0.0, self.set.joins && looked);
         let edge = self.servers[server].entry.role == Role::Edge;
         let fill = match source {
-            Some(_) if open.found == Found::Nothing => 1.0,
+            Some(_) if matches!(open.found, Found::Nothing | Found::Beyond) => 1.0,
             Some(_) if open.found == Found::FillUnderWay => 0.0,
             None if edge => 0.0,
             _ if !edge => 1.0,
@@ -589,6 +611,7 @@
             weight: mean,
             key,
             fill,
+            held_only,
             fault: Some(server),
             over: false,
         });
@@ -600,7 +623,7 @@
             rank: if edge { open.rank } else { Rank::None },
             max_age,
             join,
-            held_only: false,
+            held_only,
             renew,
         }));
     }
@@ -622,12 +645,8 @@
     // ---- Outcomes ----
 
     fn on_outcome(&mut self, o: Outcome, acts: &mut Vec<Action>) {
-        let Some(at) = self.open.get_index_of(&o.request) else {
-            return;
-        };
-        let Some(t) = self.open[at].tries.get_mut(o.attempt.0).filter(|t| !t.over) else {
-            return;
-        };
+        let Some((at, _, open)) = self.open.get_full_mut(&o.request) else { return };
+        let Some(t) = open.tries.get_mut(o.attempt.0).filter(|t| !t.over) else { return };
         t.over = true;
         let (server, source, sent, weight, key) = (t.server, t.source, t.sent, t.weight, t.key);
         let s = &mut self.servers[server];
@@ -644,17 +663,18 @@
             open.may_have_run.get_or_insert(sent);
         }
         if o.end == End::Miss {
-            let open = &mut self.open[at];
             // Where a fill is under way, joining it takes no place on the link.
-            let joins = o.note == Note::Joined && self.set.joins;
-            open.found = if joins { Found::FillUnderWay } else { Found::Nothing };
+            open.found = match o.note {
+                Note::Joined if self.set.joins => Found::FillUnderWay,
+                _ if source.is_some() => Found::Beyond,
+                _ => Found::Nothing,
+            };
         }
-        let fault = &mut self.open[at].tries[o.attempt.0].fault;
+        let fault = &mut open.tries[o.attempt.0].fault;
         match o.note {
-            Note::SourceFailed | Note::SourceLacks => *fault = source,
-            Note::SourceRefused | Note::OriginFailed => *fault = None,
-            _ if o.end == End::Miss => *fault = None,
-            _ => {}
+            Note::SourceFailed => *fault = source,
+            Note::SourceRefused | Note::SourceLacks | Note::OriginFailed => *fault = None,
+            _ => *fault = fault.filter(|_| o.end != End::Miss),
         }
         self.gates(at, server, source, out, &o);
         self.judge(server, source, &o, acts);
@@ -709,13 +729,19 @@
     /// Tells the cache's gate and the link's how an attempt went.
     fn gates(&mut self, at: usize, server: usize, source: Option<usize>, out: f64, o: &Outcome) {
         if let Some(i) = source {
-            let fills = self.fills_out(source) + 1.0;
-            let gate = &mut self.servers[i].gate;
+            // What a parent's origin did is the origin's, so that what the parent holds still comes.
+            let behind = matches!(o.note, Note::FilledByOrigin | Note::OriginFailed);
+            let at_fault = self.origin().filter(|_| behind).unwrap_or(i);
+            let fills = self.fills_out(Some(at_fault)) + 1.0;
+            let gate = &mut self.servers[at_fault].gate;
             match o.note {
                 Note::FilledBySource | Note::FilledByOrigin => gate.grow(fills),
                 Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
                 _ => {}
             }
+            if behind || o.note == Note::FilledBySource {
+                self.beyond.add(f64::from(u8::from(behind)), AVERAGE_SHARE);
+            }
         }
         let edge = self.servers[server].entry.role == Role::Edge;
         if !edge && self.open[at].rank == Rank::None {
@@ -746,8 +772,7 @@
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 self.link.answer(self.now, slow(o.source_wait).unwrap_or(new), SLOW_LINK, fills);
             }
-            // Places for fills also run out where a source hangs: only a slow link says that the link is
-            // full.
+            // Places for fills also run out where a source hangs: then the link is not slow.
             (_, Note::NoFillPlace) if self.link.slow.get().is_some_and(|s| s > SLOW_LINK.ln() / 2.0) => {
                 self.link.full(self.now, fills);
             }
@@ -767,18 +792,20 @@
         if !matches!(o.end, End::Late | End::Cancelled | End::NotSent) {
             self.servers[server].answered = now;
         }
+        let spoke =
+            !matches!(o.note, Note::Untold | Note::Hit | Note::Old | Note::Joined | Note::NoFillPlace);
+        if let Some(i) = source.filter(|_| spoke && o.note != Note::SourceFailed) {
+            self.servers[i].answered = now;
+        }
         match (o.note, o.end) {
             (_, End::Served) => {
                 self.mark(server, 0.0, ERROR_SHARE, acts);
                 if let (Some(i), Note::FilledBySource | Note::FilledByOrigin) = (source, o.note) {
-                    self.servers[i].answered = now;
                     self.mark(i, 0.0, ERROR_SHARE, acts);
                 }
             }
             (Note::SourceFailed | Note::SourceRefused, _) => {
-                if let Some(i) = source {
-                    self.mark(i, 1.0, ERROR_SHARE, acts);
-                }
+                source.into_iter().for_each(|i| self.mark(i, 1.0, ERROR_SHARE, acts));
             }
             (Note::SourceLacks | Note::NoFillPlace | Note::OriginFailed, _) => {}
             (_, End::Error) => self.mark(server, 1.0, ERROR_SHARE, acts),
@@ -791,14 +818,14 @@
     fn mark(&mut self, i: usize, bad: f64, share: f64, acts: &mut Vec<Action>) {
         // Errors that its best peer has too are not a server's own.
         let peers = self.peers(i).map(|s| s.errors).fold(1.0, f64::min);
+        let broke = share == BREAK_SHARE;
         let s = &mut self.servers[i];
         s.errors += share * (bad - s.errors);
         match s.health {
-            Health::Good if s.errors > ERROR_LIMIT + if share == BREAK_SHARE { 0.0 } else { peers } => {
-                let vanished = share == BREAK_SHARE;
-                self.take_out(i, vanished, "errors", acts);
+            Health::Good if s.errors > ERROR_LIMIT + if broke { 0.0 } else { peers } => {
+                self.take_out(i, broke, "errors", acts);
             }
-            Health::Trial(_) if bad > 0.0 => self.take_out(i, share == BREAK_SHARE, "failed its trial", acts),
+            Health::Trial(_) if bad > 0.0 => self.take_out(i, broke, "failed its trial", acts),
             Health::Trial(wins) if wins + 1 >= TRIAL_WINS => {
                 (s.health, s.strikes, s.errors) = (Health::Good, 0, 0.0);
                 if s.vanished {
@@ -841,8 +868,7 @@
             self.next_period = self.now + PERIOD_MS;
             self.adapt(acts);
             for (role, most) in [Role::Edge, Role::Parent].into_iter().zip(0..) {
-                let near = |i: &usize| self.age_if_cold(&self.servers[*i]).is_none();
-                let warm: Vec<usize> = self.in_order(role, 0).into_iter().filter(near).collect();
+                let warm: Vec<usize> = self.in_order(role, 0).into_iter().filter(|i| self.warm(i)).collect();
                 let rate =
                     |i: &usize| self.servers[*i].carried.rate(self.now) / self.servers[*i].entry.weight;
                 let mean = warm.iter().map(rate).sum::<f64>() / warm.len().max(1) as f64;
@@ -942,21 +968,14 @@
         };
         let id = open.req.id.clone();
         if !open.done {
-            acts.push(if refuse { Action::Refuse(id, self.hold_off(open.class)) } else { Action::Fail(id) });
+            // So long that the client's next try may still be in time.
+            let hold_off = (HOLD_OFF_OF_AIM * class.aim).min(self.set.max_retry_after);
+            let hold_off = if self.set.retry_after { hold_off } else { 0.0 };
+            acts.push(if refuse { Action::Refuse(id, hold_off) } else { Action::Fail(id) });
         }
         self.finish(at, acts);
     }
 
-    /// How long a refused client is asked to stay away: so long that its next try may still be in time.
-    fn hold_off(&self, class: usize) -> Ms {
-        let aim = HOLD_OFF_OF_AIM * self.set.classes[class].aim;
-        if self.set.retry_after {
-            aim.min(self.set.max_retry_after)
-        } else {
-            0.0
-        }
-    }
-
     /// The request has its answer: calls off what is still out and forgets it once all is over.
     fn finish(&mut self, at: usize, acts: &mut Vec<Action>) {
         self.open[at].done = true;
@@ -965,11 +984,8 @@
     }
 
     fn cancel_all(&mut self, at: usize, acts: &mut Vec<Action>) {
-        if !self.set.cancel {
-            return;
-        }
         let open = &self.open[at];
-        for (n, _) in open.tries.iter().enumerate().filter(|(_, t)| !t.over) {
+        for (n, _) in open.tries.iter().enumerate().filter(|(_, t)| self.set.cancel && !t.over) {
             acts.push(Action::Cancel(open.req.id.clone(), AttemptNo(n)));
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,8 @@
     pub key: u64,
     /// The chance that it needs a fill over the zone's link.
     pub fill: f64,
+    /// The source gives only what it holds.
+    pub held_only: bool,
     /// The server to be passed over by the request's further attempts: this one's cache or its source.
     pub fault: Option<usize>,
     pub over: bool,
@@ -64,6 +66,7 @@
 pub enum Found {
     Unknown,
     Nothing,
+    Beyond,
     FillUnderWay,
 }
 
