--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,9 +1,9 @@
 //! Every decision of basaltgw. The interface (settings, events, actions, ids) is `src/api.rs`.
 //!
-//! The ordinary path is the mechanism of docs/design.md, from D3N: an edge cache by rendezvous hash of the
-//! object, a parent by rendezvous hash over all listed parents, all copies kept, at a rank that the bounded
-//! search over two shadow lists gives. All else here is an exception and says when it acts. The sections
-//! follow a request's life: news, arrival, placement, sending, outcomes, health, sweep, final answers.
+//! The ordinary path is the mechanism of docs/design.md, from D3N: an edge cache by rendezvous hash of
+//! the object, a parent by hash over all listed parents, all copies kept, ranked by two shadow lists and
+//! a bounded search. All else is an exception and says when it acts. The sections follow a request's
+//! life, from news to final answers.
 
 use crate::api::*;
 use crate::hash::{address, mix, rendezvous};
@@ -46,6 +46,9 @@
 const SILENT_ALONE: f64 = 2.0;
 /// No server is silent before this, so that short pauses pass.
 const SILENT_LEAST_MS: Ms = 350.0;
+/// A cache that answers after this, with so many still out, is taken for restarted.
+const RESTART_GAP_MS: Ms = 1000.0;
+const RESTART_OUT: usize = 4;
 /// A server taken out gets its first trial after this, doubled with each failed trial up to the limit.
 const OUT_MS: Ms = 1000.0;
 const OUT_LIMIT_MS: Ms = 8000.0;
@@ -60,9 +63,9 @@
 const SLOW_LINK: f64 = 2.0;
 /// Weight of a sample in a cache's or the link's slowness.
 const SLOW_SHARE: f64 = 0.1;
-/// Answers that tell an object's sending time: the least of them.
+/// Answers that tell an object's sending time.
 const KNOWN_ANSWERS: u32 = 2;
-/// The usual sending time of an object not known yet, as a share of its class's mean: most are smaller.
+/// An object not known yet is taken to need this share of its class's mean: most are smaller.
 const NEW_OF_MEAN: f64 = 0.6;
 /// A class's usual hit takes no more than this share of its aim, unhurried.
 const HIT_OF_AIM: f64 = 0.5;
@@ -239,11 +242,11 @@
             Event::Timer(_) | Event::Probed(..) => {}
             Event::Purged(group, object, age) => {
                 let at = now - age.max(0.0);
-                let newest = |old: &mut Ms| *old = old.max(at);
-                match object {
-                    Some(o) => newest(self.purged_objects.entry(o).or_insert(at)),
-                    None => newest(self.purged_groups.entry(group).or_insert(at)),
-                }
+                let known = match object {
+                    Some(object) => self.purged_objects.entry(object).or_insert(at),
+                    None => self.purged_groups.entry(group).or_insert(at),
+                };
+                *known = known.max(at);
             }
         }
     }
@@ -344,15 +347,11 @@
 
     /// Servers of a role (edge caches: of the own zone) that the list has up, in hash order for the key.
     fn in_order(&self, role: Role, key: u64) -> Vec<usize> {
-        let mut order: Vec<(f64, u64, usize)> = Vec::new();
-        for (i, s) in self.servers.values().enumerate() {
-            if s.entry.role == role
-                && s.entry.listed == Listed::Up
-                && (role != Role::Edge || s.entry.zone == self.set.zone)
-            {
-                order.push((rendezvous(key, s.hash, s.entry.weight), s.hash, i));
-            }
-        }
+        let near = |s: &Server| role != Role::Edge || s.entry.zone == self.set.zone;
+        let fits = |s: &Server| s.entry.role == role && s.entry.listed == Listed::Up && near(s);
+        let all = self.servers.values().enumerate().filter(|(_, s)| fits(s));
+        let mut order: Vec<_> =
+            all.map(|(i, s)| (rendezvous(key, s.hash, s.entry.weight), s.hash, i)).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, _, i)| i).collect()
     }
@@ -408,8 +407,7 @@
         self.servers[i].sent.since(since) + weight <= budget
     }
 
-    /// The edge cache for a request: the first in hash order that is usable, was not tried, has room and
-    /// is not far busier than its zone; else the first that is usable and has room.
+    /// The edge cache: the first in hash order that is usable and has room; its parts go on if it is hot.
     fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
         let (mut order, ease) = (self.in_order(Role::Edge, key), self.ease(self.open[at].class));
@@ -518,8 +516,8 @@
         }
     }
 
-    /// Fills expected to be out over the zone's link, or from one source; from the origin also those that
-    /// their parent is likely to lack.
+    /// Fills expected to be out over the link, or from a source; from the origin also those that parents
+    /// lack.
     fn fills_out(&self, source: Option<usize>) -> f64 {
         let origin = source.is_some_and(|i| self.servers[i].entry.role == Role::Origin);
         let beyond = if origin { self.beyond.get().unwrap_or(1.0) } else { 0.0 };
@@ -546,8 +544,7 @@
     }
 
     /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one
-    /// within its group and window. Groups narrower than all get no further attempt once one may have
-    /// run.
+    /// within its window if its group is all servers (narrower groups get none).
     fn may_send(&self, open: &Open) -> bool {
         let class = &self.set.classes[open.class];
         match (class.effect, open.may_have_run) {
@@ -790,11 +787,16 @@
     fn judge(&mut self, server: usize, source: Option<usize>, o: &Outcome, acts: &mut Vec<Action>) {
         let now = self.now;
         if !matches!(o.end, End::Late | End::Cancelled | End::NotSent) {
-            self.servers[server].answered = now;
+            let s = &mut self.servers[server];
+            if now - s.answered > RESTART_GAP_MS && s.out >= RESTART_OUT && s.entry.role == Role::Edge {
+                // It may have restarted cold before the list tells; harms where it had only paused.
+                s.started = Some(now);
+            }
+            s.answered = now;
         }
-        let spoke =
-            !matches!(o.note, Note::Untold | Note::Hit | Note::Old | Note::Joined | Note::NoFillPlace);
-        if let Some(i) = source.filter(|_| spoke && o.note != Note::SourceFailed) {
+        use Note::{Hit, Joined, NoFillPlace, Old, SourceFailed, Untold};
+        let mute = matches!(o.note, Untold | Hit | Old | Joined | NoFillPlace | SourceFailed);
+        if let Some(i) = source.filter(|_| !mute) {
             self.servers[i].answered = now;
         }
         match (o.note, o.end) {
@@ -901,11 +903,10 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + self.own_time(&open.req).unwrap_or(0.0)
     }
 
-    /// Silence: a server with attempts overdue and no answer of its own while they were is taken out, and
-    /// what waits on it is moved. A source is judged first, by fills through caches that answer
-    /// otherwise; a cache by what goes by more than one source, or is long overdue, and not by what waits
-    /// on a source in trouble. Catches hangs, vanished machines, lost links; harms where one long pause
-    /// passes for silence, which a trial ends.
+    /// Silence: a server with attempts overdue and no answer meanwhile is taken out, and what waits on it
+    /// moved. A source is judged first, by fills through caches that answer; a cache by what goes by more
+    /// than one source or is long overdue, not by what waits on a source in trouble. Harms where a pause
+    /// passes for silence.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
         let mut overdue: Vec<(usize, Option<usize>, Ms, f64, Ms)> = Vec::new();
         for open in self.open.values() {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -306,3 +306,45 @@
     assert!(refused(&d.tell(Event::Request(request(2, SAFE, 7, 2000.0))), 2));
     assert!(fetch(&d.ask(3, SAFE, 7)).is_some(), "4 s are enough");
 }
+
+/// A cache that answers after a silence, with attempts still out, may have restarted cold before the list tells
+/// (norte-recogida, i8e3025).
+#[test]
+fn a_cache_that_comes_back_from_silence_is_taken_for_cold() {
+    let sent_to = |gap: Ms| {
+        let mut d = Driver::new(settings(), fleet());
+        usual(&mut d, 0, 600);
+        let mut out = Vec::new();
+        let mut others = Vec::new();
+        for n in 1000..1200 {
+            let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
+            if f.server == id("edge-0") {
+                out.push(n);
+            } else {
+                others.push((n, f.server));
+            }
+            if out.len() == 5 {
+                break;
+            }
+        }
+        for (n, server) in others {
+            d.end(n, 0, &server, End::Served, Note::Hit);
+        }
+        // Only the clock moves, no sweep: the silence is too short to have been judged.
+        d.now += gap;
+        for n in out {
+            d.end(n, 0, &id("edge-0"), End::Served, Note::Hit);
+        }
+        (2000..2200)
+            .filter(|n| {
+                let f = fetch(&d.ask(*n, SAFE, *n as u64));
+                f.is_some_and(|f| {
+                    d.end(*n, 0, &f.server, End::Served, Note::Hit);
+                    f.server == id("edge-0")
+                })
+            })
+            .count()
+    };
+    let (paused, gone) = (sent_to(300.0), sent_to(1200.0));
+    assert!(gone * 2 < paused && gone > 0, "{gone} against {paused}");
+}
