--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,8 +70,8 @@
 /// A class's usual hit takes no more than this share of its aim, unhurried.
 const HIT_OF_AIM: f64 = 0.5;
 /// A full gate's limit is cut to this share of what is out, once in the rest time, down to the least.
-const GATE_CUT: f64 = 0.85;
-const GATE_REST_MS: Ms = 250.0;
+const GATE_CUT: f64 = 0.9;
+const GATE_REST_MS: Ms = 150.0;
 const GATE_LEAST: f64 = 4.0;
 /// With fewer out than this, slowness is not of this router's making.
 const GATE_FLOOR: f64 = 6.0;
