--- a/src/rules.rs
+++ b/src/rules.rs
@@ -356,15 +356,14 @@
         order.into_iter().map(|(_, _, i)| i).collect()
     }
 
-    /// Healthy, or due for a trial with nothing out.
+    /// Healthy, or due for a trial with nothing out; the list has it up if it is in hash order.
     fn usable(&self, i: usize) -> bool {
         let s = &self.servers[i];
-        s.entry.listed == Listed::Up
-            && match s.health {
-                Health::Good => true,
-                Health::Out(until) => self.now >= until && s.out == 0,
-                Health::Trial(_) => s.out == 0,
-            }
+        match s.health {
+            Health::Good => true,
+            Health::Out(until) => self.now >= until && s.out == 0,
+            Health::Trial(_) => s.out == 0,
+        }
     }
 
     /// How long ago a server started that may still be cold.
