--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,8 @@
 
 // Health.
 /// Weight of one outcome in a server's error share.
-const ERROR_SHARE: f64 = 0.2;
-/// Weight of a lost or refused connection in it: it tells of the whole process, not of one request.
+const ERROR_SHARE: f64 = 0.05;
+/// Weight of a refused connection in it: it tells of the whole process, not of one request.
 const BREAK_SHARE: f64 = 0.3;
 /// A server whose error share is above this is taken out.
 const ERROR_LIMIT: f64 = 0.45;
@@ -809,8 +809,8 @@
                 source.into_iter().for_each(|i| self.mark(i, 1.0, ERROR_SHARE, acts));
             }
             (Note::SourceLacks | Note::NoFillPlace | Note::OriginFailed, _) => {}
-            (_, End::Error) => self.mark(server, 1.0, ERROR_SHARE, acts),
-            (_, End::NoConnection | End::Broken) => self.mark(server, 1.0, BREAK_SHARE, acts),
+            (_, End::Error | End::Broken) => self.mark(server, 1.0, ERROR_SHARE, acts),
+            (_, End::NoConnection) => self.mark(server, 1.0, BREAK_SHARE, acts),
             (_, End::Full | End::Miss | End::Late | End::Cancelled | End::NotSent) => {}
         }
     }
@@ -826,7 +826,8 @@
             Health::Good if s.errors > ERROR_LIMIT + if broke { 0.0 } else { peers } => {
                 self.take_out(i, broke, "errors", acts);
             }
-            Health::Trial(_) if bad > 0.0 => self.take_out(i, broke, "failed its trial", acts),
+            Health::Trial(0) if bad > 0.0 => self.take_out(i, broke, "failed its trial", acts),
+            Health::Trial(wins) if bad > 0.0 => s.health = Health::Trial(wins - 1),
             Health::Trial(wins) if wins + 1 >= TRIAL_WINS => {
                 (s.health, s.strikes, s.errors) = (Health::Good, 0, 0.0);
                 if s.vanished {
