--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,7 +86,7 @@
 /// Time constant of the rates carried, from which capacity is inferred.
 const CARRIED_TAU_MS: Ms = 10_000.0;
 /// Share of what the peers carry that a cold server is taken to be able to carry when warm.
-const COLD_SAFETY: f64 = 0.65;
+const COLD_SAFETY: f64 = 0.5;
 /// A purge is heeded for this much longer than it takes to settle.
 const PURGE_EXTRA_MS: Ms = 1000.0;
 /// Taken off an age limit for rounding; and the least limit, since 0 stands for the class's fresh time.
