--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,7 @@
 use crate::state::{Found, Gate, Health, Known, Open, Server, Try};
 use crate::window::Average;
 use indexmap::IndexMap;
+use std::collections::BTreeSet;
 
 // The mechanism.
 /// St, entries of each shadow list.
@@ -27,7 +28,6 @@
 pub const SWEEP_MS: Ms = 10.0;
 /// Milliseconds before the client's time is up by which the final answer is out (and at least two ticks).
 pub const ANSWER_MARGIN_MS: Ms = 15.0;
-/// Token of the sweep's timer.
 const SWEEP_TOKEN: u64 = 1;
 
 // Health.
@@ -35,14 +35,15 @@
 const ERROR_SHARE: f64 = 0.05;
 /// Weight of a refused connection in it: it tells of the whole process, not of one request.
 const BREAK_SHARE: f64 = 0.3;
-/// A server whose error share is above this is taken out.
+/// A server whose error share is this much above its best peer's is taken out.
 const ERROR_LIMIT: f64 = 0.45;
-/// An attempt is overdue after its class's mean delay plus so many mean deviations (beyond its sending
-/// time, where that is told).
+/// An attempt is overdue after its class's mean delay, its sending time and so many mean deviations.
 const OVERDUE_DEVIATIONS: f64 = 5.0;
 /// Answers of a class before its delays tell anything.
 const OVERDUE_SAMPLES: u32 = 20;
-/// A single attempt makes its cache silent when it is overdue by this multiple.
+/// Evidence of a cache's silence in an overdue attempt (a source's: the chance of a fill); one is enough.
+const SILENT_SHARE: f64 = 0.5;
+/// A cache's single attempt is enough when it is overdue by this multiple.
 const SILENT_ALONE: f64 = 2.0;
 /// No server is silent before this, so that short pauses pass.
 const SILENT_LEAST_MS: Ms = 350.0;
@@ -52,7 +53,7 @@
 /// A server taken out gets its first trial after this, doubled with each failed trial up to the limit.
 const OUT_MS: Ms = 1000.0;
 const OUT_LIMIT_MS: Ms = 8000.0;
-/// Served in a row that end a trial.
+/// Served, beyond those that failed, that end a trial.
 const TRIAL_WINS: u32 = 3;
 
 // Load.
@@ -61,6 +62,10 @@
 /// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full.
 const SLOW_CACHE: f64 = 3.0;
 const SLOW_LINK: f64 = 2.0;
+/// Lack of places for fills closes the link's gate from this share of the way (in logarithms) on.
+const PLACES_SHARE: f64 = 0.5;
+/// The chance that a request needs a fill before any was seen.
+const FILL_UNTOLD: f64 = 0.5;
 /// Weight of a sample in a cache's or the link's slowness.
 const SLOW_SHARE: f64 = 0.1;
 /// Answers that tell an object's sending time.
@@ -77,8 +82,7 @@
 const GATE_FLOOR: f64 = 6.0;
 /// It grows by one in each round of answers while this share of it is in use.
 const GATE_USED: f64 = 0.7;
-/// A class whose sending time is under this share of the longest class's may go beyond a gate's limit by
-/// this.
+/// A class with under this share of the longest sending time may go beyond a gate's limit by this.
 const SMALL_SHARE: f64 = 0.5;
 const SMALL_EASE: f64 = 1.5;
 /// Attempts for one request; the site's limit holds too.
@@ -268,9 +272,7 @@
             return;
         }
         if mode == ListMode::Whole {
-            for server in self.servers.values_mut() {
-                server.entry.listed = Listed::Gone;
-            }
+            self.servers.values_mut().for_each(|s| s.entry.listed = Listed::Gone);
         }
         for mut entry in entries {
             let now = self.now;
@@ -580,7 +582,7 @@
             Some(_) if open.found == Found::FillUnderWay => 0.0,
             None if edge => 0.0,
             _ if !edge => 1.0,
-            _ => self.fills[open.class].get().unwrap_or(0.5),
+            _ => self.fills[open.class].get().unwrap_or(FILL_UNTOLD),
         };
         let s = &mut self.servers[server];
         if let Health::Out(_) = s.health {
@@ -769,7 +771,9 @@
                 self.link.answer(self.now, slow(o.source_wait).unwrap_or(new), SLOW_LINK, fills);
             }
             // Places for fills also run out where a source hangs: then the link is not slow.
-            (_, Note::NoFillPlace) if self.link.slow.get().is_some_and(|s| s > SLOW_LINK.ln() / 2.0) => {
+            (_, Note::NoFillPlace)
+                if self.link.slow.get().is_some_and(|s| s > PLACES_SHARE * SLOW_LINK.ln()) =>
+            {
                 self.link.full(self.now, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
@@ -918,26 +922,24 @@
             for i in 0..if overdue.is_empty() { 0 } else { self.servers.len() } {
                 let s = &self.servers[i];
                 let trial = matches!(s.health, Health::Trial(_));
-                let (mut evidence, mut sources) = (0.0, Vec::new());
+                let (mut evidence, mut sources) = (0.0, BTreeSet::new());
                 for (server, source, sent, fill, after) in &overdue {
                     let span = self.now - sent.max(s.answered);
                     let by_source = as_source && *source == Some(i) && self.servers[*server].answered > *sent;
                     let sick = |p: usize| self.servers[p].health != Health::Good;
                     let by_cache = !as_source && *server == i && !source.is_some_and(sick);
                     if span > *after && (by_source || by_cache) {
-                        evidence += if by_source { *fill } else { 0.5 };
-                        sources.push(*source);
+                        evidence += if by_source { *fill } else { SILENT_SHARE };
+                        sources.insert(*source);
                         if trial || (by_cache && span > SILENT_ALONE * after) {
                             evidence += 1.0;
                         }
                     }
                 }
-                sources.sort_unstable();
-                sources.dedup();
                 let alone = as_source && self.peers(i).next().is_none();
-                let enough = evidence >= 1.0 && (as_source || evidence > 1.0 || sources.len() > 1) && !alone;
-                let out = matches!(s.health, Health::Out(_));
-                if !out && enough && self.now - s.answered >= SILENT_LEAST_MS {
+                let sure = as_source || evidence > 1.0 || sources.len() > 1;
+                let enough = evidence >= 1.0 && sure && !alone && !matches!(s.health, Health::Out(_));
+                if enough && self.now - s.answered >= SILENT_LEAST_MS {
                     self.take_out(i, true, "silent", acts);
                     self.move_off(i, acts);
                 }
