--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,11 +31,12 @@
 const SWEEP_TOKEN: u64 = 1;
 
 // Health.
-/// Weight of one outcome in a server's error share.
+/// Weight of a success in a server's share of refused connections.
 const ERROR_SHARE: f64 = 0.05;
-/// Weight of a refused connection in it: it tells of the whole process, not of one request.
+/// Weight of a refused connection in it: it tells of the whole process, where an error tells of one
+/// request.
 const BREAK_SHARE: f64 = 0.3;
-/// A server whose error share is this much above its best peer's is taken out.
+/// A server whose share of refused connections is above this is taken out.
 const ERROR_LIMIT: f64 = 0.45;
 /// An attempt is overdue after its class's mean delay, its sending time and so many mean deviations.
 const OVERDUE_DEVIATIONS: f64 = 5.0;
@@ -810,10 +811,12 @@
                 }
             }
             (Note::SourceFailed | Note::SourceRefused, _) => {
-                source.into_iter().for_each(|i| self.mark(i, 1.0, ERROR_SHARE, acts));
+                source.into_iter().for_each(|i| self.mark(i, 1.0, 0.0, acts));
             }
             (Note::SourceLacks | Note::NoFillPlace | Note::OriginFailed, _) => {}
-            (_, End::Error | End::Broken) => self.mark(server, 1.0, ERROR_SHARE, acts),
+            // Only a trial minds: the request goes on at once, and a share of failures is no reason to
+            // leave a cache that serves the rest.
+            (_, End::Error | End::Broken) => self.mark(server, 1.0, 0.0, acts),
             (_, End::NoConnection) => self.mark(server, 1.0, BREAK_SHARE, acts),
             (_, End::Full | End::Miss | End::Late | End::Cancelled | End::NotSent) => {}
         }
@@ -821,14 +824,12 @@
 
     /// Moves a server's error share and takes it out, or brings it back, where that crosses the limit.
     fn mark(&mut self, i: usize, bad: f64, share: f64, acts: &mut Vec<Action>) {
-        // Errors that its best peer has too are not a server's own.
-        let peers = self.peers(i).map(|s| s.errors).fold(1.0, f64::min);
         let broke = share == BREAK_SHARE;
         let s = &mut self.servers[i];
         s.errors += share * (bad - s.errors);
         match s.health {
-            Health::Good if s.errors > ERROR_LIMIT + if broke { 0.0 } else { peers } => {
-                self.take_out(i, broke, "errors", acts);
+            Health::Good if s.errors > ERROR_LIMIT => {
+                self.take_out(i, broke, "refuses connections", acts);
             }
             Health::Trial(0) if bad > 0.0 => self.take_out(i, broke, "failed its trial", acts),
             Health::Trial(wins) if bad > 0.0 => s.health = Health::Trial(wins - 1),
