--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -139,15 +139,12 @@
     assert!(met > 20, "{met} requests met it: it is kept for those it serves");
 }
 
-/// Slow fills close the link's gate: then a look goes first, and what the cache lacks is refused at once
-/// (norte-recogida, big-2).
-#[test]
-fn a_full_link_lets_hits_through_and_refuses_misses_at_once() {
+/// A router whose fills have been over three times as slow as usual, forty out at a time.
+fn with_a_full_link() -> Driver {
     let mut d = Driver::new(settings(), fleet());
     for n in 0..400 {
         d.serve(n, SAFE, n as u64 % 200, Note::FilledBySource);
     }
-    // Forty out at a time, each fill over three times as slow as usual.
     for round in 0..10 {
         let first = 1000 + round * 40;
         let out: Vec<(usize, Fetch)> = (first..first + 40)
@@ -162,6 +159,14 @@
             }
         }
     }
+    d
+}
+
+/// Slow fills close the link's gate: then a look goes first, and what the cache lacks is refused at once
+/// (norte-recogida, big-2).
+#[test]
+fn a_full_link_lets_hits_through_and_refuses_misses_at_once() {
+    let mut d = with_a_full_link();
     let mut looks = 0;
     for n in 5000..5060 {
         let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
@@ -178,20 +183,7 @@
 /// A fill that is under way needs no place on the link.
 #[test]
 fn a_look_that_finds_a_fill_under_way_joins_it() {
-    let mut d = Driver::new(settings(), fleet());
-    for n in 0..400 {
-        d.serve(n, SAFE, n as u64 % 200, Note::FilledBySource);
-    }
-    for round in 0..10 {
-        let first = 1000 + round * 40;
-        let out: Vec<(usize, Fetch)> = (first..first + 40)
-            .filter_map(|n| fetch(&d.ask(n, SAFE, n as u64 % 200)).map(|f| (n, f)))
-            .collect();
-        d.wait(300.0);
-        for (n, f) in out {
-            d.outcome(n, 0, &f.server, End::Served, Note::FilledBySource, 300.0);
-        }
-    }
+    let mut d = with_a_full_link();
     for n in 5000..5100 {
         let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
         if f.fill_from == f.server {
