--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::hash::{address, mix, rendezvous};
 use crate::shadow::ShadowList;
-use crate::state::{Found, Gate, Health, Known, Open, Server, Try};
+use crate::state::{Found, Gate, Health, Known, Mark, Open, Server, Try};
 use crate::window::Average;
 use indexmap::IndexMap;
 use std::collections::BTreeSet;
@@ -32,12 +32,12 @@
 
 // Health.
 /// Weight of a success in a server's share of refused connections.
-const ERROR_SHARE: f64 = 0.05;
+const SERVED_SHARE: f64 = 0.05;
 /// Weight of a refused connection in it: it tells of the whole process, where an error tells of one
 /// request.
-const BREAK_SHARE: f64 = 0.3;
+const REFUSED_SHARE: f64 = 0.3;
 /// A server whose share of refused connections is above this is taken out.
-const ERROR_LIMIT: f64 = 0.45;
+const REFUSED_LIMIT: f64 = 0.45;
 /// An attempt is overdue after its class's mean delay, its sending time and so many mean deviations.
 const OVERDUE_DEVIATIONS: f64 = 5.0;
 /// Answers of a class before its delays tell anything.
@@ -285,7 +285,7 @@
             if entry.started > server.entry.started {
                 // A new process: what was held against the old one is void, and it is cold.
                 server.started = entry.started;
-                (server.health, server.strikes, server.errors) = (Health::Good, 0, 0.0);
+                (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
                 server.answered = now;
             }
@@ -394,9 +394,9 @@
     /// True if a server may get this much more now. Only one that started lately has a budget: its share
     /// of the most that warm servers like it carried for this router (all routers reckon alike, so their
     /// shares add up).
-    fn has_room(&mut self, i: usize, weight: f64) -> bool {
+    fn has_room(&self, i: usize, weight: f64) -> bool {
         let Some(age) = self.age_if_cold(&self.servers[i]) else { return true };
-        let entry = self.servers[i].entry.clone();
+        let entry = &self.servers[i].entry;
         if entry.role == Role::Origin {
             return true;
         }
@@ -410,10 +410,10 @@
     }
 
     /// The edge cache: the first in hash order that is usable and has room; its parts go on if it is hot.
-    fn pick_edge(&mut self, at: usize, weight: f64) -> Option<usize> {
+    fn pick_edge(&self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
         let (mut order, ease) = (self.in_order(Role::Edge, key), self.ease(self.open[at].class));
-        order.retain(|i| self.usable(*i) && !self.open[at].tries.iter().any(|t| t.fault == Some(*i)));
+        order.retain(|i| self.usable(*i) && !self.open[at].blames(*i));
         order.retain(|i| {
             self.servers[*i].gate.lets(self.servers[*i].out as f64, ease) && self.has_room(*i, weight)
         });
@@ -433,12 +433,11 @@
 
     /// The source for a miss: the object's home among all listed parents, else the next in hash order,
     /// else the origin.
-    fn pick_source(&mut self, at: usize, weight: f64) -> Option<usize> {
+    fn pick_source(&self, at: usize, weight: f64) -> Option<usize> {
         let key = mix(self.open[at].req.object.0, 0);
         let parents = self.in_order(Role::Parent, key);
-        let failed = |i: &usize| self.open[at].tries.iter().any(|t| t.fault == Some(*i));
-        let ready: Vec<usize> = parents.into_iter().filter(|i| self.usable(*i) && !failed(i)).collect();
-        let parent = ready.into_iter().find(|i| self.has_room(*i, weight));
+        let ready = |i: &usize| self.usable(*i) && !self.open[at].blames(*i) && self.has_room(*i, weight);
+        let parent = parents.into_iter().find(ready);
         parent.or_else(|| self.origin().filter(|i| self.usable(*i)))
     }
 
@@ -488,7 +487,6 @@
         let (server, source) = if through {
             self.pick_through(at)
         } else {
-            let any_warm = self.in_order(Role::Edge, 0).iter().any(|i| self.warm(i));
             let (ease, origin) = (self.ease(self.open[at].class), self.origin());
             let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
             let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)), ease);
@@ -505,7 +503,11 @@
                 // While the link or the source is full, a look: only what the cache lacks needs it.
                 (Some(_), Found::Unknown) => (edge, None),
                 // No warm cache of the zone can serve: the parent itself, with the origin behind it.
-                (None, _) if !any_warm && lets && self.set.direct => {
+                (None, _)
+                    if lets
+                        && self.set.direct
+                        && !self.in_order(Role::Edge, 0).iter().any(|i| self.warm(i)) =>
+                {
                     (source, origin.filter(|o| source != Some(*o)))
                 }
                 _ => (None, None),
@@ -533,7 +535,7 @@
     }
 
     /// Where a request that runs at the origin goes: straight there, else by a parent or an edge cache.
-    fn pick_through(&mut self, at: usize) -> (Option<usize>, Option<usize>) {
+    fn pick_through(&self, at: usize) -> (Option<usize>, Option<usize>) {
         let key = self.open[at].req.object.0;
         let fresh = |i: &usize| !self.open[at].tries.iter().any(|t| t.server == *i);
         let origin = self.origin();
@@ -586,20 +588,19 @@
             _ => self.fills[open.class].get().unwrap_or(FILL_UNTOLD),
         };
         let s = &mut self.servers[server];
-        if let Health::Out(_) = s.health {
-            s.health = Health::Trial(0);
-        }
         if s.out == 0 {
             s.answered = now;
         }
-        s.out += 1;
         s.work += mean;
         s.sent.add(now, if edge { mean } else { own }, key);
         if let Some(i) = source {
             self.servers[i].sent.add(now, own, key);
-            self.servers[i].out += 1;
-            if let Health::Out(_) = self.servers[i].health {
-                self.servers[i].health = Health::Trial(0);
+        }
+        for i in [Some(server), source].into_iter().flatten() {
+            let s = &mut self.servers[i];
+            s.out += 1;
+            if let Health::Out(_) = s.health {
+                s.health = Health::Trial(0);
             }
         }
         let open = &mut self.open[at];
@@ -627,13 +628,17 @@
         }));
     }
 
+    /// How long a purge is heeded.
+    fn purge_life(&self) -> Ms {
+        self.set.purge_settles.max(self.set.purge_grace) + PURGE_EXTRA_MS
+    }
+
     /// The age limit: the class's fresh time, and while a purge may be unsettled no copy older than it.
     fn max_age(&self, open: &Open) -> Option<Ms> {
         let object = self.purged_objects.get(&open.req.object);
         let purged = object.into_iter().chain(self.purged_groups.get(&open.req.group)).copied();
         let purged = purged.fold(f64::NEG_INFINITY, f64::max);
-        let settles = self.set.purge_settles.max(self.set.purge_grace) + PURGE_EXTRA_MS;
-        if self.now > purged + settles {
+        if self.now > purged + self.purge_life() {
             return None;
         }
         let fresh = self.set.classes[open.class].fresh;
@@ -805,36 +810,38 @@
         }
         match (o.note, o.end) {
             (_, End::Served) => {
-                self.mark(server, 0.0, ERROR_SHARE, acts);
+                self.mark(server, Mark::Served, acts);
                 if let (Some(i), Note::FilledBySource | Note::FilledByOrigin) = (source, o.note) {
-                    self.mark(i, 0.0, ERROR_SHARE, acts);
+                    self.mark(i, Mark::Served, acts);
                 }
             }
             (Note::SourceFailed | Note::SourceRefused, _) => {
-                source.into_iter().for_each(|i| self.mark(i, 1.0, 0.0, acts));
+                source.into_iter().for_each(|i| self.mark(i, Mark::Failed, acts));
             }
             (Note::SourceLacks | Note::NoFillPlace | Note::OriginFailed, _) => {}
             // Only a trial minds: the request goes on at once, and a share of failures is no reason to
             // leave a cache that serves the rest.
-            (_, End::Error | End::Broken) => self.mark(server, 1.0, 0.0, acts),
-            (_, End::NoConnection) => self.mark(server, 1.0, BREAK_SHARE, acts),
+            (_, End::Error | End::Broken) => self.mark(server, Mark::Failed, acts),
+            (_, End::NoConnection) => self.mark(server, Mark::Refused, acts),
             (_, End::Full | End::Miss | End::Late | End::Cancelled | End::NotSent) => {}
         }
     }
 
-    /// Moves a server's error share and takes it out, or brings it back, where that crosses the limit.
-    fn mark(&mut self, i: usize, bad: f64, share: f64, acts: &mut Vec<Action>) {
-        let broke = share == BREAK_SHARE;
+    /// Moves a server's share of refused connections and takes it out, or brings it back by its trial.
+    fn mark(&mut self, i: usize, mark: Mark, acts: &mut Vec<Action>) {
         let s = &mut self.servers[i];
-        s.errors += share * (bad - s.errors);
+        match mark {
+            Mark::Served => s.refused -= SERVED_SHARE * s.refused,
+            Mark::Failed => {}
+            Mark::Refused => s.refused += REFUSED_SHARE * (1.0 - s.refused),
+        }
+        let (bad, broke) = (mark != Mark::Served, mark == Mark::Refused);
         match s.health {
-            Health::Good if s.errors > ERROR_LIMIT => {
-                self.take_out(i, broke, "refuses connections", acts);
-            }
-            Health::Trial(0) if bad > 0.0 => self.take_out(i, broke, "failed its trial", acts),
-            Health::Trial(wins) if bad > 0.0 => s.health = Health::Trial(wins - 1),
+            Health::Good if s.refused > REFUSED_LIMIT => self.take_out(i, broke, "refuses connections", acts),
+            Health::Trial(0) if bad => self.take_out(i, broke, "failed its trial", acts),
+            Health::Trial(wins) if bad => s.health = Health::Trial(wins - 1),
             Health::Trial(wins) if wins + 1 >= TRIAL_WINS => {
-                (s.health, s.strikes, s.errors) = (Health::Good, 0, 0.0);
+                (s.health, s.strikes, s.refused) = (Health::Good, 0, 0.0);
                 if s.vanished {
                     // It may have been replaced by a cold process that the list does not show yet.
                     s.started = Some(self.now);
@@ -848,16 +855,6 @@
         }
     }
 
-    /// The other servers that could do a server's work and are not out.
-    fn peers(&self, i: usize) -> impl Iterator<Item = &Server> {
-        let of = &self.servers[i].entry;
-        let like = move |s: &&Server| {
-            let near = of.role != Role::Edge || s.entry.zone == of.zone;
-            s.entry.id != of.id && near && s.entry.role == of.role && s.entry.listed == Listed::Up
-        };
-        self.servers.values().filter(like).filter(|s| s.health == Health::Good)
-    }
-
     fn take_out(&mut self, i: usize, vanished: bool, why: &str, acts: &mut Vec<Action>) {
         let s = &mut self.servers[i];
         let span = (OUT_MS * f64::from(1u32 << s.strikes.min(16))).min(OUT_LIMIT_MS);
@@ -881,9 +878,11 @@
                 let mean = warm.iter().map(rate).sum::<f64>() / warm.len().max(1) as f64;
                 self.carried[most] = mean.max(self.carried[most]);
             }
-            let keep = self.now - self.set.purge_settles.max(self.set.purge_grace) - PURGE_EXTRA_MS;
+            let keep = self.now - self.purge_life();
             self.purged_objects.retain(|_, at| *at >= keep);
             self.purged_groups.retain(|_, at| *at >= keep);
+            let since = self.now - self.set.cold_edge.window.max(self.set.cold_parent.window);
+            self.servers.values_mut().for_each(|s| s.sent.forget(since));
         }
         let now = self.now;
         self.each(|o| now >= o.end, acts, Self::give_up);
@@ -937,7 +936,8 @@
                         }
                     }
                 }
-                let alone = as_source && self.peers(i).next().is_none();
+                let well = |p: &usize| *p != i && self.servers[*p].health == Health::Good;
+                let alone = as_source && !self.in_order(s.entry.role, 0).iter().any(well);
                 let sure = as_source || evidence > 1.0 || sources.len() > 1;
                 let enough = evidence >= 1.0 && sure && !alone && !matches!(s.health, Health::Out(_));
                 if enough && self.now - s.answered >= SILENT_LEAST_MS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,10 +18,19 @@
     Good,
     /// Not until then.
     Out(Ms),
-    /// One attempt at a time; so many served in a row.
+    /// One attempt at a time; so many served beyond those that failed.
     Trial(u32),
 }
 
+/// What an outcome says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    Served,
+    Failed,
+    /// No connection could be made.
+    Refused,
+}
+
 /// What a router knows of a server.
 pub struct Server {
     pub entry: ServerEntry,
@@ -33,7 +42,8 @@
     pub vanished: bool,
     /// When it started, or came back as if it had.
     pub started: Option<Ms>,
-    pub errors: f64,
+    /// Its share of refused connections, decayed.
+    pub refused: f64,
     pub gate: Gate,
     /// Its last answer of any kind.
     pub answered: Ms,
@@ -65,7 +75,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Found {
     Unknown,
+    /// The cache lacks it.
     Nothing,
+    /// The parent lacks it too.
     Beyond,
     FillUnderWay,
 }
@@ -92,6 +104,11 @@
         Self { req, class, end, rank, tries, found, may_have_run: None, done: false }
     }
 
+    /// An attempt has shown that this server is to be passed over.
+    pub fn blames(&self, server: usize) -> bool {
+        self.tries.iter().any(|t| t.fault == Some(server))
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| !t.over).count()
@@ -131,7 +148,7 @@
             health: Health::Good,
             strikes: 0,
             vanished: false,
-            errors: 0.0,
+            refused: 0.0,
             gate: Gate::default(),
             answered: now,
             out: 0,
--- a/src/window.rs
+++ b/src/window.rs
@@ -2,36 +2,35 @@
 
 use std::collections::VecDeque;
 
-/// Weights of the last so many milliseconds.
+/// Weights by the time at which they were added.
 #[derive(Clone, Debug, Default)]
 pub struct SlidingSum {
     entries: VecDeque<(f64, f64, u64)>,
-    sum: f64,
 }
 
 impl SlidingSum {
-    /// Adds a weight at a time, under a key by which it can be taken back.
+    /// Adds a weight at a time, no earlier than the last, under a key by which it can be taken back.
     pub fn add(&mut self, now: f64, weight: f64, key: u64) {
         self.entries.push_back((now, weight, key));
-        self.sum += weight;
     }
 
     /// Takes an entry back.
     pub fn take_back(&mut self, key: u64) {
-        if let Some(i) = self.entries.iter().position(|e| e.2 == key) {
-            self.sum -= self.entries.remove(i).map_or(0.0, |e| e.1);
+        if let Some(i) = self.entries.iter().rposition(|e| e.2 == key) {
+            self.entries.remove(i);
         }
     }
 
-    /// Drops what is older than `since` and returns the sum of the rest.
-    pub fn since(&mut self, since: f64) -> f64 {
-        while self.entries.front().is_some_and(|e| e.0 < since) {
-            self.sum -= self.entries.pop_front().map_or(0.0, |e| e.1);
-        }
-        if self.entries.is_empty() {
-            self.sum = 0.0;
+    /// The sum of what was added since then.
+    pub fn since(&self, since: f64) -> f64 {
+        self.entries.iter().rev().take_while(|e| e.0 >= since).map(|e| e.1).sum()
+    }
+
+    /// Drops what is older.
+    pub fn forget(&mut self, before: f64) {
+        while self.entries.front().is_some_and(|e| e.0 < before) {
+            self.entries.pop_front();
         }
-        self.sum
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -180,6 +180,12 @@
         }))
     }
 
+    /// The list tells that a server has just started anew.
+    pub fn restart(&mut self, name: &str, role: Role) {
+        let started = Some(self.now);
+        self.tell(Event::Servers(ListMode::Changes, vec![ServerEntry { started, ..entry(name, role) }]));
+    }
+
     /// Asks for an object and serves it as a hit; returns where it went.
     pub fn serve(&mut self, n: usize, class: ClassId, object: u64, note: Note) -> Fetch {
         let fetch = fetch(&self.ask(n, class, object)).expect("a fetch");
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -191,11 +191,7 @@
 fn a_cold_cache_gets_no_more_than_its_share_and_every_attempt_weighs() {
     let mut d = Driver::new(settings(), fleet());
     warm(&mut d);
-    let now = d.now;
-    d.tell(Event::Servers(
-        ListMode::Changes,
-        vec![ServerEntry { started: Some(now), ..entry("edge-2", Role::Edge) }],
-    ));
+    d.restart("edge-2", Role::Edge);
     // Three peers carry a third of 100 answers of 100 ms a second each; at most that, times the multiple and
     // the cold share, may go to the cold one in its window, refused ones too.
     let mut sent = 0;
@@ -218,11 +214,7 @@
 fn a_cold_parent_gets_no_more_than_its_share_of_fills() {
     let mut d = Driver::new(settings(), fleet());
     warm(&mut d);
-    let now = d.now;
-    d.tell(Event::Servers(
-        ListMode::Changes,
-        vec![ServerEntry { started: Some(now), ..entry("parent-1", Role::Parent) }],
-    ));
+    d.restart("parent-1", Role::Parent);
     let mut named = 0;
     for n in 1000..1100 {
         let f = d.serve(n, SAFE, n as u64 * 13, Note::FilledBySource);
