--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,9 +25,9 @@
 
 // Time.
 /// Milliseconds between two sweeps over what is open: the grain of all guards that act by time.
-pub const SWEEP_MS: Ms = 10.0;
+pub const SWEEP_MS: Ms = 20.0;
 /// Milliseconds before the client's time is up by which the final answer is out (and at least two ticks).
-pub const ANSWER_MARGIN_MS: Ms = 15.0;
+pub const ANSWER_MARGIN_MS: Ms = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 
 // Health.
@@ -152,6 +152,8 @@
     now: Ms,
     armed: bool,
     servers: IndexMap<ServerId, Server>,
+    /// By role: what the list has up, edge caches of the own zone only.
+    up: [Vec<usize>; 3],
     open: IndexMap<RequestId, Open>,
     edge: ShadowList,
     missed: ShadowList,
@@ -189,6 +191,7 @@
             now: 0.0,
             armed: false,
             servers: IndexMap::new(),
+            up: Default::default(),
             open: IndexMap::new(),
             edge: ShadowList::new(SHADOW_ENTRIES),
             missed: ShadowList::new(SHADOW_ENTRIES),
@@ -291,6 +294,12 @@
             }
             server.entry = entry;
         }
+        for role in [Role::Edge, Role::Parent, Role::Origin] {
+            let near = |s: &Server| role != Role::Edge || s.entry.zone == self.set.zone;
+            let fits = |s: &Server| s.entry.role == role && s.entry.listed == Listed::Up && near(s);
+            let all = self.servers.values().enumerate().filter(|(_, s)| fits(s));
+            self.up[role as usize] = all.map(|(i, _)| i).collect();
+        }
     }
 
     // ---- Arrival ----
@@ -350,11 +359,11 @@
 
     /// Servers of a role (edge caches: of the own zone) that the list has up, in hash order for the key.
     fn in_order(&self, role: Role, key: u64) -> Vec<usize> {
-        let near = |s: &Server| role != Role::Edge || s.entry.zone == self.set.zone;
-        let fits = |s: &Server| s.entry.role == role && s.entry.listed == Listed::Up && near(s);
-        let all = self.servers.values().enumerate().filter(|(_, s)| fits(s));
-        let mut order: Vec<_> =
-            all.map(|(i, s)| (rendezvous(key, s.hash, s.entry.weight), s.hash, i)).collect();
+        let score = |i: &usize| {
+            let s = &self.servers[*i];
+            (rendezvous(key, s.hash, s.entry.weight), s.hash, *i)
+        };
+        let mut order: Vec<_> = self.up[role as usize].iter().map(score).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         order.into_iter().map(|(_, _, i)| i).collect()
     }
@@ -381,7 +390,7 @@
     }
 
     fn origin(&self) -> Option<usize> {
-        self.in_order(Role::Origin, 0).first().copied()
+        self.up[Role::Origin as usize].first().copied()
     }
 
     fn cold_rule(&self, role: Role) -> ColdRule {
@@ -506,7 +515,7 @@
                 (None, _)
                     if lets
                         && self.set.direct
-                        && !self.in_order(Role::Edge, 0).iter().any(|i| self.warm(i)) =>
+                        && !self.up[Role::Edge as usize].iter().any(|i| self.warm(i)) =>
                 {
                     (source, origin.filter(|o| source != Some(*o)))
                 }
@@ -514,7 +523,7 @@
             }
         };
         match server {
-            Some(server) => self.send(at, server, source, held_only, acts),
+            Some(server) => self.send(at, (server, source), held_only, acts),
             None if self.open[at].out() > 0 => {}
             None => self.give_up(at, acts),
         }
@@ -562,14 +571,8 @@
         }
     }
 
-    fn send(
-        &mut self,
-        at: usize,
-        server: usize,
-        source: Option<usize>,
-        held_only: bool,
-        acts: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, at: usize, to: (usize, Option<usize>), held_only: bool, acts: &mut Vec<Action>) {
+        let (server, source) = to;
         let mean = self.mean_time(self.open[at].class);
         let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
@@ -604,17 +607,7 @@
             }
         }
         let open = &mut self.open[at];
-        open.tries.push(Try {
-            server,
-            source,
-            sent: now,
-            weight: mean,
-            key,
-            fill,
-            held_only,
-            fault: Some(server),
-            over: false,
-        });
+        open.tries.push(Try::new(to, now, mean, key, fill, held_only));
         acts.push(Action::Fetch(Fetch {
             request: open.req.id.clone(),
             server: self.servers[server].entry.id.clone(),
@@ -872,7 +865,8 @@
             self.next_period = self.now + PERIOD_MS;
             self.adapt(acts);
             for (role, most) in [Role::Edge, Role::Parent].into_iter().zip(0..) {
-                let warm: Vec<usize> = self.in_order(role, 0).into_iter().filter(|i| self.warm(i)).collect();
+                let warm: Vec<usize> =
+                    self.up[role as usize].iter().copied().filter(|i| self.warm(i)).collect();
                 let rate =
                     |i: &usize| self.servers[*i].carried.rate(self.now) / self.servers[*i].entry.weight;
                 let mean = warm.iter().map(rate).sum::<f64>() / warm.len().max(1) as f64;
@@ -919,7 +913,8 @@
             overdue.extend(late.map(|t| (t.server, t.source, t.sent, t.fill, after)));
         }
         for as_source in [true, false] {
-            for i in 0..if overdue.is_empty() { 0 } else { self.servers.len() } {
+            let named = overdue.iter().flat_map(|(server, source, ..)| [Some(*server), *source]);
+            for i in named.flatten().collect::<BTreeSet<usize>>() {
                 let s = &self.servers[i];
                 let trial = matches!(s.health, Health::Trial(_));
                 let (mut evidence, mut sources) = (0.0, BTreeSet::new());
@@ -937,7 +932,7 @@
                     }
                 }
                 let well = |p: &usize| *p != i && self.servers[*p].health == Health::Good;
-                let alone = as_source && !self.in_order(s.entry.role, 0).iter().any(well);
+                let alone = as_source && !self.up[s.entry.role as usize].iter().any(well);
                 let sure = as_source || evidence > 1.0 || sources.len() > 1;
                 let enough = evidence >= 1.0 && sure && !alone && !matches!(s.health, Health::Out(_));
                 if enough && self.now - s.answered >= SILENT_LEAST_MS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,20 @@
     pub over: bool,
 }
 
+impl Try {
+    /// An attempt that has just gone out: held against its cache until the outcome tells better.
+    pub fn new(
+        (server, source): (usize, Option<usize>),
+        sent: Ms,
+        weight: f64,
+        key: u64,
+        fill: f64,
+        held_only: bool,
+    ) -> Self {
+        Self { server, source, sent, weight, key, fill, held_only, fault: Some(server), over: false }
+    }
+}
+
 /// What a look at the cache has shown.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Found {
