Gates go by the mean number out where a router has few out; one lost answer is no silence

And a single overdue attempt counted as a silent cache, since thin traffic brings no other answer in the meantime: hundreds of caches taken out that had only lost an answer.

Change: a gate reckons with as many out at each peer as this router has out itself, on average over a second, and its limit may lie under one. An overdue attempt is a third of silence, counted once in each such time, void with the next answer. In one zone with one router the gates act as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -159,6 +159,16 @@
     pub tick: Ms,
 }
 
+impl Settings {
+    /// The cold rule that holds for servers of a role.
+    pub fn cold(&self, role: Role) -> ColdRule {
+        match role {
+            Role::Edge => self.cold_edge,
+            Role::Parent | Role::Origin => self.cold_parent,
+        }
+    }
+}
+
 /// What a server is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,7 +11,6 @@
 use crate::state::{Found, Gate, Health, Known, Mark, Open, Server, Try};
 use crate::window::Average;
 use indexmap::IndexMap;
-use std::collections::BTreeSet;
 
 // The mechanism.
 /// St, entries of each shadow list.
@@ -43,9 +42,7 @@
 /// Answers of a class before its delays tell anything.
 const OVERDUE_SAMPLES: u32 = 20;
 /// Evidence of a cache's silence in an overdue attempt (a source's: the chance of a fill); one is enough.
-const SILENT_SHARE: f64 = 0.5;
-/// A cache's single attempt is enough when it is overdue by this multiple.
-const SILENT_ALONE: f64 = 2.0;
+const SILENT_SHARE: f64 = 0.34;
 /// No server is silent before this, so that short pauses pass.
 const SILENT_LEAST_MS: Ms = 350.0;
 /// A cache that answers after this, with so many still out, is taken for restarted.
@@ -79,8 +76,15 @@
 const GATE_CUT: f64 = 0.9;
 const GATE_REST_MS: Ms = 150.0;
 const GATE_LEAST: f64 = 4.0;
-/// With fewer out than this, slowness is not of this router's making.
+/// With fewer out than this, slowness is not of the routers' making. One with fewer out itself reckons with
+/// as many at each of its peers: it goes by its mean number out over a time, and cuts after so many
+/// answers, down to a least mean.
 const GATE_FLOOR: f64 = 6.0;
+const GATE_LEVEL_MS: Ms = 1000.0;
+const GATE_ANSWERS: u32 = 3;
+const GATE_LEAST_LEVEL: f64 = 0.1;
+/// There it grows by no more than this share with an answer.
+const GATE_GROWTH: f64 = 0.1;
 /// It grows by one in each round of answers while this share of it is in use.
 const GATE_USED: f64 = 0.7;
 /// A class with under this share of the longest sending time may go beyond a gate's limit by this.
@@ -103,31 +107,37 @@
 const REPORT_LINES: usize = 120;
 
 impl Gate {
-    fn lets(&self, out: f64, ease: f64) -> bool {
-        out + 1.0 <= self.limit * ease
+    /// Where few are out, what counts is how many were out on average lately.
+    fn lets(&self, now: Ms, out: f64, ease: f64) -> bool {
+        let level = self.level.rate(now);
+        out + 1.0 <= self.limit * ease || (self.limit < GATE_LEAST && level <= self.limit * ease)
     }
 
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
         self.slow.add(slow, SLOW_SHARE);
+        self.answers += 1;
         if self.slow.get().is_some_and(|s| s > limit.ln()) {
             self.full(now, out);
         } else {
-            self.grow(out);
+            self.grow(now, out);
         }
     }
 
-    fn grow(&mut self, out: f64) {
-        if out >= GATE_USED * self.limit {
-            self.limit += 1.0 / self.limit;
+    fn grow(&mut self, now: Ms, out: f64) {
+        if out.max(self.level.rate(now)) >= GATE_USED * self.limit {
+            self.limit += (1.0 / self.limit).min(self.limit * GATE_GROWTH);
         }
     }
 
     fn full(&mut self, now: Ms, out: f64) {
-        let used = out >= GATE_FLOOR && (self.limit.is_infinite() || out >= GATE_USED * self.limit);
-        if used && now - self.cut >= GATE_REST_MS {
-            self.limit = (self.limit.min(out) * GATE_CUT).max(GATE_LEAST);
-            self.cut = now;
+        let (level, dense) = (self.level.rate(now), out >= GATE_FLOOR);
+        let used = self.limit.is_infinite() || out.max(level) >= GATE_USED * self.limit;
+        let sure = dense || (self.answers >= GATE_ANSWERS && level * self.routers >= GATE_FLOOR);
+        if used && sure && now - self.cut >= GATE_REST_MS {
+            let (least, used) = if dense { (GATE_LEAST, out) } else { (GATE_LEAST_LEVEL, level) };
+            self.limit = (self.limit.min(used) * GATE_CUT).max(least);
+            (self.cut, self.answers) = (now, 0);
         }
     }
 }
@@ -174,8 +184,8 @@
     beyond: Average,
     /// The fills over the zone's link.
     link: Gate,
-    purged_objects: IndexMap<ObjectId, Ms>,
-    purged_groups: IndexMap<GroupId, Ms>,
+    /// When an object, or a group, was purged.
+    purged: IndexMap<(Option<ObjectId>, Option<GroupId>), Ms>,
     /// The most that warm caches, and parents, carried on average for a unit of weight.
     carried: [f64; 2],
     keys: u64,
@@ -187,7 +197,6 @@
     pub fn new(set: Settings, _seed: u64) -> Self {
         let classes = set.classes.len();
         Self {
-            set,
             now: 0.0,
             armed: false,
             servers: IndexMap::new(),
@@ -204,12 +213,12 @@
             hits: vec![Average::default(); classes],
             fills: vec![Average::default(); classes],
             beyond: Average::default(),
-            link: Gate::default(),
-            purged_objects: IndexMap::new(),
-            purged_groups: IndexMap::new(),
+            link: Gate::new(0.0, GATE_LEVEL_MS, set.zone_routers),
+            purged: IndexMap::new(),
             carried: [0.0; 2],
             keys: 0,
             lines: 0,
+            set,
         }
     }
 
@@ -250,10 +259,8 @@
             Event::Timer(_) | Event::Probed(..) => {}
             Event::Purged(group, object, age) => {
                 let at = now - age.max(0.0);
-                let known = match object {
-                    Some(object) => self.purged_objects.entry(object).or_insert(at),
-                    None => self.purged_groups.entry(group).or_insert(at),
-                };
+                let named = (object, Some(group).filter(|_| object.is_none()));
+                let known = self.purged.entry(named).or_insert(at);
                 *known = known.max(at);
             }
         }
@@ -283,7 +290,9 @@
             // Weights that follow the load would move every object's home with each list.
             let steady = !self.set.weights_move && entry.weight > 0.0;
             entry.weight = if steady { entry.weight } else { 1.0 };
-            let new = || Server::new(entry.clone(), address(&entry.id.0), now, CARRIED_TAU_MS);
+            let routers = if entry.role == Role::Edge { self.set.zone_routers } else { self.set.routers };
+            let gate = Gate::new(now, GATE_LEVEL_MS, routers);
+            let new = || Server::new(entry.clone(), address(&entry.id.0), now, CARRIED_TAU_MS, gate);
             let server = self.servers.entry(entry.id.clone()).or_insert_with(new);
             if entry.started > server.entry.started {
                 // A new process: what was held against the old one is void, and it is cold.
@@ -380,7 +389,7 @@
 
     /// How long ago a server started that may still be cold.
     fn age_if_cold(&self, s: &Server) -> Option<Ms> {
-        let span = self.cold_rule(s.entry.role).span;
+        let span = self.set.cold(s.entry.role).span;
         s.started.map(|t| self.now - t).filter(|age| *age < span)
     }
 
@@ -393,13 +402,6 @@
         self.up[Role::Origin as usize].first().copied()
     }
 
-    fn cold_rule(&self, role: Role) -> ColdRule {
-        match role {
-            Role::Edge => self.set.cold_edge,
-            Role::Parent | Role::Origin => self.set.cold_parent,
-        }
-    }
-
     /// True if a server may get this much more now. Only one that started lately has a budget: its share
     /// of the most that warm servers like it carried for this router (all routers reckon alike, so their
     /// shares add up).
@@ -409,7 +411,7 @@
         if entry.role == Role::Origin {
             return true;
         }
-        let rule = self.cold_rule(entry.role);
+        let rule = self.set.cold(entry.role);
         let capacity = COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)] * entry.weight;
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let budget = rule.multiple * share * capacity * rule.window;
@@ -424,7 +426,8 @@
         let (mut order, ease) = (self.in_order(Role::Edge, key), self.ease(self.open[at].class));
         order.retain(|i| self.usable(*i) && !self.open[at].blames(*i));
         order.retain(|i| {
-            self.servers[*i].gate.lets(self.servers[*i].out as f64, ease) && self.has_room(*i, weight)
+            self.servers[*i].gate.lets(self.now, self.servers[*i].out as f64, ease)
+                && self.has_room(*i, weight)
         });
         let size = |i: &usize| self.servers[*i].entry.weight;
         let load = |i: &usize| self.servers[*i].work / size(i);
@@ -498,8 +501,8 @@
         } else {
             let (ease, origin) = (self.ease(self.open[at].class), self.origin());
             let (edge, source) = (self.pick_edge(at, mean), self.pick_source(at, own));
-            let place = |i: usize| self.servers[i].gate.lets(self.fills_out(Some(i)), ease);
-            let lets = source.is_some_and(place) && self.link.lets(self.fills_out(None), ease);
+            let place = |i: usize| self.servers[i].gate.lets(self.now, self.fills_out(Some(i)), ease);
+            let lets = source.is_some_and(place) && self.link.lets(self.now, self.fills_out(None), ease);
             let whole = origin.is_none_or(place);
             match (edge, self.open[at].found) {
                 (Some(_), Found::FillUnderWay) => (edge, source),
@@ -628,9 +631,9 @@
 
     /// The age limit: the class's fresh time, and while a purge may be unsettled no copy older than it.
     fn max_age(&self, open: &Open) -> Option<Ms> {
-        let object = self.purged_objects.get(&open.req.object);
-        let purged = object.into_iter().chain(self.purged_groups.get(&open.req.group)).copied();
-        let purged = purged.fold(f64::NEG_INFINITY, f64::max);
+        let names = [(Some(open.req.object), None), (None, Some(open.req.group))];
+        let purged =
+            names.iter().filter_map(|n| self.purged.get(n)).copied().fold(f64::NEG_INFINITY, f64::max);
         if self.now > purged + self.purge_life() {
             return None;
         }
@@ -725,14 +728,22 @@
 
     /// Tells the cache's gate and the link's how an attempt went.
     fn gates(&mut self, at: usize, server: usize, source: Option<usize>, out: f64, o: &Outcome) {
+        let share = match o.note {
+            Note::Hit | Note::Old | Note::Joined => 0.0,
+            Note::Untold => self.open[at].tries[o.attempt.0].fill,
+            _ => 1.0,
+        };
+        self.servers[server].gate.level.add(self.now, o.delay);
+        self.link.level.add(self.now, o.delay * share);
         if let Some(i) = source {
+            self.servers[i].gate.level.add(self.now, o.delay * share);
             // What a parent's origin did is the origin's, so that what the parent holds still comes.
             let behind = matches!(o.note, Note::FilledByOrigin | Note::OriginFailed);
             let at_fault = self.origin().filter(|_| behind).unwrap_or(i);
             let fills = self.fills_out(Some(at_fault)) + 1.0;
             let gate = &mut self.servers[at_fault].gate;
             match o.note {
-                Note::FilledBySource | Note::FilledByOrigin => gate.grow(fills),
+                Note::FilledBySource | Note::FilledByOrigin => gate.grow(self.now, fills),
                 Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
                 _ => {}
             }
@@ -794,12 +805,12 @@
                 // It may have restarted cold before the list tells; harms where it had only paused.
                 s.started = Some(now);
             }
-            s.answered = now;
+            (s.answered, s.mute) = (now, 0.0);
         }
         use Note::{Hit, Joined, NoFillPlace, Old, SourceFailed, Untold};
         let mute = matches!(o.note, Untold | Hit | Old | Joined | NoFillPlace | SourceFailed);
         if let Some(i) = source.filter(|_| !mute) {
-            self.servers[i].answered = now;
+            (self.servers[i].answered, self.servers[i].mute) = (now, 0.0);
         }
         match (o.note, o.end) {
             (_, End::Served) => {
@@ -873,8 +884,7 @@
                 self.carried[most] = mean.max(self.carried[most]);
             }
             let keep = self.now - self.purge_life();
-            self.purged_objects.retain(|_, at| *at >= keep);
-            self.purged_groups.retain(|_, at| *at >= keep);
+            self.purged.retain(|_, at| *at >= keep);
             let since = self.now - self.set.cold_edge.window.max(self.set.cold_parent.window);
             self.servers.values_mut().for_each(|s| s.sent.forget(since));
         }
@@ -901,44 +911,38 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + self.own_time(&open.req).unwrap_or(0.0)
     }
 
-    /// Silence: a server with attempts overdue and no answer meanwhile is taken out, and what waits on it
-    /// moved. A source is judged first, by fills through caches that answer; a cache by what goes by more
-    /// than one source or is long overdue, not by what waits on a source in trouble. Harms where a pause
-    /// passes for silence.
+    /// An overdue attempt is held, once in each such time, against the cache if that has answered nothing
+    /// since, else against its source if that has not; so many in a row are silence, and what waits there is
+    /// moved. A single one may be an answer that was lost. Harms where a pause passes for silence.
     fn find_silent(&mut self, acts: &mut Vec<Action>) {
-        let mut overdue: Vec<(usize, Option<usize>, Ms, f64, Ms)> = Vec::new();
-        for open in self.open.values() {
+        let mut overdue = Vec::new();
+        for open in self.open.values().filter(|o| !o.done) {
             let after = self.overdue_after(open);
-            let late = open.tries.iter().filter(|t| !t.over && self.now - t.sent > after);
-            overdue.extend(late.map(|t| (t.server, t.source, t.sent, t.fill, after)));
-        }
-        for as_source in [true, false] {
-            let named = overdue.iter().flat_map(|(server, source, ..)| [Some(*server), *source]);
-            for i in named.flatten().collect::<BTreeSet<usize>>() {
-                let s = &self.servers[i];
-                let trial = matches!(s.health, Health::Trial(_));
-                let (mut evidence, mut sources) = (0.0, BTreeSet::new());
-                for (server, source, sent, fill, after) in &overdue {
-                    let span = self.now - sent.max(s.answered);
-                    let by_source = as_source && *source == Some(i) && self.servers[*server].answered > *sent;
-                    let sick = |p: usize| self.servers[p].health != Health::Good;
-                    let by_cache = !as_source && *server == i && !source.is_some_and(sick);
-                    if span > *after && (by_source || by_cache) {
-                        evidence += if by_source { *fill } else { SILENT_SHARE };
-                        sources.insert(*source);
-                        if trial || (by_cache && span > SILENT_ALONE * after) {
-                            evidence += 1.0;
-                        }
-                    }
-                }
-                let well = |p: &usize| *p != i && self.servers[*p].health == Health::Good;
-                let alone = as_source && !self.up[s.entry.role as usize].iter().any(well);
-                let sure = as_source || evidence > 1.0 || sources.len() > 1;
-                let enough = evidence >= 1.0 && sure && !alone && !matches!(s.health, Health::Out(_));
-                if enough && self.now - s.answered >= SILENT_LEAST_MS {
-                    self.take_out(i, true, "silent", acts);
-                    self.move_off(i, acts);
-                }
+            let late = open.tries.iter().enumerate().filter(|(_, t)| !t.over);
+            let late = late.filter(|(_, t)| self.now - t.sent > after * f64::from(t.overdue + 1));
+            overdue.extend(late.map(|(n, _)| (open.req.id.clone(), n)));
+        }
+        for (id, n) in overdue {
+            let Some(at) = self.open.get_index_of(&id) else { continue };
+            let t = &mut self.open[at].tries[n];
+            t.overdue += 1;
+            let mute = |i: &usize| self.servers[*i].answered <= t.sent;
+            let (evidence, at_fault) = match t.source {
+                _ if mute(&t.server) => (SILENT_SHARE, Some(t.server)),
+                Some(source) if mute(&source) => (t.fill, Some(source)),
+                _ => (0.0, None),
+            };
+            t.fault = at_fault;
+            let Some(i) = at_fault else { continue };
+            self.servers[i].mute += evidence;
+            let s = &self.servers[i];
+            let well = |p: &usize| *p != i && self.servers[*p].health == Health::Good;
+            let alone = s.entry.role != Role::Edge && !self.up[s.entry.role as usize].iter().any(well);
+            let sure = s.mute >= 1.0 || matches!(s.health, Health::Trial(_));
+            let enough = sure && !alone && !matches!(s.health, Health::Out(_));
+            if enough && self.now - s.answered >= SILENT_LEAST_MS {
+                self.take_out(i, true, "silent", acts);
+                self.move_off(i, acts);
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,13 @@
 pub struct Gate {
     pub limit: f64,
     pub cut: Ms,
+    /// Answers since it was cut.
+    pub answers: u32,
     pub slow: Average,
+    /// How many were out on average lately: the time that attempts took, by the time they took it in.
+    pub level: DecayingRate,
+    /// Routers that send there.
+    pub routers: f64,
 }
 
 /// Whether a server is sent to.
@@ -45,8 +51,9 @@
     /// Its share of refused connections, decayed.
     pub refused: f64,
     pub gate: Gate,
-    /// Its last answer of any kind.
+    /// Its last answer of any kind, and the evidence of silence since.
     pub answered: Ms,
+    pub mute: f64,
     /// Attempts out and their work.
     pub out: usize,
     pub work: f64,
@@ -68,6 +75,8 @@
     pub held_only: bool,
     /// The server to be passed over by the request's further attempts: this one's cache or its source.
     pub fault: Option<usize>,
+    /// How often it has been found overdue.
+    pub overdue: u32,
     pub over: bool,
 }
 
@@ -81,7 +90,18 @@
         fill: f64,
         held_only: bool,
     ) -> Self {
-        Self { server, source, sent, weight, key, fill, held_only, fault: Some(server), over: false }
+        Self {
+            server,
+            source,
+            sent,
+            weight,
+            key,
+            fill,
+            held_only,
+            fault: Some(server),
+            overdue: 0,
+            over: false,
+        }
     }
 }
 
@@ -145,16 +165,18 @@
     }
 }
 
-impl Default for Gate {
+impl Gate {
     /// A gate that has never been full.
-    fn default() -> Self {
-        Self { limit: f64::INFINITY, cut: f64::NEG_INFINITY, slow: Average::default() }
+    pub fn new(now: Ms, tau: Ms, routers: usize) -> Self {
+        let (level, routers) = (DecayingRate::new(now, tau), routers as f64);
+        let (limit, cut) = (f64::INFINITY, f64::NEG_INFINITY);
+        Self { limit, cut, answers: 0, slow: Average::default(), level, routers }
     }
 }
 
 impl Server {
     /// A server that the list has just named.
-    pub fn new(entry: ServerEntry, hash: u64, now: Ms, tau: Ms) -> Self {
+    pub fn new(entry: ServerEntry, hash: u64, now: Ms, tau: Ms, gate: Gate) -> Self {
         Self {
             started: entry.started,
             entry,
@@ -163,8 +185,9 @@
             strikes: 0,
             vanished: false,
             refused: 0.0,
-            gate: Gate::default(),
+            gate,
             answered: now,
+            mute: 0.0,
             out: 0,
             work: 0.0,
             sent: SlidingSum::default(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -369,3 +369,69 @@
     }
     assert_eq!(reports(&step(&mut d, 300, End::Served), "back after its trial"), 1);
 }
+
+/// A router of so many in its zone, with one fill out at a time, whose fills turn slow; counts its looks since.
+fn looks_after_slow_fills(zone_routers: usize) -> usize {
+    let mut s = settings();
+    s.zone_routers = zone_routers;
+    let mut d = Driver::new(s, fleet());
+    for n in 0..300 {
+        d.serve(n, SAFE, n as u64 % 60, Note::FilledBySource);
+        d.wait(100.0);
+    }
+    let mut looks = 0;
+    for n in 1000..1060 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64 % 60)) else { continue };
+        d.wait(600.0);
+        if f.fill_from == f.server {
+            looks += 1;
+            d.end(n, 0, &f.server, End::Miss, Note::Untold);
+        } else {
+            d.outcome(n, 0, &f.server, End::Served, Note::FilledBySource, 600.0);
+        }
+    }
+    looks
+}
+
+/// A router with little traffic never has many fills out, yet all of its zone's together fill the link
+/// (norte-recogida-later, big-1 and big-2): it reckons with as many out at each peer. Alone, it does not.
+#[test]
+fn a_full_link_is_seen_by_a_router_with_little_traffic() {
+    let many = looks_after_slow_fills(20);
+    assert!(many > 10, "{many} looks as one of twenty");
+    assert_eq!(looks_after_slow_fills(1), 0, "one fill at a time cannot fill a link that nobody else uses");
+}
+
+/// A cache that loses one answer and gives the next is not silent (norte-recogida-later, big-1); one that gives
+/// none any more is.
+#[test]
+fn a_lost_answer_is_not_silence() {
+    let lose = |every: usize| {
+        let mut d = Driver::new(settings(), fleet());
+        for n in 0..100 {
+            let f = fetch(&d.ask(n, SAFE, n as u64 % 60)).expect("a fetch");
+            d.outcome(n, 0, &f.server, End::Served, Note::Hit, 300.0);
+            d.wait(10.0);
+        }
+        let (mut acts, mut met) = (Vec::new(), 0);
+        for n in 1000..1400 {
+            let asked = d.ask(n, SAFE, n as u64 % 60);
+            if let Some(f) = fetch(&asked) {
+                met += usize::from(f.server == id("edge-2"));
+                if f.server == id("edge-2") && met % every == 0 {
+                    // Its client waits well over the usual time and leaves.
+                    acts.extend(d.wait(400.0));
+                    d.tell(Event::ClientLeft(rid(n)));
+                    d.end(n, 0, &f.server, End::Cancelled, Note::Untold);
+                } else {
+                    d.outcome(n, 0, &f.server, End::Served, Note::Hit, 300.0);
+                }
+            }
+            acts.extend(d.wait(50.0));
+        }
+        (met, reports(&acts, "edge-2 out for"))
+    };
+    let (met, out) = lose(4);
+    assert!(met > 40 && out == 0, "{met} met it, out {out} times");
+    assert!(lose(1).1 > 0, "one that answers nothing is taken out");
+}
