Routers with few out call a gate full at a lower slowness

Change: there the limit counts to the power 0.75 (2 becomes 1.7). A router that has six out itself, or no peer in its zone, goes by the limit as before, so the small deployments are the same.

Could do harm where sizes alone make answers look slow: fills are refused for some seconds.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 const GATE_FLOOR: f64 = 6.0;
 const GATE_LEVEL_MS: Ms = 1000.0;
 const GATE_ANSWERS: u32 = 3;
+/// It sees fullness late, so it calls full what is slow by this power of the limit.
+const GATE_FEW: f64 = 0.75;
 const GATE_LEAST_LEVEL: f64 = 0.1;
 /// There it grows by no more than this share with an answer.
 const GATE_GROWTH: f64 = 0.1;
@@ -116,7 +118,8 @@
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
         self.slow.add(slow, SLOW_SHARE);
-        if self.slow.get().is_some_and(|s| s > limit.ln()) {
+        let few = if out < GATE_FLOOR && self.routers > 1.0 { GATE_FEW } else { 1.0 };
+        if self.slow.get().is_some_and(|s| s > few * limit.ln()) {
             self.full(now, out);
         } else {
             self.grow(now, out);
