Heed purges for a minute beyond their settling time

Change: the age limit stays on for a minute beyond the settling time. Copies made since the purge pass, so it costs nothing but memory.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -98,8 +98,9 @@
 const COLD_SAFETY: f64 = 0.5;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
 const COLD_AMPLE: f64 = 2.0;
-/// A purge is heeded for this much longer than it takes to settle.
-const PURGE_EXTRA_MS: Ms = 1000.0;
+/// A purge is heeded for this much longer than it takes to settle: a slow fill that began before it may leave
+/// an old copy behind after that. Harms nothing but memory: copies made since are let through.
+const PURGE_EXTRA_MS: Ms = 60_000.0;
 /// Taken off an age limit for rounding; and the least limit, since 0 stands for the class's fresh time.
 const AGE_MARGIN_MS: Ms = 2.0;
 const AGE_LEAST_MS: Ms = 1.0;
