What goes to the origin through parents counts at its gate in thin traffic too

The origin's gate reckons by the mean number out where a router has few out, but only fills that named the origin itself were counted there: none in this deployment, so the gate stayed open.

Change: a fill behind which the origin was asked counts in the origin's mean too, and of one that ended untold the usual share.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -605,9 +605,7 @@
         }
         s.work += mean;
         s.sent.add(now, if edge { mean } else { own }, key);
-        if let Some(i) = source {
-            self.servers[i].sent.add(now, own, key);
-        }
+        source.into_iter().for_each(|i| self.servers[i].sent.add(now, own, key));
         for i in [Some(server), source].into_iter().flatten() {
             let s = &mut self.servers[i];
             s.out += 1;
@@ -659,9 +657,8 @@
         let out = s.out as f64;
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
-        if let Some(i) = source {
-            self.servers[i].out = self.servers[i].out.saturating_sub(1);
-        }
+        let s = source.map(|i| &mut self.servers[i]);
+        s.into_iter().for_each(|s| s.out = s.out.saturating_sub(1));
         self.learn(at, server, source, weight, key, &o);
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
@@ -746,6 +743,11 @@
             // What a parent's origin did is the origin's, so that what the parent holds still comes.
             let behind = matches!(o.note, Note::FilledByOrigin | Note::OriginFailed);
             let at_fault = self.origin().filter(|_| behind).unwrap_or(i);
+            let untold = if o.note == Note::Untold { self.beyond.get().unwrap_or(1.0) } else { 0.0 };
+            if let Some(origin) = self.origin().filter(|p| *p != i) {
+                let asked = if behind { 1.0 } else { untold };
+                self.servers[origin].gate.level.add(self.now, o.delay * share * asked);
+            }
             let fills = self.fills_out(Some(at_fault)) + 1.0;
             let gate = &mut self.servers[at_fault].gate;
             match o.note {
@@ -809,9 +811,8 @@
         }
         use Note::{Hit, Joined, NoFillPlace, Old, SourceFailed, Untold};
         let mute = matches!(o.note, Untold | Hit | Old | Joined | NoFillPlace | SourceFailed);
-        if let Some(i) = source.filter(|_| !mute) {
-            (self.servers[i].answered, self.servers[i].mute) = (now, 0.0);
-        }
+        let heard = source.filter(|_| !mute).map(|i| &mut self.servers[i]);
+        heard.into_iter().for_each(|s| (s.answered, s.mute) = (now, 0.0));
         match (o.note, o.end) {
             (_, End::Served) => {
                 self.mark(server, Mark::Served, acts);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -435,3 +435,32 @@
     assert!(met > 40 && out == 0, "{met} met it, out {out} times");
     assert!(lose(1).1 > 0, "one that answers nothing is taken out");
 }
+
+/// Parents that wait for a slow origin fail their fills one by one, and no router has many of them out
+/// (dala-depot-cache-later, rough-1): what goes to the origin through them counts at its gate, which closes; then
+/// parents give only what they hold.
+#[test]
+fn an_origin_that_fails_behind_parents_is_spared_by_routers_with_little_traffic() {
+    let mut s = settings();
+    s.routers = 100;
+    let mut d = Driver::new(s, fleet());
+    for n in 0..200 {
+        d.serve(n, SAFE, n as u64 % 60, Note::FilledByOrigin);
+        d.wait(50.0);
+    }
+    let mut spared = 0;
+    for n in 1000..1100 {
+        let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
+        d.wait(150.0);
+        if f.fill_from == f.server {
+            if let Some(f) = fetch(&d.end(n, 0, &f.server, End::Miss, Note::Untold)) {
+                spared += usize::from(f.held_only);
+            }
+        } else {
+            spared += usize::from(f.held_only);
+            let end = if f.held_only { Note::SourceLacks } else { Note::OriginFailed };
+            d.outcome(n, 0, &f.server, End::Full, end, 150.0);
+        }
+    }
+    assert!(spared > 30, "{spared} asked of parents alone");
+}
