A parent's failed fills are not fullness; slowness counts more only under a mean of two out

A parent that fails fills quickly closed its own gate, so its misses were refused where the next parent could have filled; and the lower limit of slowness acted in a fleet of four routers.

Change: only refusals, and the origin's failures, close a source's gate; the power 0.75 counts under a mean of two out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,7 +80,8 @@
 const GATE_FLOOR: f64 = 6.0;
 const GATE_LEVEL_MS: Ms = 1000.0;
 const GATE_ANSWERS: u32 = 3;
-/// It sees fullness late, so it calls full what is slow by this power of the limit.
+/// With a mean under this it sees fullness late, and calls full what is slow by this power of the limit.
+const GATE_FEW_OUT: f64 = 2.0;
 const GATE_FEW: f64 = 0.75;
 const GATE_LEAST_LEVEL: f64 = 0.1;
 /// There it grows by no more than this share with an answer.
@@ -119,7 +120,8 @@
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
         self.slow.add(slow, SLOW_SHARE);
-        let few = if out < GATE_FLOOR && self.routers > 1.0 { GATE_FEW } else { 1.0 };
+        let thin = out < GATE_FLOOR && self.level.rate(now) < GATE_FEW_OUT;
+        let few = if thin { GATE_FEW } else { 1.0 };
         if self.slow.get().is_some_and(|s| s > few * limit.ln()) {
             self.full(now, out);
         } else {
@@ -251,9 +253,7 @@
             Event::Flowing(id, _) => self.open.get_mut(&id).into_iter().for_each(|open| open.done = true),
             Event::Outcome(outcome) => self.on_outcome(outcome, acts),
             Event::ClientLeft(id) => {
-                if let Some(at) = self.open.get_index_of(&id) {
-                    self.finish(at, acts);
-                }
+                self.open.get_index_of(&id).into_iter().for_each(|at| self.finish(at, acts));
             }
             Event::Timer(SWEEP_TOKEN) => {
                 self.sweep(acts);
@@ -302,7 +302,7 @@
                 server.started = entry.started;
                 (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
-                server.answered = now;
+                (server.answered, server.mute) = (now, 0.0);
             }
             server.entry = entry;
         }
@@ -752,7 +752,7 @@
             let gate = &mut self.servers[at_fault].gate;
             match o.note {
                 Note::FilledBySource | Note::FilledByOrigin => gate.grow(self.now, fills),
-                Note::SourceRefused | Note::SourceFailed | Note::OriginFailed => gate.full(self.now, fills),
+                Note::SourceRefused | Note::OriginFailed => gate.full(self.now, fills),
                 _ => {}
             }
             if behind || o.note == Note::FilledBySource {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,6 +88,16 @@
     all
 }
 
+/// The same, with hundreds of caches more here and in other zones, and a few parents more.
+pub fn large_fleet() -> Vec<ServerEntry> {
+    let mut all = fleet();
+    for n in 0..300 {
+        all.push(ServerEntry { zone: ZoneId(1 + n % 30), ..entry(&format!("more-{n}"), Role::Edge) });
+    }
+    all.extend((2..12).map(|n| entry(&format!("parent-{n}"), Role::Parent)));
+    all
+}
+
 pub fn request(n: usize, class: ClassId, object: u64, budget: Ms) -> Request {
     Request {
         id: rid(n),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -464,3 +464,32 @@
     }
     assert!(spared > 30, "{spared} asked of parents alone");
 }
+
+/// A parent that fails a share of its fills quickly is not full: its gate stays open, and what it failed is filled by
+/// the next one (norte-recogida, big-1).
+#[test]
+fn a_parent_that_fails_fills_quickly_is_not_taken_for_full() {
+    let mut s = settings();
+    s.routers = 100;
+    let mut d = Driver::new(s, fleet());
+    for n in 0..200 {
+        d.serve(n, SAFE, n as u64 % 60, Note::FilledBySource);
+        d.wait(50.0);
+    }
+    let mut failed = 0;
+    for n in 1000..1200 {
+        let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
+        assert_ne!(f.fill_from, f.server, "a look: a gate is closed");
+        d.wait(50.0);
+        if f.fill_from == id("parent-1") {
+            failed += 1;
+            let next =
+                fetch(&d.outcome(n, 0, &f.server, End::Error, Note::SourceFailed, 50.0)).expect("another");
+            assert_ne!(next.fill_from, id("parent-1"));
+            d.end(n, 1, &next.server, End::Served, Note::FilledBySource);
+        } else {
+            d.end(n, 0, &f.server, End::Served, Note::FilledBySource);
+        }
+    }
+    assert!(failed > 60, "{failed} failed");
+}
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -80,12 +80,14 @@
     #[test]
     fn the_rules_hold_on_any_legal_sequence(
         steps in prop::collection::vec(step(), 1..160), copies in any::<bool>(), direct in any::<bool>(),
+        large in any::<bool>(),
     ) {
         let mut s = settings();
         (s.second_copies, s.direct) = (copies, direct);
         let (settles, grace) = (s.purge_settles, s.purge_grace);
         let effects: Vec<Effect> = s.classes.iter().map(|c| c.effect).collect();
-        let mut d = Driver::new(s, fleet());
+        let servers = if large { large_fleet() } else { fleet() };
+        let mut d = Driver::new(s, servers.clone());
         let mut seen: BTreeMap<RequestId, Seen> = BTreeMap::new();
         let mut banned: BTreeMap<ServerId, f64> = BTreeMap::new();
         let mut purges: Vec<(Option<u64>, u64, f64, f64)> = Vec::new();
@@ -141,7 +143,7 @@
                     }
                 }
                 Step::List { server, listed, restart } => {
-                    let mut e = fleet()[server].clone();
+                    let mut e = servers[server * servers.len() / 7].clone();
                     e.listed = [Listed::Up, Listed::Draining, Listed::Gone][listed as usize];
                     e.started = restart.then_some(d.now);
                     if e.listed == Listed::Up {
@@ -153,8 +155,8 @@
                 }
                 Step::Whole { keep } => {
                     let kept: Vec<ServerEntry> =
-                        fleet().into_iter().enumerate().filter(|(n, _)| keep >> n & 1 == 1).map(|(_, e)| e).collect();
-                    banned = fleet().into_iter().map(|e| (e.id, d.now)).collect();
+                        servers.iter().enumerate().filter(|(n, _)| keep >> (n % 8) & 1 == 1).map(|(_, e)| e.clone()).collect();
+                    banned = servers.iter().map(|e| (e.id.clone(), d.now)).collect();
                     kept.iter().for_each(|e| { banned.remove(&e.id); });
                     d.tell(Event::Servers(ListMode::Whole, kept));
                 }
