The lower limit of slowness acts where answers are few, not where few are out

What it is for is that the mean moves late, so it now goes by how quickly answers come: where ten of them take over 1.5 s.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,8 +80,8 @@
 const GATE_FLOOR: f64 = 6.0;
 const GATE_LEVEL_MS: Ms = 1000.0;
 const GATE_ANSWERS: u32 = 3;
-/// With a mean under this it sees fullness late, and calls full what is slow by this power of the limit.
-const GATE_FEW_OUT: f64 = 2.0;
+/// Where mean slowness takes over this time to move, it calls full what is slow by this power of the limit.
+const GATE_FEW_MS: Ms = 1500.0;
 const GATE_FEW: f64 = 0.75;
 const GATE_LEAST_LEVEL: f64 = 0.1;
 /// There it grows by no more than this share with an answer.
@@ -120,8 +120,8 @@
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
         self.slow.add(slow, SLOW_SHARE);
-        let thin = out < GATE_FLOOR && self.level.rate(now) < GATE_FEW_OUT;
-        let few = if thin { GATE_FEW } else { 1.0 };
+        self.pace.add(now, SLOW_SHARE);
+        let few = if self.pace.rate(now) * GATE_FEW_MS < 1.0 { GATE_FEW } else { 1.0 };
         if self.slow.get().is_some_and(|s| s > few * limit.ln()) {
             self.full(now, out);
         } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,8 @@
     /// Answers since it was cut.
     pub answers: u32,
     pub slow: Average,
+    /// How quickly answers came lately.
+    pub pace: DecayingRate,
     /// How many were out on average lately: the time that attempts took, by the time they took it in.
     pub level: DecayingRate,
     /// Routers that send there.
@@ -168,9 +170,10 @@
 impl Gate {
     /// A gate that has never been full.
     pub fn new(now: Ms, tau: Ms, routers: usize) -> Self {
-        let (level, routers) = (DecayingRate::new(now, tau), routers as f64);
+        let (level, pace, routers) =
+            (DecayingRate::new(now, tau), DecayingRate::new(now, tau), routers as f64);
         let (limit, cut) = (f64::INFINITY, f64::NEG_INFINITY);
-        Self { limit, cut, answers: 0, slow: Average::default(), level, routers }
+        Self { limit, cut, answers: 0, slow: Average::default(), pace, level, routers }
     }
 }
 
