--- a/src/rules.rs
+++ b/src/rules.rs
@@ -121,8 +121,9 @@
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
         self.slow.add(slow, SLOW_SHARE);
         self.pace.add(now, SLOW_SHARE);
-        let few = if self.pace.rate(now) * GATE_FEW_MS < 1.0 { GATE_FEW } else { 1.0 };
-        if self.slow.get().is_some_and(|s| s > few * limit.ln()) {
+        let few = out < GATE_FLOOR && self.pace.rate(now) * GATE_FEW_MS < 1.0;
+        let limit = if few { GATE_FEW * limit.ln() } else { limit.ln() };
+        if self.slow.get().is_some_and(|s| s > limit) {
             self.full(now, out);
         } else {
             self.grow(now, out);
@@ -657,8 +658,7 @@
         let out = s.out as f64;
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
-        let s = source.map(|i| &mut self.servers[i]);
-        s.into_iter().for_each(|s| s.out = s.out.saturating_sub(1));
+        source.into_iter().for_each(|i| self.servers[i].out = self.servers[i].out.saturating_sub(1));
         self.learn(at, server, source, weight, key, &o);
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
