--- a/src/rules.rs
+++ b/src/rules.rs
@@ -98,7 +98,7 @@
 /// Share of what the peers carry that a cold server is taken to be able to carry when warm.
 const COLD_SAFETY: f64 = 0.5;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
-const COLD_AMPLE: f64 = 2.0;
+const COLD_AMPLE: f64 = 4.0;
 /// A purge is heeded for this much longer than it takes to settle: a slow fill that began before it may leave
 /// an old copy behind after that. Harms nothing but memory: copies made since are let through.
 const PURGE_EXTRA_MS: Ms = 60_000.0;
