--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -436,18 +436,24 @@
     assert!(lose(1).1 > 0, "one that answers nothing is taken out");
 }
 
-/// Parents that wait for a slow origin fail their fills one by one, and no router has many of them out
-/// (dala-depot-cache-later, rough-1): what goes to the origin through them counts at its gate, which closes; then
-/// parents give only what they hold.
-#[test]
-fn an_origin_that_fails_behind_parents_is_spared_by_routers_with_little_traffic() {
+/// One router of a hundred, after two hundred fills of that kind, fifty milliseconds apart.
+fn one_of_a_hundred(note: Note) -> Driver {
     let mut s = settings();
     s.routers = 100;
     let mut d = Driver::new(s, fleet());
     for n in 0..200 {
-        d.serve(n, SAFE, n as u64 % 60, Note::FilledByOrigin);
+        d.serve(n, SAFE, n as u64 % 60, note);
         d.wait(50.0);
     }
+    d
+}
+
+/// Parents that wait for a slow origin fail their fills one by one, and no router has many of them out
+/// (dala-depot-cache-later, rough-1): what goes to the origin through them counts at its gate, which closes; then
+/// parents give only what they hold.
+#[test]
+fn an_origin_that_fails_behind_parents_is_spared_by_routers_with_little_traffic() {
+    let mut d = one_of_a_hundred(Note::FilledByOrigin);
     let mut spared = 0;
     for n in 1000..1100 {
         let Some(f) = fetch(&d.ask(n, SAFE, n as u64)) else { continue };
@@ -469,13 +475,7 @@
 /// the next one (norte-recogida, big-1).
 #[test]
 fn a_parent_that_fails_fills_quickly_is_not_taken_for_full() {
-    let mut s = settings();
-    s.routers = 100;
-    let mut d = Driver::new(s, fleet());
-    for n in 0..200 {
-        d.serve(n, SAFE, n as u64 % 60, Note::FilledBySource);
-        d.wait(50.0);
-    }
+    let mut d = one_of_a_hundred(Note::FilledBySource);
     let mut failed = 0;
     for n in 1000..1200 {
         let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
