--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,10 +5,12 @@
 mod read;
 mod write;
 
-pub use read::{event, settings, BadInput, Message, Names};
+pub use basaltgw_config::{settings, BadInput, Names};
+pub use read::{event, Message};
 pub use write::action;
 
 use basaltgw::{api::Action, rules::Router};
+use basaltgw_config::value::number;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
@@ -29,7 +31,7 @@
     pub fn batch(&mut self, line: &str) -> Result<String, BadInput> {
         let batch: Value =
             serde_json::from_str(line).map_err(|e| BadInput::new("batch", format!("not JSON: {e}")))?;
-        let now = read::number(&batch["now"], "now")?;
+        let now = number(&batch["now"], "now")?;
         let events =
             batch["events"].as_array().ok_or_else(|| BadInput::new("events", "expected an array"))?;
         let mut decisions = Vec::new();
--- /dev/null
+++ b/crates/node/src/caches.rs
@@ -0,0 +1,423 @@
+//! Servers: connections to caches, parents and the origin, and the attempts they carry.
+
+use crate::clients::WireId;
+use crate::clock::late;
+use crate::limits::{CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SILENT_MS, STALLED, WAIT};
+use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
+use crate::resp::{encode, Decoder, FieldList, Fields};
+use crate::Input;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use basaltgw::api::{AttemptNo, End, Load, Ms, Note, Rank, ServerId};
+use basaltgw_config::{Place, Transport};
+use futures_lite::{future, AsyncReadExt};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+/// A request in the owner's table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestNo(pub u64);
+/// An attempt in the owner's table.
+pub type AttemptKey = (RequestNo, AttemptNo);
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Down {
+    /// It never came up.
+    NeverUp,
+    /// It was up.
+    Ended,
+}
+
+/// What a server says of an attempt.
+#[derive(Debug)]
+pub struct Answer {
+    /// The request's id.
+    pub id: WireId,
+    /// How the attempt ended; `None` for what answers no attempt.
+    pub end: Option<End>,
+    /// The client's copy is the one.
+    pub same: bool,
+    /// How it came about.
+    pub note: Note,
+    /// Time spent waiting for the source.
+    pub waited: Ms,
+    /// The load report.
+    pub load: Load,
+    /// The object's bytes.
+    pub body: Counted,
+}
+
+impl Answer {
+    /// Reads an answer; `None` if it is none.
+    pub fn read(words: Vec<Vec<u8>>, meters: &[&Rc<Meter>]) -> Option<Self> {
+        let mut words = words.into_iter();
+        let id = words.next()?;
+        let id = WireId(Arc::from(std::str::from_utf8(&id).ok()?));
+        let word = words.next()?;
+        let fields = words.next().unwrap_or_default();
+        let fields = Fields::read(&fields)?;
+        let end = match word.as_slice() {
+            b"ok" | b"current" => Some(End::Served),
+            b"nothing" => Some(End::Miss),
+            b"refused" => Some(End::Full),
+            b"error" => Some(End::Error),
+            b"stale" => Some(End::NotSent),
+            b"yes" => None,
+            _ => return None,
+        };
+        Some(Self {
+            id,
+            end,
+            same: word == b"current",
+            note: note(fields.get("note")),
+            waited: fields.number("waited").unwrap_or(0.0).max(0.0),
+            load: fields.get("load").map(load).unwrap_or_default(),
+            body: Counted::new(words.next().unwrap_or_default(), meters),
+        })
+    }
+}
+
+fn note(word: Option<&str>) -> Note {
+    match word {
+        Some("hit") => Note::Hit,
+        Some("filled") => Note::FilledBySource,
+        Some("via_origin") => Note::FilledByOrigin,
+        Some("joined") => Note::Joined,
+        Some("stale") => Note::Old,
+        Some("src_refused") => Note::SourceRefused,
+        Some("src_broke") => Note::SourceFailed,
+        Some("src_lacks") => Note::SourceLacks,
+        Some("no_slot") => Note::NoFillPlace,
+        Some("origin_failed") => Note::OriginFailed,
+        // A note that is not known tells nothing.
+        Some(_) | None => Note::Untold,
+    }
+}
+
+fn load(report: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in report.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        match name {
+            "inflight" | "rif" => load.inflight = value,
+            "util" | "busy" => load.util = value,
+            "x0" => load.hits = value,
+            "x1" => load.link = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+/// An attempt as it is written to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The request's id.
+    pub id: &'a WireId,
+    /// Its class.
+    pub class: &'a str,
+    /// The object, as the client wrote it.
+    pub object: &'a str,
+    /// The part.
+    pub part: u64,
+    /// How long the router waits.
+    pub wait: Ms,
+    /// Who supplies a miss.
+    pub from: Option<&'a ServerId>,
+    /// How the copy is kept.
+    pub rank: Rank,
+    /// The oldest copy that will do.
+    pub oldest: Option<Ms>,
+    /// Join a fill under way.
+    pub share: bool,
+    /// The source gives only what it holds.
+    pub peek: bool,
+    /// Renew behind.
+    pub renew: bool,
+    /// The tag of the client's copy.
+    pub seen: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Ask<'_> {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut fields = FieldList::default();
+        fields.add("c", self.class);
+        fields.add("k", self.object);
+        fields.add("p", self.part);
+        fields.add("w", self.wait.floor().max(1.0));
+        if let Some(from) = self.from {
+            fields.add("from", &*from.0);
+        }
+        match self.rank {
+            Rank::None => {}
+            Rank::Low => fields.add("rank", 1),
+            Rank::Middle => fields.add("rank", 2),
+            Rank::Top => fields.add("rank", 3),
+        }
+        if let Some(oldest) = self.oldest {
+            // 0 would stand for the class's fresh time.
+            fields.add("oldest", oldest.floor().max(1.0));
+        }
+        let modes = [(self.share, "share"), (self.peek, "peek"), (self.renew, "swr")];
+        let modes: Vec<&str> = modes.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !modes.is_empty() {
+            fields.add("mode", modes.join("+"));
+        }
+        if let Some(seen) = self.seen {
+            fields.add("seen", seen);
+        }
+        encode(&[b"fetch", self.id.0.as_bytes(), fields.text().as_bytes(), self.body])
+    }
+}
+
+/// A connection as the owner holds it. Dropped, it is closed once what is in its outbox is written.
+struct Conn {
+    server: ServerId,
+    place: Place,
+    out: Outbox,
+    up: bool,
+    /// It takes no more requests.
+    retired: bool,
+    open: BTreeMap<WireId, AttemptKey>,
+    /// Given up here; an answer may still be on its way.
+    aborted: BTreeSet<WireId>,
+    /// When something was asked after the last that was heard.
+    asked: Option<Ms>,
+    used: Ms,
+}
+
+/// Ids that a connection remembers as given up.
+const ABORTED_KEPT: usize = 4096;
+
+impl Conn {
+    /// Something was asked, and nothing at all came for long.
+    fn silent(&self, now: Ms) -> bool {
+        self.up && self.asked.is_some_and(|t| now - t >= SILENT_MS)
+    }
+
+    fn takes(&self, now: Ms, id: &WireId, streams: usize) -> bool {
+        let free = self.open.len() < streams && !self.open.contains_key(id) && !self.aborted.contains(id);
+        free && !self.retired && !self.silent(now)
+    }
+}
+
+/// What connections to servers share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Where connections run.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// To the owner.
+    pub queue: Sender<Input>,
+    /// Bytes held by all connections.
+    pub meter: Rc<Meter>,
+    /// No more is read from servers while so much is held.
+    pub held_limit: usize,
+    /// Connections to servers that may be open.
+    pub most: usize,
+    /// What the settings say.
+    pub transport: Transport,
+}
+
+/// All connections to servers.
+pub struct Caches {
+    shared: Shared,
+    conns: BTreeMap<ConnId, Conn>,
+    count: u64,
+}
+
+impl Caches {
+    /// No connections yet.
+    pub fn new(shared: Shared) -> Self {
+        Self { shared, conns: BTreeMap::new(), count: 0 }
+    }
+
+    /// Connections that are open or coming up, and how many there ever were.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.conns.len() as u64, self.count)
+    }
+
+    /// Puts an attempt on a connection to a server's process, opening one if none takes it; `None` if none may be
+    /// opened.
+    pub fn send(
+        &mut self,
+        now: Ms,
+        to: (&ServerId, Place),
+        key: AttemptKey,
+        id: &WireId,
+        bytes: Vec<u8>,
+    ) -> Option<(ConnId, Rc<Parcel>)> {
+        let (server, place) = to;
+        let streams = self.shared.transport.max_streams;
+        let mut of_server = 0;
+        let mut chosen = None;
+        for (at, conn) in self.conns.iter().filter(|(_, c)| c.server == *server && c.place == place) {
+            of_server += 1;
+            if chosen.is_none() && conn.takes(now, id, streams) {
+                chosen = Some(*at);
+            }
+        }
+        let at = match chosen {
+            Some(at) => at,
+            None if of_server < CONNS_PER_SERVER && self.conns.len() < self.shared.most => {
+                self.open(now, server, place)
+            }
+            None => return None,
+        };
+        let conn = self.conns.get_mut(&at)?;
+        conn.open.insert(id.clone(), key);
+        conn.used = now;
+        if conn.up {
+            conn.asked.get_or_insert(now);
+        }
+        Some((at, conn.out.put(bytes)))
+    }
+
+    fn open(&mut self, now: Ms, server: &ServerId, place: Place) -> ConnId {
+        self.count += 1;
+        let at = ConnId(self.count);
+        let (out, parcels) = outbox(&self.shared.meter, &Rc::default());
+        let (open, aborted) = (BTreeMap::new(), BTreeSet::new());
+        let server = server.clone();
+        let conn =
+            Conn { server, place, out, up: false, retired: false, open, aborted, asked: None, used: now };
+        self.conns.insert(at, conn);
+        let shared = self.shared.clone();
+        let run = async move {
+            let down = connection(at, place, &shared, parcels).await;
+            // The owner is gone only when the process ends.
+            let _ = shared.queue.send(Input::CacheDown(at, down)).await;
+        };
+        self.shared.executor.spawn(run).detach();
+        at
+    }
+
+    /// A connection came up.
+    pub fn up(&mut self, now: Ms, at: ConnId) {
+        if let Some(conn) = self.conns.get_mut(&at) {
+            conn.up = true;
+            conn.asked = Some(now).filter(|_| !conn.open.is_empty());
+        }
+    }
+
+    /// True while a connection has not come up.
+    pub fn coming_up(&self, at: ConnId) -> bool {
+        self.conns.get(&at).is_some_and(|c| !c.up)
+    }
+
+    /// The open attempt that an answer is for, if there is one.
+    pub fn answered(&mut self, now: Ms, at: ConnId, id: &WireId) -> Option<AttemptKey> {
+        let conn = self.conns.get_mut(&at)?;
+        let key = conn.open.remove(id);
+        conn.asked = Some(now).filter(|_| !conn.open.is_empty());
+        conn.used = now;
+        if key.is_none() {
+            conn.aborted.remove(id);
+        }
+        key
+    }
+
+    /// Gives an attempt up. True if no byte of it was written, so that it never ran.
+    pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> bool {
+        let taken_back = parcel.take_back();
+        let Some(conn) = self.conns.get_mut(&at) else { return taken_back };
+        conn.open.remove(id);
+        if !taken_back {
+            if conn.aborted.len() >= ABORTED_KEPT {
+                conn.aborted.clear();
+                conn.retired = true;
+            }
+            conn.aborted.insert(id.clone());
+            conn.out.put(encode(&[b"abort", id.0.as_bytes()]));
+        }
+        taken_back
+    }
+
+    /// A connection is over; gives what was open on it.
+    pub fn down(&mut self, at: ConnId) -> Vec<AttemptKey> {
+        self.conns.remove(&at).map(|c| c.open.into_values().collect()).unwrap_or_default()
+    }
+
+    /// A server's process is at this place now, or nowhere: connections to another take no more requests.
+    pub fn moved(&mut self, server: &ServerId, place: Option<Place>) {
+        for conn in self.conns.values_mut().filter(|c| c.server == *server && Some(c.place) != place) {
+            conn.retired = true;
+        }
+    }
+
+    /// Closes connections that carry nothing and are idle, silent or retired.
+    pub fn tidy(&mut self, now: Ms) {
+        let idle = self.shared.transport.conn_idle * IDLE_SHARE;
+        self.conns.retain(|_, c| {
+            let done = c.retired || c.silent(now) || now - c.used >= idle;
+            if c.open.is_empty() && !c.silent(now) {
+                // What was given up before it was late is owed no answer.
+                c.asked = None;
+            }
+            !(c.open.is_empty() && done)
+        });
+    }
+}
+
+/// A connection from its start to its end; the socket is closed when this returns.
+async fn connection(
+    at: ConnId,
+    place: Place,
+    shared: &Shared,
+    parcels: async_channel::Receiver<Rc<Parcel>>,
+) -> Down {
+    let limit = Duration::from_secs_f64(shared.transport.connect_timeout.clamp(1.0, 60_000.0) / 1000.0);
+    let connect = async { Async::<TcpStream>::connect(place.address).await };
+    let socket = match future::or(connect, late(limit)).await {
+        Ok(socket) => socket,
+        Err(e) => {
+            log::debug!("{}: {e}", place.address);
+            return Down::NeverUp;
+        }
+    };
+    if let Err(e) = socket.get_ref().set_nodelay(true) {
+        log::debug!("{}: {e}", place.address);
+    }
+    if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
+        future::or(read(at, &socket, shared), write_all(&socket, parcels, || late(STALLED))).await;
+    }
+    Down::Ended
+}
+
+async fn read(at: ConnId, mut socket: &Async<TcpStream>, shared: &Shared) {
+    let mut decoder = Decoder::new(FROM_CACHE);
+    let mut piece = vec![0; READ_BYTES];
+    loop {
+        while shared.meter.held() > shared.held_limit {
+            Timer::after(WAIT).await;
+        }
+        let n = match socket.read(&mut piece).await {
+            Ok(n) if n > 0 => n,
+            Ok(_) | Err(_) => return,
+        };
+        decoder.feed(piece.get(..n).unwrap_or_default());
+        loop {
+            let answer = match decoder.message() {
+                Ok(Some(words)) => Answer::read(words, &[&shared.meter]),
+                Ok(None) => break,
+                Err(e) => return log::info!("connection {} closed: {e}", at.0),
+            };
+            let Some(answer) = answer else {
+                return log::info!("connection {} closed: an answer that can't be read", at.0);
+            };
+            if shared.queue.send(Input::Cache(at, answer)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/changelog.rs
@@ -0,0 +1,211 @@
+//! The change log: a stream of numbered frames, followed from the last event that is known.
+
+use crate::clock::late;
+use crate::limits::{LOG_CONNECT, LOG_FRAME, LOG_REST, LOG_REST_MOST, LOG_SILENT, READ_BYTES};
+use crate::Input;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use basaltgw::api::{GroupId, Listed, ObjectId, ServerEntry, ServerId};
+use basaltgw_config::{Member, Names, News, Seq};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
+
+/// Number and kind, which every frame has.
+const HEAD: usize = 9;
+const RECORD: usize = 27;
+
+/// A frame that can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadFrame(&'static str);
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// A frame: the event's number and the event; none in an empty frame.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Frame {
+    /// The number.
+    pub seq: Seq,
+    /// What it tells.
+    pub news: Option<News>,
+}
+
+/// Reads big-endian numbers off a payload.
+struct Bytes<'a>(&'a [u8]);
+
+impl Bytes<'_> {
+    fn number(&mut self, width: usize) -> Result<u64, BadFrame> {
+        let (head, rest) = self.0.split_at_checked(width).ok_or(BadFrame("a payload that is too short"))?;
+        self.0 = rest;
+        Ok(head.iter().fold(0, |n, b| n << 8 | u64::from(*b)))
+    }
+
+    fn end(self, frame: Frame) -> Result<Frame, BadFrame> {
+        if self.0.is_empty() {
+            Ok(frame)
+        } else {
+            Err(BadFrame("a payload that is too long"))
+        }
+    }
+}
+
+/// Takes bytes in any pieces and gives whole frames.
+#[derive(Default)]
+pub struct Decoder(Vec<u8>);
+
+impl Decoder {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.0.extend_from_slice(bytes);
+    }
+
+    /// The next whole frame, if there is one.
+    pub fn frame(&mut self, names: &Names) -> Result<Option<Frame>, BadFrame> {
+        let Some((length, rest)) = self.0.split_first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if !(HEAD..=LOG_FRAME).contains(&length) {
+            return Err(BadFrame("a length out of bounds"));
+        }
+        let Some(body) = rest.get(..length) else { return Ok(None) };
+        let frame = frame(Bytes(body), names)?;
+        self.0.drain(..4 + length);
+        Ok(Some(frame))
+    }
+}
+
+fn frame(mut b: Bytes<'_>, names: &Names) -> Result<Frame, BadFrame> {
+    let seq = Seq(b.number(8)?);
+    let news = match b.number(1)? {
+        0 => None,
+        kind @ (1 | 2) => {
+            if !b.0.len().is_multiple_of(RECORD) {
+                return Err(BadFrame("a list that is no whole number of records"));
+            }
+            let mut members = Vec::with_capacity(b.0.len() / RECORD);
+            while !b.0.is_empty() {
+                members.push(record(&mut b, names)?);
+            }
+            Some(News::Servers { whole: kind == 1, members })
+        }
+        3 => {
+            let object = Some(ObjectId(b.number(8)?));
+            Some(News::Purge { object, group: GroupId(0), time: b.number(8)? as f64 })
+        }
+        4 => {
+            let group = GroupId(b.number(2)?);
+            Some(News::Purge { object: None, group, time: b.number(8)? as f64 })
+        }
+        _ => return Err(BadFrame("an unknown kind")),
+    };
+    b.end(Frame { seq, news })
+}
+
+fn record(b: &mut Bytes<'_>, names: &Names) -> Result<Member, BadFrame> {
+    let id = ServerId(Arc::from(format!("s-{:08x}", b.number(4)?)));
+    let ip = Ipv4Addr::from(b.number(4)? as u32);
+    let address = SocketAddr::from((ip, b.number(2)? as u16));
+    let listed = match b.number(1)? {
+        0 => Listed::Up,
+        1 => Listed::Draining,
+        2 => Listed::Gone,
+        _ => return Err(BadFrame("an unknown state")),
+    };
+    let zone = names.zone_at(b.number(1)? as usize).ok_or(BadFrame("an unknown zone"))?;
+    let role = names.role_at(b.number(1)? as usize).ok_or(BadFrame("an unknown kind of server"))?;
+    let cell = b.number(2)?;
+    let weight = b.number(4)? as f64 / 1000.0;
+    let started = Some(b.number(8)? as f64).filter(|t| *t > 0.0);
+    Ok(Member { entry: ServerEntry { id, zone, role, cell, listed, weight, started }, address })
+}
+
+/// Which frame comes next, and what a connection's end means for the one after.
+#[derive(Debug)]
+pub struct Follower {
+    last: Seq,
+    /// A gap was met at this event; met again on the next connection, the log holds no more than that.
+    gap: Option<Seq>,
+}
+
+impl Follower {
+    /// A follower that has events up to `last`.
+    pub fn new(last: Seq) -> Self {
+        Self { last, gap: None }
+    }
+
+    /// The last event it has.
+    pub fn last(&self) -> Seq {
+        self.last
+    }
+
+    /// Passes a frame's news on if it is the next event. An event that is known already is passed over.
+    pub fn take(&mut self, frame: Frame) -> Result<Option<News>, BadFrame> {
+        let Some(news) = frame.news else { return Ok(None) };
+        if frame.seq <= self.last {
+            return Ok(None);
+        }
+        if frame.seq.0 > self.last.0 + 1 && self.gap != Some(frame.seq) {
+            self.gap = Some(frame.seq);
+            return Err(BadFrame("a gap"));
+        }
+        (self.last, self.gap) = (frame.seq, None);
+        Ok(Some(news))
+    }
+}
+
+/// Follows the change log for good.
+pub async fn follow(at: SocketAddr, from: Seq, names: Names, queue: Sender<Input>) {
+    let mut follower = Follower::new(from);
+    let mut rest = LOG_REST;
+    loop {
+        let before = follower.last;
+        let mut heard = false;
+        let why = match connection(at, &mut follower, &names, &queue, &mut heard).await {
+            Ok(()) => return,
+            Err(e) => e,
+        };
+        log::info!("change log: {why}; resumed after event {}", follower.last.0);
+        if heard || follower.last > before {
+            rest = LOG_REST;
+        }
+        Timer::after(rest).await;
+        rest = (rest * 2).min(LOG_REST_MOST);
+    }
+}
+
+/// One connection; returns without an error only when nobody listens to the news any more.
+async fn connection(
+    at: SocketAddr,
+    follower: &mut Follower,
+    names: &Names,
+    queue: &Sender<Input>,
+    heard: &mut bool,
+) -> io::Result<()> {
+    let connect = async { Async::<TcpStream>::connect(at).await };
+    let mut socket = future::or(connect, late(LOG_CONNECT)).await?;
+    socket.get_ref().set_nodelay(true)?;
+    socket.write_all(&follower.last.0.to_be_bytes()).await?;
+    let mut decoder = Decoder::default();
+    let mut piece = vec![0; READ_BYTES];
+    let bad = |e: BadFrame| io::Error::new(io::ErrorKind::InvalidData, e.to_string());
+    loop {
+        let n = future::or(socket.read(&mut piece), late(LOG_SILENT)).await?;
+        if n == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        decoder.feed(piece.get(..n).unwrap_or_default());
+        while let Some(frame) = decoder.frame(names).map_err(bad)? {
+            *heard = true;
+            if let Some(news) = follower.take(frame).map_err(bad)? {
+                if queue.send(Input::News(follower.last, news)).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients.rs
@@ -0,0 +1,242 @@
+//! Clients: accepting connections, decoding their messages, writing answers.
+
+use crate::clock::{late, Clock};
+use crate::limits::{ACCEPT_REST, CLIENT_UNSENT, FROM_CLIENT, READ_BYTES, STALLED, WAIT};
+use crate::outbox::{outbox, write_all, Meter};
+use crate::resp::{encode, Decoder, FieldList, Fields};
+use crate::Input;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use basaltgw::api::{GroupId, Ms, ObjectId, Part};
+use futures_lite::{future, AsyncReadExt};
+use std::cell::Cell;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// A client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClientId(pub u64);
+/// A request on a client's connection, as the client numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Tag(pub u64);
+/// The client's id of a request, passed on to servers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WireId(pub Arc<str>);
+
+/// A request, with what is passed on of it as it came.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Do {
+    /// Its id.
+    pub id: WireId,
+    /// Its class.
+    pub class: String,
+    /// The object, and as it was written.
+    pub object: ObjectId,
+    /// See `object`.
+    pub object_text: String,
+    /// The part.
+    pub part: Part,
+    /// The object's group.
+    pub group: GroupId,
+    /// The part's size in KB; 0 if not told.
+    pub size_kb: f64,
+    /// How long the client waits.
+    pub left: Ms,
+    /// The tag of the copy that the client holds.
+    pub got: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A client's message.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromClient {
+    /// A request.
+    Do(Tag, Box<Do>),
+    /// The client waits no longer.
+    Undo(Tag),
+    /// Is this router ready?
+    Ping(Tag),
+    /// A request that can be answered but not understood.
+    Unreadable(Tag),
+}
+
+impl FromClient {
+    /// Reads a message; `None` if not even a tag can be made out, so that nothing can be answered.
+    pub fn read(words: Vec<Vec<u8>>) -> Option<Self> {
+        let mut words = words.into_iter();
+        let verb = words.next()?;
+        let tag = words.next()?;
+        let tag = Tag(std::str::from_utf8(&tag).ok()?.parse().ok().filter(|t| *t > 0)?);
+        Some(match verb.as_slice() {
+            b"DO" => match request(words) {
+                Some(request) => Self::Do(tag, Box::new(request)),
+                None => Self::Unreadable(tag),
+            },
+            b"UNDO" => Self::Undo(tag),
+            b"PING" => Self::Ping(tag),
+            _ => Self::Unreadable(tag),
+        })
+    }
+}
+
+fn request(mut words: impl Iterator<Item = Vec<u8>>) -> Option<Do> {
+    let class = String::from_utf8(words.next()?).ok()?;
+    let fields = words.next()?;
+    let fields = Fields::read(&fields)?;
+    let body = words.next().unwrap_or_default();
+    let object_text = fields.get("o")?;
+    Some(Do {
+        id: WireId(Arc::from(fields.get("i").filter(|i| !i.is_empty())?)),
+        class,
+        object: ObjectId(u64::from_str_radix(object_text, 16).ok()?),
+        object_text: object_text.to_string(),
+        part: Part(fields.get("nth").map_or(Some(0), |p| p.parse().ok())?),
+        group: GroupId(fields.get("batch").map_or(Some(0), |g| g.parse().ok())?),
+        size_kb: fields.number("m").filter(|m| *m > 0.0).unwrap_or(0.0),
+        left: fields.number("d")?,
+        got: fields.get("got").filter(|g| !g.is_empty()).map(str::to_string),
+        body,
+    })
+}
+
+/// An answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply<'a> {
+    /// The bytes.
+    Served(&'a [u8]),
+    /// The client's copy is the one.
+    Same,
+    /// Refused, with a time to stay away (0 for none).
+    Refused(Ms),
+    /// Failed.
+    Failed,
+}
+
+/// An answer's bytes.
+pub fn answer(tag: Tag, reply: Reply<'_>) -> Vec<u8> {
+    let tag = tag.0.to_string();
+    let mut fields = FieldList::default();
+    let (word, body): (&[u8], &[u8]) = match reply {
+        Reply::Served(body) => (b"200", body),
+        Reply::Same => {
+            fields.add("ok304", 1);
+            (b"200", b"")
+        }
+        Reply::Refused(stay_away) => {
+            if stay_away >= 1.0 {
+                fields.add("w", stay_away.round());
+            }
+            (b"503", b"")
+        }
+        Reply::Failed => (b"500", b""),
+    };
+    encode(&[tag.as_bytes(), word, fields.text().as_bytes(), body])
+}
+
+/// The answer to `PING`.
+pub fn pong(tag: Tag, serving: bool) -> Vec<u8> {
+    let word: &[u8] = if serving { b"serving" } else { b"not_serving" };
+    encode(&[tag.0.to_string().as_bytes(), word, b"", b""])
+}
+
+/// What clients' connections share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Where connections run.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// To the owner.
+    pub queue: Sender<Input>,
+    /// The time.
+    pub clock: Rc<Clock>,
+    /// Bytes held by all connections.
+    pub meter: Rc<Meter>,
+    /// No more is read from clients while so much is held.
+    pub held_limit: usize,
+    /// Clients that may be connected.
+    pub most: usize,
+}
+
+/// The place of a connected client, free again when dropped.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(taken: &Rc<Cell<usize>>) -> Self {
+        taken.set(taken.get() + 1);
+        Self(Rc::clone(taken))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Accepts clients for good. Without a free place or descriptor they wait in the listener's backlog.
+pub async fn accept(listener: Async<TcpListener>, shared: Shared) {
+    let taken = Rc::new(Cell::new(0));
+    let mut count = 0;
+    loop {
+        while taken.get() >= shared.most {
+            Timer::after(WAIT).await;
+        }
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                count += 1;
+                let place = Place::take(&taken);
+                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), place)).detach();
+            }
+            Err(e) => {
+                log::debug!("accept: {e}");
+                Timer::after(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+/// A client's connection from its start to its end; the socket is closed when this returns.
+async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, _place: Place) {
+    if let Err(e) = socket.get_ref().set_nodelay(true) {
+        log::debug!("client {}: {e}", id.0);
+    }
+    let own = Rc::new(Meter::default());
+    let (outbox, parcels) = outbox(&shared.meter, &own);
+    if shared.queue.send(Input::ClientOpen(id, outbox)).await.is_err() {
+        return;
+    }
+    future::or(read(id, &socket, &shared, &own), write_all(&socket, parcels, || late(STALLED))).await;
+    // The owner is gone only when the process ends.
+    let _ = shared.queue.send(Input::ClientClosed(id)).await;
+}
+
+async fn read(id: ClientId, mut socket: &Async<TcpStream>, shared: &Shared, own: &Meter) {
+    let mut decoder = Decoder::new(FROM_CLIENT);
+    let mut piece = vec![0; READ_BYTES];
+    loop {
+        while shared.meter.held() > shared.held_limit || own.held() > CLIENT_UNSENT {
+            Timer::after(WAIT).await;
+        }
+        let n = match socket.read(&mut piece).await {
+            Ok(n) if n > 0 => n,
+            Ok(_) | Err(_) => return,
+        };
+        decoder.feed(piece.get(..n).unwrap_or_default());
+        let now = shared.clock.now();
+        loop {
+            let message = match decoder.message() {
+                Ok(Some(words)) => FromClient::read(words),
+                Ok(None) => break,
+                Err(e) => return log::info!("client {} closed: {e}", id.0),
+            };
+            let Some(message) = message else {
+                return log::info!("client {} closed: a message without a tag", id.0);
+            };
+            if shared.queue.send(Input::Client(id, message, now)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/counters.rs
@@ -0,0 +1,118 @@
+//! What a router took in, sent and answered.
+
+use crate::clients::Reply;
+use basaltgw::api::End;
+use std::fmt;
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    /// Clients that connected, and that are connected.
+    pub clients: u64,
+    /// See `clients`.
+    pub clients_now: u64,
+    /// Requests taken in.
+    pub requests: u64,
+    /// Messages of clients that could not be read as what they should be.
+    pub unreadable: u64,
+    /// Requests that clients gave up, or left with their connection.
+    pub left: u64,
+    /// Answers: served.
+    pub served: u64,
+    /// The client's copy holds.
+    pub same: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Turned away before the module, for the number open.
+    pub turned_away: u64,
+    /// Attempts made.
+    pub attempts: u64,
+    /// Their ends, in the order of [`end_name`].
+    pub ends: [u64; 9],
+    /// Answers of servers to no open attempt.
+    pub late_answers: u64,
+    /// Connections to servers opened, and open.
+    pub conns: u64,
+    /// See `conns`.
+    pub conns_now: u64,
+    /// Connections to servers that never came up.
+    pub conns_failed: u64,
+    /// Events of the change log: lists and purges.
+    pub lists: u64,
+    /// See `lists`.
+    pub purges: u64,
+    /// Bytes that messages hold.
+    pub held: u64,
+    /// The most so far.
+    pub held_most: u64,
+    /// Batches given to the module.
+    pub batches: u64,
+    /// The longest a batch took, in milliseconds.
+    pub batch_longest: f64,
+}
+
+/// The place of an attempt's end in `Counters::ends` and its name.
+fn end_name(end: End) -> (usize, &'static str) {
+    match end {
+        End::Served => (0, "served"),
+        End::Error => (1, "error"),
+        End::Full => (2, "full"),
+        End::Late => (3, "late"),
+        End::NoConnection => (4, "no_connection"),
+        End::Broken => (5, "broken"),
+        End::Cancelled => (6, "cancelled"),
+        End::NotSent => (7, "not_sent"),
+        End::Miss => (8, "miss"),
+    }
+}
+
+const ENDS: [End; 9] = [
+    End::Served,
+    End::Error,
+    End::Full,
+    End::Late,
+    End::NoConnection,
+    End::Broken,
+    End::Cancelled,
+    End::NotSent,
+    End::Miss,
+];
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, end: End) {
+        self.ends[end_name(end).0] += 1;
+    }
+
+    /// Counts an answer to a client.
+    pub fn answered(&mut self, reply: &Reply<'_>) {
+        match reply {
+            Reply::Served(_) => self.served += 1,
+            Reply::Same => self.same += 1,
+            Reply::Refused(_) => self.refused += 1,
+            Reply::Failed => self.failed += 1,
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "clients={} clients_now={} requests={} ", self.clients, self.clients_now, self.requests)?;
+        write!(
+            f,
+            "unreadable={} left={} served={} same={} ",
+            self.unreadable, self.left, self.served, self.same
+        )?;
+        write!(f, "refused={} failed={} turned_away={} ", self.refused, self.failed, self.turned_away)?;
+        write!(f, "attempts={}", self.attempts)?;
+        for (end, count) in ENDS.iter().zip(self.ends) {
+            write!(f, " attempts_{}={count}", end_name(*end).1)?;
+        }
+        write!(f, " late_answers={} conns={} conns_now={} ", self.late_answers, self.conns, self.conns_now)?;
+        write!(f, "conns_failed={} lists={} purges={} ", self.conns_failed, self.lists, self.purges)?;
+        write!(f, "held={} held_most={} ", self.held, self.held_most)?;
+        write!(f, "batches={} batch_longest_ms={:.2}", self.batches, self.batch_longest)
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,81 @@
+//! The router on sockets: clients, caches and the change log round the decision module.
+//!
+//! A request comes in by [`clients`], is held by [`owner`], goes out by [`caches`] and comes back the same way. The
+//! module alone decides; what is here carries.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod caches;
+pub mod changelog;
+pub mod clients;
+pub mod clock;
+pub mod counters;
+pub mod limits;
+pub mod outbox;
+pub mod owner;
+pub mod resp;
+pub mod shutdown;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use basaltgw_config::{News, NodeConfig, Seq};
+use counters::Counters;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+/// What sockets tell the owner of the module.
+pub enum Input {
+    /// A client connected.
+    ClientOpen(clients::ClientId, outbox::Outbox),
+    /// A client sent a message; its last byte was read at that time.
+    Client(clients::ClientId, clients::FromClient, basaltgw::api::Ms),
+    /// A client's connection is over.
+    ClientClosed(clients::ClientId),
+    /// A connection to a server came up.
+    CacheUp(caches::ConnId),
+    /// A server answered.
+    Cache(caches::ConnId, caches::Answer),
+    /// A connection to a server is over, or never came up.
+    CacheDown(caches::ConnId, caches::Down),
+    /// Events of the change log, and the last one's number.
+    News(Seq, News),
+    /// The process was asked to end.
+    End,
+    /// The counters were asked for.
+    Count,
+}
+
+/// Runs a router until it is asked to end; gives its counters.
+pub fn serve(config: NodeConfig) -> io::Result<Counters> {
+    let executor = Rc::new(LocalExecutor::new());
+    let clock = Rc::new(clock::Clock::default());
+    let meter = Rc::new(outbox::Meter::default());
+    let (queue, inputs) = async_channel::bounded(limits::QUEUE);
+    let memory = config.limits.memory_mb as f64 * 1e6;
+    let clients = config.limits.sockets / limits::CLIENT_SHARE;
+    let shared = caches::Shared {
+        executor: Rc::clone(&executor),
+        queue: queue.clone(),
+        meter: Rc::clone(&meter),
+        held_limit: (memory * limits::HELD_MOST_SHARE) as usize,
+        most: config.limits.sockets.saturating_sub(clients + limits::OWN_DESCRIPTORS) as usize,
+        transport: config.transport,
+    };
+    let owner = owner::Owner::new(&config, Rc::clone(&clock), Rc::clone(&meter), caches::Caches::new(shared));
+    let listener = Async::<TcpListener>::bind(config.listen)?;
+    log::info!("{} listens at {}", config.name, config.listen);
+    let shared = clients::Shared {
+        executor: Rc::clone(&executor),
+        queue: queue.clone(),
+        clock,
+        meter,
+        held_limit: (memory * limits::HELD_SHARE) as usize,
+        most: clients as usize,
+    };
+    let listener = executor.spawn(clients::accept(listener, shared));
+    let follow = changelog::follow(config.changelog, config.known_seq, config.names.clone(), queue.clone());
+    executor.spawn(follow).detach();
+    executor.spawn(shutdown::watch(queue)).detach();
+    Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
+}
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,53 @@
+//! The transport's limits, all of them. None decides where, whether or how often something is sent.
+
+use crate::resp::Bounds;
+use basaltgw::api::Ms;
+use std::time::Duration;
+
+/// Messages of clients: a write's body is the longest word.
+pub const FROM_CLIENT: Bounds = Bounds { words: 6, bytes: 64 * 1024 };
+/// Answers of caches: an object's bytes are the longest word.
+pub const FROM_CACHE: Bounds = Bounds { words: 6, bytes: 256 * 1024 };
+/// Bytes read at once.
+pub const READ_BYTES: usize = 16 * 1024;
+/// Inputs that wait for the owner before sockets have to wait.
+pub const QUEUE: usize = 1024;
+/// Requests open on one client's connection: four times what clients may have.
+pub const OPEN_PER_CLIENT: usize = 128;
+/// Clients hold one descriptor in so many.
+pub const CLIENT_SHARE: u64 = 3;
+/// Descriptors that are neither clients' nor servers': listener, change log, timers, signals, standard streams.
+pub const OWN_DESCRIPTORS: u64 = 24;
+/// Connections to one process of a server.
+pub const CONNS_PER_SERVER: usize = 8;
+/// Of its idle time a connection to a server uses this share, so that the server never closes one in use.
+pub const IDLE_SHARE: f64 = 0.8;
+/// A connection on which something was asked and nothing at all came for this long takes no more requests.
+pub const SILENT_MS: Ms = 800.0;
+/// No more is read from a client while so many bytes wait to be written to it.
+pub const CLIENT_UNSENT: usize = 1024 * 1024;
+/// No more is read from clients, and beyond the second from caches, while messages hold this share of the memory.
+pub const HELD_SHARE: f64 = 0.3;
+/// See [`HELD_SHARE`].
+pub const HELD_MOST_SHARE: f64 = 0.55;
+/// How often a reader that had to wait looks again.
+pub const WAIT: Duration = Duration::from_millis(5);
+/// A client that takes no byte of an answer for so long is gone.
+pub const STALLED: Duration = Duration::from_secs(6);
+/// After a failed accept, such as for want of descriptors, the listener rests for this.
+pub const ACCEPT_REST: Duration = Duration::from_millis(20);
+/// The change log sends a frame each second; after so long without one its connection is given up.
+pub const LOG_SILENT: Duration = Duration::from_millis(2500);
+/// Time for its connection to come up.
+pub const LOG_CONNECT: Duration = Duration::from_millis(1000);
+/// Rest before it is tried again, doubled up to the second.
+pub const LOG_REST: Duration = Duration::from_millis(50);
+/// See [`LOG_REST`].
+pub const LOG_REST_MOST: Duration = Duration::from_millis(800);
+/// The longest frame.
+pub const LOG_FRAME: usize = 4 * 1024 * 1024;
+/// After SIGTERM clients are accepted and read for this long: 0.4 s of new connections, 0.2 s of requests on open ones,
+/// and 0.1 s to spare.
+pub const END_ACCEPT_MS: Ms = 700.0;
+/// And when nothing has been open for this long after that, the process ends.
+pub const END_QUIET_MS: Ms = 60.0;
--- /dev/null
+++ b/crates/node/src/outbox.rs
@@ -0,0 +1,143 @@
+//! Messages on their way to a socket: each is counted while it is held and can be taken back until it is begun.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{AsyncWrite, AsyncWriteExt};
+
+/// Bytes held by messages of all connections, and of one.
+#[derive(Debug, Default)]
+pub struct Meter(Cell<usize>);
+
+impl Meter {
+    /// Bytes held now.
+    pub fn held(&self) -> usize {
+        self.0.get()
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes);
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.0.set(self.0.get().saturating_sub(bytes));
+    }
+}
+
+/// Bytes whose holding is counted until they are dropped.
+#[derive(Debug)]
+pub struct Counted {
+    bytes: Vec<u8>,
+    meters: Vec<Rc<Meter>>,
+}
+
+impl Counted {
+    /// Counts bytes at these meters.
+    pub fn new(bytes: Vec<u8>, meters: &[&Rc<Meter>]) -> Self {
+        meters.iter().for_each(|m| m.add(bytes.len()));
+        Self { bytes, meters: meters.iter().map(|m| Rc::clone(m)).collect() }
+    }
+
+    /// The bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.meters.iter().for_each(|m| m.give_back(self.bytes.len()));
+    }
+}
+
+/// How far a message has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No byte is written.
+    Waiting,
+    /// Some bytes are.
+    Begun,
+    /// The last byte is.
+    Written,
+    /// It was taken back before its first byte.
+    TakenBack,
+}
+
+/// A message.
+#[derive(Debug)]
+pub struct Parcel {
+    stage: Cell<Stage>,
+    bytes: RefCell<Option<Counted>>,
+}
+
+impl Parcel {
+    /// How far it has got.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Takes it back if no byte of it is written.
+    pub fn take_back(&self) -> bool {
+        let waits = self.stage.get() == Stage::Waiting;
+        if waits {
+            self.stage.set(Stage::TakenBack);
+            self.bytes.take();
+        }
+        waits
+    }
+}
+
+/// The writing end of a connection, as the owner holds it.
+#[derive(Debug)]
+pub struct Outbox {
+    queue: Sender<Rc<Parcel>>,
+    all: Rc<Meter>,
+    own: Rc<Meter>,
+}
+
+/// An outbox and the end from which its connection writes.
+pub fn outbox(all: &Rc<Meter>, own: &Rc<Meter>) -> (Outbox, Receiver<Rc<Parcel>>) {
+    // Bounded by what may be open on the connection; the owner must not wait for a socket.
+    let (queue, parcels) = async_channel::unbounded();
+    (Outbox { queue, all: Rc::clone(all), own: Rc::clone(own) }, parcels)
+}
+
+impl Outbox {
+    /// Puts a message in line.
+    pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
+        let bytes = Counted::new(bytes, &[&self.all, &self.own]);
+        let parcel = Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)) });
+        if self.queue.try_send(Rc::clone(&parcel)).is_err() {
+            // The connection is over; nothing of this will be written.
+            parcel.take_back();
+        }
+        parcel
+    }
+
+    /// Bytes that wait here.
+    pub fn unsent(&self) -> usize {
+        self.own.held()
+    }
+}
+
+/// Writes messages until the outbox is dropped or the connection fails. `stall` bounds each write.
+pub async fn write_all<W, S, F>(mut socket: W, parcels: Receiver<Rc<Parcel>>, stall: S)
+where
+    W: AsyncWrite + Unpin,
+    S: Fn() -> F,
+    F: std::future::Future<Output = std::io::Result<usize>>,
+{
+    while let Ok(parcel) = parcels.recv().await {
+        let Some(counted) = parcel.bytes.take() else { continue };
+        parcel.stage.set(Stage::Begun);
+        let mut rest = counted.bytes();
+        while !rest.is_empty() {
+            match futures_lite::future::or(socket.write(rest), stall()).await {
+                Ok(n) if n > 0 => rest = rest.get(n..).unwrap_or_default(),
+                Ok(_) | Err(_) => return,
+            }
+        }
+        parcel.stage.set(Stage::Written);
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,564 @@
+//! The owner of the module: the table of requests and attempts, the timers, and the batches.
+
+use crate::caches::{Answer, Ask, AttemptKey, Caches, ConnId, Down, RequestNo};
+use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::limits::OPEN_PER_CLIENT;
+use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
+use crate::shutdown::Ending;
+use crate::Input;
+use async_channel::Receiver;
+use async_executor::Task;
+use async_io::Timer;
+use basaltgw::api::*;
+use basaltgw::rules::Router;
+use basaltgw_config::{Member, Names, News, NodeConfig, Place};
+use futures_lite::future;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often connections are tidied, and the longest that the owner sleeps.
+const TIDY_MS: Ms = 100.0;
+
+/// An attempt that was asked for.
+struct Attempt {
+    server: ServerId,
+    source: Option<ServerId>,
+    sent: Ms,
+    /// Where it is on its way; `None` once it is over.
+    way: Option<(ConnId, Rc<Parcel>)>,
+}
+
+/// A request whose answer is owed, or whose attempts are not all over.
+struct Open {
+    client: ClientId,
+    tag: Tag,
+    request: Box<Do>,
+    /// Its body is counted while it may have to be sent.
+    body: Option<Counted>,
+    deadline: Ms,
+    /// Nothing more may be written to the client for it.
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Open {
+    fn over(&self) -> bool {
+        self.answered && self.attempts.iter().all(|a| a.way.is_none())
+    }
+}
+
+struct Client {
+    outbox: Outbox,
+    open: BTreeMap<Tag, RequestNo>,
+    /// Answers that may not be written yet.
+    unsent: BTreeMap<Tag, Rc<Parcel>>,
+}
+
+struct Server {
+    place: Place,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestNo, AttemptNo),
+}
+
+/// How an attempt came out, besides its end.
+struct Telling {
+    note: Note,
+    waited: Ms,
+    load: Load,
+}
+
+const UNTOLD: Telling = Telling {
+    note: Note::Untold,
+    waited: 0.0,
+    load: Load { inflight: None, util: None, hits: None, link: None },
+};
+
+/// The one holder of the module.
+pub struct Owner {
+    router: Router,
+    names: Names,
+    tick: Ms,
+    max_attempts: usize,
+    most_open: usize,
+    clock: Rc<Clock>,
+    meter: Rc<Meter>,
+    caches: Caches,
+    now: Ms,
+    clients: BTreeMap<ClientId, Client>,
+    requests: BTreeMap<RequestNo, Open>,
+    requests_ever: u64,
+    servers: BTreeMap<ServerId, Server>,
+    list_in: bool,
+    timers: BinaryHeap<Reverse<(u64, u64, Due)>>,
+    timers_ever: u64,
+    /// What came of the module's own actions; told in the next batch.
+    pending: VecDeque<Event>,
+    ending: Ending,
+    tidied: Ms,
+    counters: Counters,
+}
+
+fn micros(at: Ms) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
+
+fn name(no: RequestNo) -> RequestId {
+    RequestId(Arc::from(no.0.to_string()))
+}
+
+fn number(id: &RequestId) -> Option<RequestNo> {
+    id.0.parse().ok().map(RequestNo)
+}
+
+impl Owner {
+    /// An owner with a fresh module that has heard what is known.
+    pub fn new(config: &NodeConfig, clock: Rc<Clock>, meter: Rc<Meter>, caches: Caches) -> Self {
+        let mut owner = Self {
+            router: Router::new(config.settings.clone(), config.seed),
+            names: config.names.clone(),
+            tick: config.settings.tick,
+            max_attempts: config.settings.max_attempts,
+            most_open: config.transport.most_open,
+            now: clock.now(),
+            clock,
+            meter,
+            caches,
+            clients: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            requests_ever: 0,
+            servers: BTreeMap::new(),
+            list_in: false,
+            timers: BinaryHeap::new(),
+            timers_ever: 0,
+            pending: VecDeque::new(),
+            ending: Ending::default(),
+            tidied: 0.0,
+            counters: Counters::default(),
+        };
+        config.known.iter().for_each(|news| owner.news(news.clone()));
+        owner
+    }
+
+    /// Takes inputs in batches until the router has ended; gives its counters. `listener` accepts clients and is
+    /// dropped when none are taken any more.
+    pub async fn run(mut self, queue: Receiver<Input>, listener: Task<()>) -> Counters {
+        let mut listener = Some(listener);
+        let mut inputs = Vec::new();
+        loop {
+            // Something to do: an input, a timer, or what the last batch left.
+            let due = self.timers.peek().map(|Reverse((due, ..))| *due as f64 / 1000.0);
+            let rest = due.map_or(TIDY_MS, |due| (due - self.clock.now()).min(TIDY_MS));
+            if self.pending.is_empty() && rest > 0.0 {
+                let first = future::or(async { queue.recv().await.ok() }, async {
+                    Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
+                    None
+                });
+                inputs.extend(first.await);
+            }
+            // No oftener than the tick.
+            let rest = self.now + self.tick - self.clock.now();
+            if rest > 0.0 {
+                Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
+            }
+            while let Ok(input) = queue.try_recv() {
+                inputs.push(input);
+            }
+            self.batch(&mut inputs);
+            if !self.ending.accepts(self.now) {
+                listener = None;
+            }
+            let unanswered = self.requests.values().any(|o| !o.answered);
+            let open = unanswered || self.clients.values().any(|c| c.outbox.unsent() > 0);
+            if self.ending.over(self.now, open) {
+                drop(listener);
+                self.count();
+                return self.counters;
+            }
+        }
+    }
+
+    fn batch(&mut self, inputs: &mut Vec<Input>) {
+        self.now = self.clock.now();
+        let begun = self.now;
+        // Purges and drains go before all that came with them.
+        let (news, others): (Vec<_>, Vec<_>) =
+            inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
+        for event in std::mem::take(&mut self.pending) {
+            self.tell(event);
+        }
+        news.into_iter().chain(others).for_each(|input| self.input(input));
+        let now = micros(self.now);
+        let mut due = Vec::new();
+        while let Some(Reverse((_, _, what))) = self.timers.peek().filter(|Reverse((at, ..))| *at <= now) {
+            due.push(*what);
+            self.timers.pop();
+        }
+        for what in due {
+            match what {
+                Due::Module(token) => self.tell(Event::Timer(token)),
+                Due::Attempt(no, n) => self.time_out(no, n),
+            }
+        }
+        if self.now >= self.tidied + TIDY_MS {
+            self.tidied = self.now;
+            self.caches.tidy(self.now);
+        }
+        self.counters.batches += 1;
+        self.counters.batch_longest = self.counters.batch_longest.max(self.clock.now() - begun);
+        self.counters.held_most = self.counters.held_most.max(self.meter.held() as u64);
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::ClientOpen(id, outbox) => {
+                self.counters.clients += 1;
+                self.clients.insert(id, Client { outbox, open: BTreeMap::new(), unsent: BTreeMap::new() });
+            }
+            Input::Client(id, message, at) => self.message(id, message, at),
+            Input::ClientClosed(id) => {
+                let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
+                open.into_values().for_each(|no| self.left(no));
+            }
+            Input::CacheUp(at) => self.caches.up(self.now, at),
+            Input::Cache(at, answer) => self.outcome(at, answer),
+            Input::CacheDown(at, down) => {
+                self.counters.conns_failed += u64::from(down == Down::NeverUp);
+                for (no, n) in self.caches.down(at) {
+                    let end = match (down, self.stage(no, n)) {
+                        (Down::NeverUp, _) => End::NoConnection,
+                        (Down::Ended, Some(Stage::Written)) => End::Broken,
+                        // Its last byte was not written.
+                        (Down::Ended, _) => End::NotSent,
+                    };
+                    self.end((no, n), end, UNTOLD, false);
+                }
+            }
+            Input::News(_, news) => self.news(news),
+            Input::End => {
+                log::info!("asked to end");
+                self.ending.ask(self.now);
+            }
+            Input::Count => {
+                self.count();
+                log::info!("{}", self.counters);
+            }
+        }
+    }
+
+    fn count(&mut self) {
+        (self.counters.conns_now, self.counters.conns) = self.caches.counts();
+        self.counters.clients_now = self.clients.len() as u64;
+        self.counters.held = self.meter.held() as u64;
+    }
+
+    // ---- News ----
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Servers { whole, members } => {
+                self.counters.lists += 1;
+                self.list(whole, members);
+            }
+            News::Purge { object, group, time } => {
+                self.counters.purges += 1;
+                self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
+                let named = |o: &Open| match object {
+                    Some(object) => o.request.object == object,
+                    None => o.request.group == group,
+                };
+                self.recall(|o, _| named(o));
+            }
+        }
+    }
+
+    fn list(&mut self, whole: bool, members: Vec<Member>) {
+        self.list_in = true;
+        if whole {
+            let told = |id: &ServerId| members.iter().any(|m| m.entry.id == *id);
+            let gone: Vec<ServerId> = self.servers.keys().filter(|id| !told(id)).cloned().collect();
+            gone.iter().for_each(|id| self.caches.moved(id, None));
+        }
+        let mut leaving = Vec::new();
+        for member in &members {
+            let id = &member.entry.id;
+            let up = member.entry.listed == Listed::Up;
+            self.caches.moved(id, up.then(|| member.place()));
+            if !up {
+                leaving.push(id.clone());
+            }
+            self.servers.insert(id.clone(), Server { place: member.place() });
+        }
+        let mode = if whole { ListMode::Whole } else { ListMode::Changes };
+        self.tell(Event::Servers(mode, members.into_iter().map(|m| m.entry).collect()));
+        self.recall(|_, a| {
+            leaving.contains(&a.server) || a.source.as_ref().is_some_and(|s| leaving.contains(s))
+        });
+    }
+
+    /// Takes back what waits to be written and was decided before the news.
+    fn recall(&mut self, overtaken: impl Fn(&Open, &Attempt) -> bool) {
+        let waits = |a: &Attempt| a.way.as_ref().is_some_and(|(_, p)| p.stage() == Stage::Waiting);
+        let mut keys = Vec::new();
+        for (no, open) in &self.requests {
+            let attempts = open.attempts.iter().enumerate().filter(|(_, a)| waits(a) && overtaken(open, a));
+            keys.extend(attempts.map(|(n, _)| (*no, AttemptNo(n))));
+        }
+        for key in keys {
+            if self.give_up(key) {
+                self.end(key, End::NotSent, UNTOLD, false);
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    fn message(&mut self, id: ClientId, message: FromClient, at: Ms) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        match message {
+            FromClient::Do(tag, request) => self.request(id, tag, request, at),
+            FromClient::Undo(tag) => match client.open.remove(&tag) {
+                Some(no) => self.left(no),
+                None => {
+                    let unsent = client.unsent.remove(&tag);
+                    unsent.into_iter().for_each(|p| self.counters.left += u64::from(p.take_back()));
+                }
+            },
+            FromClient::Ping(tag) => {
+                client.outbox.put(pong(tag, self.list_in && !self.ending.asked()));
+            }
+            FromClient::Unreadable(tag) => {
+                self.counters.unreadable += 1;
+                client.outbox.put(answer(tag, Reply::Failed));
+            }
+        }
+    }
+
+    fn request(&mut self, id: ClientId, tag: Tag, mut request: Box<Do>, at: Ms) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.open.contains_key(&tag) || client.open.len() >= OPEN_PER_CLIENT {
+            // Which of the two an answer would be for can't be told, so the connection is closed.
+            self.counters.unreadable += 1;
+            let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
+            return open.into_values().for_each(|no| self.left(no));
+        }
+        self.counters.requests += 1;
+        if self.requests.len() >= self.most_open {
+            self.counters.turned_away += 1;
+            client.outbox.put(answer(tag, Reply::Refused(0.0)));
+            return;
+        }
+        self.requests_ever += 1;
+        let no = RequestNo(self.requests_ever);
+        client.open.insert(tag, no);
+        let deadline = at + request.left;
+        let event = Event::Request(Request {
+            id: name(no),
+            class: self.names.class(&request.class),
+            object: request.object,
+            part: request.part,
+            group: request.group,
+            size_kb: request.size_kb,
+            write: !request.body.is_empty(),
+            budget: deadline - self.now,
+        });
+        let body = Some(Counted::new(std::mem::take(&mut request.body), &[&self.meter]));
+        let open = Open { client: id, tag, request, body, deadline, answered: false, attempts: Vec::new() };
+        self.requests.insert(no, open);
+        self.tell(event);
+    }
+
+    /// The client waits no longer.
+    fn left(&mut self, no: RequestNo) {
+        let Some(open) = self.requests.get_mut(&no) else { return };
+        if !open.answered {
+            open.answered = true;
+            open.body = None;
+            self.counters.left += 1;
+            self.tell(Event::ClientLeft(name(no)));
+        }
+        self.forget(no);
+    }
+
+    /// Writes the one answer.
+    fn answer(&mut self, no: RequestNo, reply: Reply<'_>) {
+        let Some(open) = self.requests.get_mut(&no).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        open.body = None;
+        let tag = open.tag;
+        if let Some(client) = self.clients.get_mut(&open.client) {
+            self.counters.answered(&reply);
+            client.open.remove(&tag);
+            client.unsent.retain(|_, p| p.stage() == Stage::Waiting);
+            client.unsent.insert(tag, client.outbox.put(answer(tag, reply)));
+        }
+        self.forget(no);
+    }
+
+    fn forget(&mut self, no: RequestNo) {
+        if self.requests.get(&no).is_some_and(Open::over) {
+            self.requests.remove(&no);
+        }
+    }
+
+    // ---- Attempts ----
+
+    fn begin(&mut self, fetch: Fetch) {
+        let Some(no) = number(&fetch.request) else { return };
+        let Some(open) = self.requests.get_mut(&no) else { return };
+        let n = AttemptNo(open.attempts.len());
+        self.counters.attempts += 1;
+        let source = Some(fetch.fill_from).filter(|s| *s != fetch.server);
+        let asked = Some(fetch.timeout).filter(|t| *t != 0.0);
+        let until = asked.map_or(open.deadline, |t| open.deadline.min(self.now + t));
+        let in_time = !open.answered && until > self.now && n.0 < self.max_attempts;
+        let server = self.servers.get(&fetch.server).filter(|_| in_time);
+        let body = open.body.as_ref().map_or(&[][..], Counted::bytes);
+        let ask = Ask {
+            id: &open.request.id,
+            class: &open.request.class,
+            object: &open.request.object_text,
+            part: open.request.part.0,
+            wait: until - self.now,
+            from: source.as_ref(),
+            rank: fetch.rank,
+            oldest: fetch.max_age,
+            share: fetch.join,
+            peek: fetch.held_only,
+            renew: fetch.renew,
+            seen: open.request.got.as_deref(),
+            body,
+        };
+        let (end, way) = match server {
+            None => (End::NotSent, None),
+            Some(server) => {
+                let to = (&fetch.server, server.place);
+                let way = self.caches.send(self.now, to, (no, n), &open.request.id, ask.encode());
+                (End::NoConnection, way)
+            }
+        };
+        let sent = way.is_some();
+        open.attempts.push(Attempt { server: fetch.server, source, sent: self.now, way });
+        if sent {
+            self.timer(until, Due::Attempt(no, n));
+        } else {
+            self.report((no, n), end, UNTOLD, true);
+        }
+    }
+
+    fn stage(&self, no: RequestNo, n: AttemptNo) -> Option<Stage> {
+        let attempt = self.requests.get(&no)?.attempts.get(n.0)?;
+        attempt.way.as_ref().map(|(_, parcel)| parcel.stage())
+    }
+
+    /// Gives an attempt up at its server. True if it never was sent.
+    fn give_up(&mut self, (no, n): AttemptKey) -> bool {
+        let Some(open) = self.requests.get(&no) else { return false };
+        let way = open.attempts.get(n.0).and_then(|a| a.way.as_ref());
+        way.is_some_and(|(conn, parcel)| self.caches.give_up(*conn, &open.request.id, parcel))
+    }
+
+    fn time_out(&mut self, no: RequestNo, n: AttemptNo) {
+        let attempt = self.requests.get(&no).and_then(|o| o.attempts.get(n.0));
+        let Some((conn, _)) = attempt.and_then(|a| a.way.as_ref()) else { return };
+        let coming_up = self.caches.coming_up(*conn);
+        let end = match self.give_up((no, n)) {
+            true if coming_up => End::NoConnection,
+            true => End::NotSent,
+            false => End::Late,
+        };
+        self.end((no, n), end, UNTOLD, false);
+    }
+
+    fn outcome(&mut self, at: ConnId, answer: Answer) {
+        let key = self.caches.answered(self.now, at, &answer.id);
+        let (Some(key), Some(end)) = (key, answer.end) else {
+            self.counters.late_answers += 1;
+            return;
+        };
+        if end == End::Served {
+            let reply = if answer.same { Reply::Same } else { Reply::Served(answer.body.bytes()) };
+            self.answer(key.0, reply);
+        }
+        let telling = Telling { note: answer.note, waited: answer.waited, load: answer.load };
+        self.end(key, end, telling, false);
+    }
+
+    /// An attempt is over: the module is told, at once or (of what its own action led to) in the next batch.
+    fn end(&mut self, key: AttemptKey, end: End, telling: Telling, later: bool) {
+        let attempt = self.requests.get_mut(&key.0).and_then(|o| o.attempts.get_mut(key.1 .0));
+        if attempt.is_some_and(|a| a.way.take().is_some()) {
+            self.report(key, end, telling, later);
+        }
+    }
+
+    fn report(&mut self, (no, n): AttemptKey, end: End, telling: Telling, later: bool) {
+        let Some(open) = self.requests.get(&no) else { return };
+        let Some(attempt) = open.attempts.get(n.0) else { return };
+        self.counters.ended(end);
+        let event = Event::Outcome(Outcome {
+            request: name(no),
+            attempt: n,
+            server: attempt.server.clone(),
+            end,
+            delay: self.now - attempt.sent,
+            last: open.answered,
+            note: telling.note,
+            source_wait: telling.waited,
+            load: telling.load,
+        });
+        if later {
+            self.pending.push_back(event);
+        } else {
+            self.tell(event);
+        }
+        self.forget(no);
+    }
+
+    // ---- The module ----
+
+    fn timer(&mut self, at: Ms, what: Due) {
+        self.timers_ever += 1;
+        self.timers.push(Reverse((micros(at), self.timers_ever, what)));
+    }
+
+    /// Tells the module an event and does what it wants done.
+    fn tell(&mut self, event: Event) {
+        let mut acts = Vec::new();
+        self.router.handle(self.now, event, &mut acts);
+        for act in acts {
+            match act {
+                Action::Fetch(fetch) => self.begin(fetch),
+                Action::Cancel(request, n) => {
+                    let Some(no) = number(&request) else { continue };
+                    let never = self.give_up((no, n));
+                    let end = if never { End::NotSent } else { End::Cancelled };
+                    self.end((no, n), end, UNTOLD, true);
+                }
+                Action::Refuse(request, stay_away) => {
+                    number(&request).into_iter().for_each(|no| self.answer(no, Reply::Refused(stay_away)));
+                }
+                Action::Fail(request) => {
+                    number(&request).into_iter().for_each(|no| self.answer(no, Reply::Failed));
+                }
+                Action::Timer(after, token) => self.timer(self.now + after, Due::Module(token)),
+                // An `alive` would prove a connection only, which is no answer to the question.
+                Action::Probe(server) => {
+                    self.pending.push_back(Event::Probed(server, false, Load::default()));
+                }
+                // The change log is followed from the start.
+                Action::Subscribe => {}
+                Action::Report(text) => log::info!("{text}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/resp.rs
@@ -0,0 +1,184 @@
+//! RESP arrays of bulk strings, decoded as bytes arrive and encoded whole; and the fields within a word.
+
+use std::fmt;
+
+/// Bytes that are no array of bulk strings, or one beyond the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(&'static str);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// What a message may hold at most.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Words.
+    pub words: usize,
+    /// Bytes of a word.
+    pub bytes: usize,
+}
+
+/// Digits of a length or count: more than any bound has.
+const DIGITS: usize = 8;
+/// Room that an empty buffer keeps for the next message.
+const KEPT_ROOM: usize = 16 * 1024;
+
+enum Expect {
+    Array,
+    Header,
+    Body(usize),
+}
+
+/// Takes bytes in any pieces and gives whole messages.
+pub struct Decoder {
+    bounds: Bounds,
+    buf: Vec<u8>,
+    at: usize,
+    expect: Expect,
+    left: usize,
+    words: Vec<Vec<u8>>,
+}
+
+impl Decoder {
+    /// A decoder at the start of a connection.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, buf: Vec::new(), at: 0, expect: Expect::Array, left: 0, words: Vec::new() }
+    }
+
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buf.drain(..self.at);
+        self.at = 0;
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Bytes held of a message that is not whole.
+    pub fn held(&self) -> usize {
+        self.buf.len() - self.at + self.words.iter().map(Vec::len).sum::<usize>()
+    }
+
+    /// The next whole message, if there is one. After an error the connection is of no more use.
+    pub fn message(&mut self) -> Result<Option<Vec<Vec<u8>>>, Malformed> {
+        loop {
+            match self.expect {
+                Expect::Array => {
+                    let Some(count) = self.header(b'*', self.bounds.words)? else { break };
+                    if count == 0 {
+                        return Err(Malformed("an array without words"));
+                    }
+                    (self.left, self.expect) = (count, Expect::Header);
+                }
+                Expect::Header => {
+                    let Some(length) = self.header(b'$', self.bounds.bytes)? else { break };
+                    self.expect = Expect::Body(length);
+                }
+                Expect::Body(length) => {
+                    let Some(bytes) = self.buf.get(self.at..self.at + length + 2) else { break };
+                    let (word, end) = bytes.split_at(length);
+                    if end != b"\r\n" {
+                        return Err(Malformed("a word that does not end where its length says"));
+                    }
+                    self.words.push(word.to_vec());
+                    self.at += length + 2;
+                    self.left -= 1;
+                    if self.left == 0 {
+                        self.expect = Expect::Array;
+                        return Ok(Some(std::mem::take(&mut self.words)));
+                    }
+                    self.expect = Expect::Header;
+                }
+            }
+        }
+        if self.at == self.buf.len() {
+            self.buf.clear();
+            self.at = 0;
+            self.buf.shrink_to(KEPT_ROOM);
+        }
+        Ok(None)
+    }
+
+    /// A sign, digits and the line's end; `None` if the line is not whole yet.
+    fn header(&mut self, sign: u8, most: usize) -> Result<Option<usize>, Malformed> {
+        let bytes = &self.buf[self.at..];
+        let Some((first, rest)) = bytes.split_first() else { return Ok(None) };
+        if *first != sign {
+            return Err(Malformed("another sign than the array's or the word's"));
+        }
+        let digits = rest.iter().take(DIGITS + 1).take_while(|b| b.is_ascii_digit()).count();
+        if digits > DIGITS {
+            return Err(Malformed("a length of too many digits"));
+        }
+        match rest.get(digits..) {
+            None | Some([] | [b'\r']) => return Ok(None),
+            Some([b'\r', b'\n', ..]) if digits > 0 => {}
+            Some(_) => return Err(Malformed("a length that is no number")),
+        }
+        let number = rest[..digits].iter().fold(0, |n, b| n * 10 + usize::from(b - b'0'));
+        if number > most {
+            return Err(Malformed("over the limit"));
+        }
+        self.at += digits + 3;
+        Ok(Some(number))
+    }
+}
+
+/// A message's bytes.
+pub fn encode(words: &[&[u8]]) -> Vec<u8> {
+    let room = words.iter().map(|w| w.len() + 16).sum::<usize>() + 16;
+    let mut bytes = Vec::with_capacity(room);
+    bytes.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    for word in words {
+        bytes.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        bytes.extend_from_slice(word);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes
+}
+
+/// The fields of a word: `name=value,name=value`, or `-` or nothing for none.
+pub struct Fields<'a>(Vec<(&'a str, &'a str)>);
+
+impl<'a> Fields<'a> {
+    /// Reads a word's fields; `None` if it has not that form.
+    pub fn read(word: &'a [u8]) -> Option<Self> {
+        let text = std::str::from_utf8(word).ok()?;
+        if text.is_empty() || text == "-" {
+            return Some(Self(Vec::new()));
+        }
+        text.split(',').map(|pair| pair.split_once('=')).collect::<Option<_>>().map(Self)
+    }
+
+    /// The value of that name.
+    pub fn get(&self, name: &str) -> Option<&'a str> {
+        self.0.iter().find(|(n, _)| *n == name).map(|(_, v)| *v)
+    }
+
+    /// The number of that name; `None` if absent or not a finite one.
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.get(name)?.parse().ok().filter(|n: &f64| n.is_finite())
+    }
+}
+
+/// Writes fields one after another.
+#[derive(Default)]
+pub struct FieldList(String);
+
+impl FieldList {
+    /// Adds a field.
+    pub fn add(&mut self, name: &str, value: impl fmt::Display) {
+        use fmt::Write;
+        let comma = if self.0.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(self.0, "{comma}{name}={value}");
+    }
+
+    /// The fields as one word; empty without any.
+    pub fn text(&self) -> &str {
+        &self.0
+    }
+}
