--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -56,14 +56,15 @@
 }
 
 impl Answer {
-    /// Reads an answer; `None` if it is none.
+    /// Reads an answer; `None` if not even an id and a word can be made out.
     pub fn read(words: Vec<Vec<u8>>, meters: &[&Rc<Meter>]) -> Option<Self> {
         let mut words = words.into_iter();
         let id = words.next()?;
         let id = WireId(Arc::from(std::str::from_utf8(&id).ok()?));
         let word = words.next()?;
         let fields = words.next().unwrap_or_default();
-        let fields = Fields::read(&fields)?;
+        // Fields that can't be read tell nothing; the answer holds all the same.
+        let fields = Fields::read(&fields).unwrap_or_default();
         let end = match word.as_slice() {
             b"ok" | b"current" => Some(End::Served),
             b"nothing" => Some(End::Miss),
@@ -71,7 +72,8 @@
             b"error" => Some(End::Error),
             b"stale" => Some(End::NotSent),
             b"yes" => None,
-            _ => return None,
+            // Whatever it means, the attempt may have run.
+            _ => Some(End::Error),
         };
         Some(Self {
             id,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,7 +64,7 @@
     };
     let owner = owner::Owner::new(&config, Rc::clone(&clock), Rc::clone(&meter), caches::Caches::new(shared));
     let listener = Async::<TcpListener>::bind(config.listen)?;
-    log::info!("{} listens at {}", config.name, config.listen);
+    log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let shared = clients::Shared {
         executor: Rc::clone(&executor),
         queue: queue.clone(),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -34,6 +34,9 @@
 pub const WAIT: Duration = Duration::from_millis(5);
 /// A client that takes no byte of an answer for so long is gone.
 pub const STALLED: Duration = Duration::from_secs(6);
+/// A client's connection on which nothing is open and nothing came for so long is closed: clients that are still there close
+/// their own sooner, so that only those that vanished are met.
+pub const CLIENT_IDLE_MS: Ms = 15_000.0;
 /// After a failed accept, such as for want of descriptors, the listener rests for this.
 pub const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// The change log sends a frame each second; after so long without one its connection is given up.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,7 @@
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::limits::OPEN_PER_CLIENT;
+use crate::limits::{CLIENT_IDLE_MS, OPEN_PER_CLIENT};
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::shutdown::Ending;
 use crate::Input;
@@ -57,6 +57,15 @@
     open: BTreeMap<Tag, RequestNo>,
     /// Answers that may not be written yet.
     unsent: BTreeMap<Tag, Rc<Parcel>>,
+    /// Its last message.
+    heard: Ms,
+}
+
+impl Client {
+    /// Nothing is owed to it.
+    fn at_rest(&self) -> bool {
+        self.open.is_empty() && self.outbox.unsent() == 0
+    }
 }
 
 struct Server {
@@ -177,8 +186,7 @@
             if !self.ending.accepts(self.now) {
                 listener = None;
             }
-            let unanswered = self.requests.values().any(|o| !o.answered);
-            let open = unanswered || self.clients.values().any(|c| c.outbox.unsent() > 0);
+            let open = self.clients.values().any(|c| !c.at_rest());
             if self.ending.over(self.now, open) {
                 drop(listener);
                 self.count();
@@ -212,6 +220,10 @@
         if self.now >= self.tidied + TIDY_MS {
             self.tidied = self.now;
             self.caches.tidy(self.now);
+            // A client that is dropped here is disconnected.
+            let now = self.now;
+            let idle = if self.ending.accepts(now) { CLIENT_IDLE_MS } else { 0.0 };
+            self.clients.retain(|_, c| !c.at_rest() || now - c.heard < idle);
         }
         self.counters.batches += 1;
         self.counters.batch_longest = self.counters.batch_longest.max(self.clock.now() - begun);
@@ -222,7 +234,8 @@
         match input {
             Input::ClientOpen(id, outbox) => {
                 self.counters.clients += 1;
-                self.clients.insert(id, Client { outbox, open: BTreeMap::new(), unsent: BTreeMap::new() });
+                let (open, unsent) = (BTreeMap::new(), BTreeMap::new());
+                self.clients.insert(id, Client { outbox, open, unsent, heard: self.now });
             }
             Input::Client(id, message, at) => self.message(id, message, at),
             Input::ClientClosed(id) => {
@@ -324,6 +337,7 @@
 
     fn message(&mut self, id: ClientId, message: FromClient, at: Ms) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        client.heard = self.now;
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
             FromClient::Undo(tag) => match client.open.remove(&tag) {
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -141,6 +141,7 @@
 }
 
 /// The fields of a word: `name=value,name=value`, or `-` or nothing for none.
+#[derive(Default)]
 pub struct Fields<'a>(Vec<(&'a str, &'a str)>);
 
 impl<'a> Fields<'a> {
--- /dev/null
+++ b/crates/node/tests/codec.rs
@@ -0,0 +1,215 @@
+//! The codecs: any split of the bytes, what is over the limits, and bytes that are anything.
+
+use basaltgw::api::{GroupId, Listed, ObjectId, Role};
+use basaltgw_config::{settings, Names, News, Seq};
+use basaltgw_node::changelog::{self, Follower, Frame};
+use basaltgw_node::clients::{FromClient, Tag};
+use basaltgw_node::resp::{encode, Bounds, Decoder, Fields};
+use proptest::prelude::*;
+use serde_json::json;
+
+const BOUNDS: Bounds = Bounds { words: 4, bytes: 100 };
+
+fn names() -> Names {
+    let v = json!({"areas": ["hub", "edge"], "kinds": ["box", "parent", "origin"],
+                   "family-info": {"shield-kind": 1, "store-kind": 2}});
+    settings(&v).expect("settings").0
+}
+
+fn decode(pieces: &[&[u8]]) -> Result<Vec<Vec<Vec<u8>>>, String> {
+    let (mut decoder, mut messages) = (Decoder::new(BOUNDS), Vec::new());
+    for piece in pieces {
+        decoder.feed(piece);
+        while let Some(message) = decoder.message().map_err(|e| e.to_string())? {
+            messages.push(message);
+        }
+    }
+    Ok(messages)
+}
+
+#[test]
+fn the_bytes_are_those_of_the_protocol() {
+    assert_eq!(encode(&[b"UNDO", b"7"]), b"*2\r\n$4\r\nUNDO\r\n$1\r\n7\r\n");
+    assert_eq!(encode(&[b""]), b"*1\r\n$0\r\n\r\n");
+}
+
+#[test]
+fn messages_are_the_same_however_they_are_split() {
+    let bytes = [encode(&[b"DO", b"7", b"a\r\n$1\r\n", b""]), encode(&[b"PING", b"8"])].concat();
+    let whole = decode(&[&bytes]).expect("well-formed");
+    assert_eq!(whole.len(), 2);
+    for first in 0..=bytes.len() {
+        for second in first..=bytes.len() {
+            let pieces = [&bytes[..first], &bytes[first..second], &bytes[second..]];
+            assert_eq!(decode(&pieces).as_ref(), Ok(&whole), "split at {first} and {second}");
+        }
+    }
+    let single: Vec<&[u8]> = bytes.chunks(1).collect();
+    assert_eq!(decode(&single), Ok(whole));
+}
+
+#[test]
+fn what_is_malformed_or_over_the_limits_is_an_error_and_not_waited_for() {
+    for bytes in [
+        &b"+OK\r\n"[..],
+        b"*5\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*x\r\n",
+        b"*\r\n",
+        b"*1\n",
+        b"*000000001\r\n",
+        b"*123456789",
+        b"*1\r\n:1\r\n",
+        b"*1\r\n$101\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$2\r\nabc\r\n",
+    ] {
+        assert!(decode(&[bytes]).is_err(), "{}", String::from_utf8_lossy(bytes));
+    }
+    assert_eq!(decode(&[b"*1\r\n$100\r\n"]), Ok(vec![]));
+}
+
+#[test]
+fn messages_of_clients_are_typed() {
+    let words = |w: &[&str]| w.iter().map(|w| w.as_bytes().to_vec()).collect::<Vec<_>>();
+    let fields = "i=9b1f03aa5c7e2d41,d=1500,o=7f3a9c21e0b4d655,nth=3,batch=17,m=412.5,got=4be0c1927d55a6f3";
+    let Some(FromClient::Do(Tag(7), r)) = FromClient::read(words(&["DO", "7", "segment", fields, "x"]))
+    else {
+        panic!("a request");
+    };
+    assert_eq!((&*r.id.0, r.class.as_str(), r.object.0), ("9b1f03aa5c7e2d41", "segment", 0x7f3a9c21e0b4d655));
+    assert_eq!((r.part.0, r.group.0, r.size_kb, r.left), (3, 17, 412.5, 1500.0));
+    assert_eq!((r.got.as_deref(), r.body.as_slice()), (Some("4be0c1927d55a6f3"), &b"x"[..]));
+    assert_eq!(FromClient::read(words(&["UNDO", "7"])), Some(FromClient::Undo(Tag(7))));
+    assert_eq!(FromClient::read(words(&["PING", "8", ""])), Some(FromClient::Ping(Tag(8))));
+    for broken in
+        ["", "i=1,o=2", "i=1,d=x,o=2", "i=1,d=NaN,o=2", "i=1,d=5,o=zz", "i,d=5,o=2", "i=1,d=5,o=2,nth=-1"]
+    {
+        let read = FromClient::read(words(&["DO", "7", "c", broken, ""]));
+        assert_eq!(read, Some(FromClient::Unreadable(Tag(7))), "{broken}");
+    }
+    for untagged in [&["DO"][..], &["DO", "0"], &["DO", "-1", "c"], &["PING", "x"]] {
+        assert_eq!(FromClient::read(words(untagged)), None);
+    }
+    let none = Fields::read(b"-").expect("no fields");
+    assert_eq!(none.get("w"), None);
+}
+
+fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = (9 + payload.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&number.to_be_bytes());
+    bytes.push(kind);
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
+fn frames(pieces: &[&[u8]]) -> Result<Vec<Frame>, String> {
+    let (mut decoder, names, mut frames) = (changelog::Decoder::default(), names(), Vec::new());
+    for piece in pieces {
+        decoder.feed(piece);
+        while let Some(frame) = decoder.frame(&names).map_err(|e| e.to_string())? {
+            frames.push(frame);
+        }
+    }
+    Ok(frames)
+}
+
+fn record() -> Vec<u8> {
+    let mut bytes = vec![0, 0xc4, 0x1f, 0x7a, 127, 0, 0, 9, 0x27, 0x60, 1, 1, 1, 0, 2, 0, 0, 0x0f, 0xa0];
+    bytes.extend_from_slice(&1_764_576_000_123u64.to_be_bytes());
+    bytes
+}
+
+#[test]
+fn frames_are_read_to_the_byte_however_they_are_split() {
+    let purge = [&17u16.to_be_bytes()[..], &1_764_576_000_480u64.to_be_bytes()[..]].concat();
+    let object = [0x7f3a9c21e0b4d655u64.to_be_bytes(), 5u64.to_be_bytes()].concat();
+    let bytes =
+        [frame(41, 1, &record()), frame(41, 0, &[]), frame(42, 3, &object), frame(43, 4, &purge)].concat();
+    let whole = frames(&[&bytes]).expect("good frames");
+    let Some(News::Servers { whole: true, members }) = &whole[0].news else { panic!("a list") };
+    let m = &members[0];
+    assert_eq!((&*m.entry.id.0, m.address.to_string().as_str()), ("s-00c41f7a", "127.0.0.9:10080"));
+    assert_eq!((m.entry.listed, m.entry.role, m.entry.zone.0), (Listed::Draining, Role::Parent, 1));
+    assert_eq!((m.entry.cell, m.entry.weight, m.entry.started), (2, 4.0, Some(1_764_576_000_123.0)));
+    assert_eq!(whole[1], Frame { seq: Seq(41), news: None });
+    let purge = |object, group, time| News::Purge { object, group: GroupId(group), time };
+    assert_eq!(whole[2].news, Some(purge(Some(ObjectId(0x7f3a9c21e0b4d655)), 0, 5.0)));
+    assert_eq!(whole[3].news, Some(purge(None, 17, 1_764_576_000_480.0)));
+    for at in 0..=bytes.len() {
+        assert_eq!(frames(&[&bytes[..at], &bytes[at..]]).as_ref(), Ok(&whole), "split at {at}");
+    }
+}
+
+#[test]
+fn bad_frames_are_errors() {
+    let changed = |at: usize, to: u8| {
+        let mut record = record();
+        record[at] = to;
+        frame(1, 2, &record)
+    };
+    let short = frame(1, 2, &record()[..26]);
+    let cases =
+        [changed(10, 3), changed(11, 2), changed(12, 3), short, frame(1, 5, &[]), frame(1, 3, &[0; 15])];
+    for bytes in
+        cases.iter().chain(&[frame(1, 4, &[0; 11]), vec![0, 0, 0, 8], vec![0xff; 4], frame(1, 0, &[0])])
+    {
+        assert!(frames(&[bytes]).is_err(), "{bytes:?}");
+    }
+}
+
+#[test]
+fn the_log_is_followed_without_gaps_or_repeats() {
+    let purge =
+        |n| Frame { seq: Seq(n), news: Some(News::Purge { object: None, group: GroupId(n), time: 0.0 }) };
+    let mut follower = Follower::new(Seq(4));
+    assert!(matches!(follower.take(purge(4)), Ok(None)), "known already");
+    assert!(matches!(follower.take(purge(5)), Ok(Some(_))));
+    assert!(matches!(follower.take(Frame { seq: Seq(9), news: None }), Ok(None)));
+    assert!(follower.take(purge(7)).is_err(), "6 is missing");
+    assert_eq!(follower.last(), Seq(5));
+    assert!(matches!(follower.take(purge(6)), Ok(Some(_))));
+    assert!(matches!(follower.take(purge(7)), Ok(Some(_))));
+    assert!(matches!(follower.take(purge(7)), Ok(None)));
+    // A log that no longer holds what is missing shows the same gap again; then what it has is taken.
+    assert!(follower.take(purge(20)).is_err());
+    assert!(matches!(follower.take(purge(20)), Ok(Some(_))));
+    assert_eq!(follower.last(), Seq(20));
+}
+
+proptest! {
+    #[test]
+    fn any_words_come_back(words in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..100), 1..4),
+                           cut in any::<prop::sample::Index>()) {
+        let bytes = encode(&words.iter().map(Vec::as_slice).collect::<Vec<_>>());
+        let at = cut.index(bytes.len());
+        prop_assert_eq!(decode(&[&bytes[..at], &bytes[at..]]), Ok(vec![words]));
+    }
+
+    #[test]
+    fn any_bytes_are_messages_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let all = decode(&[&bytes]);
+        let split: Vec<&[u8]> = bytes.chunks(3).collect();
+        prop_assert_eq!(all.is_err(), decode(&split).is_err());
+        for words in all.into_iter().flatten() {
+            let _ = FromClient::read(words);
+        }
+        let _ = frames(&[&bytes]);
+        let _ = Fields::read(&bytes);
+    }
+
+    #[test]
+    fn a_changed_byte_never_panics(at in any::<prop::sample::Index>(), to in any::<u8>()) {
+        let mut bytes = encode(&[b"DO", b"7", b"c", b"i=1,d=5,o=2,nth=1,batch=3,m=4"]);
+        let i = at.index(bytes.len());
+        bytes[i] = to;
+        for words in decode(&[&bytes]).into_iter().flatten() {
+            let _ = FromClient::read(words);
+        }
+        let mut bytes = frame(1, 1, &record());
+        let i = at.index(bytes.len());
+        bytes[i] = to;
+        let _ = frames(&[&bytes]);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/command_line.rs
@@ -0,0 +1,62 @@
+//! The command line.
+
+mod common;
+
+use common::{configuration, ChangeLog};
+use std::process::{Command, Output};
+
+fn run(args: &[&str], config: Option<&str>) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltgw"));
+    command.args(args).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
+    config.into_iter().for_each(|c| {
+        command.env("GW_CONFIG", c);
+    });
+    command.output().expect("the program")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn version_and_help_are_printed() {
+    let out = run(&["version"], None);
+    assert!(out.status.success());
+    assert_eq!(text(&out.stdout), format!("basaltgw {}\n", env!("CARGO_PKG_VERSION")));
+    let out = run(&["--help"], None);
+    assert!(out.status.success() && text(&out.stdout).contains("check-config"));
+}
+
+#[test]
+fn words_that_mean_nothing_are_an_error_of_use() {
+    for (args, expected) in [
+        (&[][..], "expected a command"),
+        (&["fly"], "unknown command \"fly\""),
+        (&["version", "now"], "unexpected argument \"now\""),
+    ] {
+        let out = run(args, None);
+        assert_eq!(out.status.code(), Some(2));
+        assert!(text(&out.stderr).contains(expected), "{}", text(&out.stderr));
+    }
+}
+
+#[test]
+fn check_config_says_what_is_wrong() {
+    let out = run(&["check-config"], None);
+    assert!(!out.status.success() && text(&out.stderr).contains("field GW_CONFIG:"));
+    let file = std::env::temp_dir().join(format!("basaltgw-check-{}.json", std::process::id()));
+    let path = file.display().to_string();
+    let mut config = configuration(&[], ChangeLog::start().address);
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let good = run(&["check-config"], Some(&path));
+    config["limits"]["sockets"] = "many".into();
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let (bad, serve) = (run(&["check-config"], Some(&path)), run(&["serve"], Some(&path)));
+    std::fs::remove_file(&file).expect("removed");
+    assert!(good.status.success());
+    assert_eq!(text(&good.stdout), "n1: 1 events known, listens at 127.0.0.1:0\n");
+    for out in [bad, serve] {
+        assert!(!out.status.success());
+        assert!(text(&out.stderr).contains("field limits.sockets:"), "{}", text(&out.stderr));
+    }
+}
