Waiting answers never fill the memory; a held address is waited for

Now, over 0.4 of the memory, the client for which most waits has its waiting answers failed; only above 0.5 is reading stopped. A router that starts while its predecessor still listens no longer ends at once, but tries for 5 s. Tests fail without these guards.

--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -11,7 +11,7 @@
 const DEFAULT_MEMORY_MB: u64 = 192;
 const DEFAULT_SOCKETS: u64 = 1024;
 /// Fewer descriptors than this leave no room for clients, servers and the change log together.
-const LEAST_SOCKETS: u64 = 48;
+const LEAST_SOCKETS: u64 = 32;
 /// Meanings of absent transport settings.
 const DEFAULT_IDLE_MS: f64 = 15_000.0;
 const DEFAULT_CONNECT_MS: f64 = 1_000.0;
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -412,10 +412,10 @@
             let answer = match decoder.message() {
                 Ok(Some(words)) => Answer::read(words, &[&shared.meter]),
                 Ok(None) => break,
-                Err(e) => return log::info!("connection {} closed: {e}", at.0),
+                Err(e) => return log::debug!("connection {} closed: {e}", at.0),
             };
             let Some(answer) = answer else {
-                return log::info!("connection {} closed: an answer that can't be read", at.0);
+                return log::debug!("connection {} closed: an answer that can't be read", at.0);
             };
             if shared.queue.send(Input::Cache(at, answer)).await.is_err() {
                 return;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -229,10 +229,10 @@
             let message = match decoder.message() {
                 Ok(Some(words)) => FromClient::read(words),
                 Ok(None) => break,
-                Err(e) => return log::info!("client {} closed: {e}", id.0),
+                Err(e) => return log::debug!("client {} closed: {e}", id.0),
             };
             let Some(message) = message else {
-                return log::info!("client {} closed: a message without a tag", id.0);
+                return log::debug!("client {} closed: a message without a tag", id.0);
             };
             if shared.queue.send(Input::Client(id, message, now)).await.is_err() {
                 return;
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -25,6 +25,8 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
+    /// Served, but failed for want of memory before they were begun.
+    pub withheld: u64,
     /// Turned away before the module, for the number open.
     pub turned_away: u64,
     /// Attempts made.
@@ -106,6 +108,7 @@
             self.unreadable, self.left, self.served, self.same
         )?;
         write!(f, "refused={} failed={} turned_away={} ", self.refused, self.failed, self.turned_away)?;
+        write!(f, "withheld={} ", self.withheld)?;
         write!(f, "attempts={}", self.attempts)?;
         for (end, count) in ENDS.iter().zip(self.ends) {
             write!(f, " attempts_{}={count}", end_name(*end).1)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,8 +21,9 @@
 use basaltgw_config::{News, NodeConfig, Seq};
 use counters::Counters;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// What sockets tell the owner of the module.
 pub enum Input {
@@ -58,19 +59,19 @@
         executor: Rc::clone(&executor),
         queue: queue.clone(),
         meter: Rc::clone(&meter),
-        held_limit: (memory * limits::HELD_MOST_SHARE) as usize,
+        held_limit: (memory * limits::HELD_STOP_SHARE) as usize,
         most: config.limits.sockets.saturating_sub(clients + limits::OWN_DESCRIPTORS) as usize,
         transport: config.transport,
     };
     let owner = owner::Owner::new(&config, Rc::clone(&clock), Rc::clone(&meter), caches::Caches::new(shared));
-    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let shared = clients::Shared {
         executor: Rc::clone(&executor),
         queue: queue.clone(),
         clock,
         meter,
-        held_limit: (memory * limits::HELD_SHARE) as usize,
+        held_limit: (memory * limits::HELD_STOP_SHARE) as usize,
         most: clients as usize,
     };
     let listener = executor.spawn(clients::accept(listener, shared));
@@ -79,3 +80,16 @@
     executor.spawn(shutdown::watch(queue)).detach();
     Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
 }
+
+/// Listens; a process that is just ending may hold the address for a moment.
+fn bind(at: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let start = Instant::now();
+    loop {
+        match Async::<TcpListener>::bind(at) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && start.elapsed() < limits::BIND => {
+                std::thread::sleep(limits::WAIT);
+            }
+            done => return done,
+        }
+    }
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -16,8 +16,10 @@
 pub const OPEN_PER_CLIENT: usize = 128;
 /// Clients hold one descriptor in so many.
 pub const CLIENT_SHARE: u64 = 3;
-/// Descriptors that are neither clients' nor servers': listener, change log, timers, signals, standard streams.
-pub const OWN_DESCRIPTORS: u64 = 24;
+/// Descriptors that are neither clients' nor servers': listener, change log, reactor, signals, standard streams.
+pub const OWN_DESCRIPTORS: u64 = 16;
+/// The listener's address may still be held by the process before; it is tried for this long.
+pub const BIND: Duration = Duration::from_secs(5);
 /// Connections to one process of a server.
 pub const CONNS_PER_SERVER: usize = 8;
 /// Of its idle time a connection to a server uses this share, so that the server never closes one in use.
@@ -26,11 +28,12 @@
 pub const SILENT_MS: Ms = 800.0;
 /// No more is read from a client while so many bytes wait to be written to it.
 pub const CLIENT_UNSENT: usize = 1024 * 1024;
-/// No more is read from clients, and beyond the second from caches, while messages hold this share of the memory.
-pub const HELD_SHARE: f64 = 0.3;
-/// See [`HELD_SHARE`].
-pub const HELD_MOST_SHARE: f64 = 0.55;
-/// How often a reader that had to wait looks again.
+/// While messages hold more than this share of the memory, the client for which most waits has its waiting answers failed:
+/// slow readers must not cost others their router.
+pub const HELD_SHARE: f64 = 0.4;
+/// While they hold more than this share all the same, nothing more is read.
+pub const HELD_STOP_SHARE: f64 = 0.5;
+/// How often what had to wait is tried again.
 pub const WAIT: Duration = Duration::from_millis(5);
 /// A client that takes no byte of an answer for so long is gone.
 pub const STALLED: Duration = Duration::from_secs(6);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,7 @@
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::limits::{CLIENT_IDLE_MS, OPEN_PER_CLIENT};
+use crate::limits::{CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT};
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::shutdown::Ending;
 use crate::Input;
@@ -99,6 +99,7 @@
     tick: Ms,
     max_attempts: usize,
     most_open: usize,
+    most_held: usize,
     clock: Rc<Clock>,
     meter: Rc<Meter>,
     caches: Caches,
@@ -138,6 +139,7 @@
             tick: config.settings.tick,
             max_attempts: config.settings.max_attempts,
             most_open: config.transport.most_open,
+            most_held: (config.limits.memory_mb as f64 * 1e6 * HELD_SHARE) as usize,
             now: clock.now(),
             clock,
             meter,
@@ -225,6 +227,7 @@
             let idle = if self.ending.accepts(now) { CLIENT_IDLE_MS } else { 0.0 };
             self.clients.retain(|_, c| !c.at_rest() || now - c.heard < idle);
         }
+        self.relieve();
         self.counters.batches += 1;
         self.counters.batch_longest = self.counters.batch_longest.max(self.clock.now() - begun);
         self.counters.held_most = self.counters.held_most.max(self.meter.held() as u64);
@@ -424,6 +427,21 @@
         }
     }
 
+    /// While too much is held, the client for which most waits gets failures for what is not begun.
+    fn relieve(&mut self) {
+        while self.meter.held() > self.most_held {
+            let waits = |c: &Client| c.unsent.values().any(|p| p.stage() == Stage::Waiting);
+            let most = self.clients.values_mut().filter(|c| waits(c)).max_by_key(|c| c.outbox.unsent());
+            let Some(client) = most else { return };
+            for (tag, parcel) in std::mem::take(&mut client.unsent) {
+                if parcel.take_back() {
+                    self.counters.withheld += 1;
+                    client.outbox.put(answer(tag, Reply::Failed));
+                }
+            }
+        }
+    }
+
     // ---- Attempts ----
 
     fn begin(&mut self, fetch: Fetch) {
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -490,6 +490,52 @@
     until("all is given back", || rig.router.counter("held") == 0);
 }
 
+#[test]
+fn answers_that_wait_for_a_slow_reader_never_fill_the_memory() {
+    let (parent, origin, log) = (Cache::full(), Cache::full(), ChangeLog::start());
+    let edge = Cache::start(|_| Do::Ok(vec![b'x'; 240_000]));
+    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
+    config["limits"]["memory_mb"] = json!(4);
+    let router = Router::start(&config);
+    let mut slow: Vec<Client> = (0..3).map(|_| router.client()).collect();
+    for client in &mut slow {
+        (1..=30).for_each(|t| {
+            client.ask(t, "pages", t, "", b"");
+        });
+    }
+    until("all came from the cache", || router.counter("attempts_served") == 90);
+    until("little is held", || router.counter("held") < 1_600_000);
+    let mut quick = router.client();
+    quick.ask(1, "pages", 99, "", b"");
+    assert_eq!(quick.must().word, "200");
+    assert_eq!(quick.settle(), []);
+    for client in &mut slow {
+        let answers: Vec<Got> = (0..30).map(|_| client.must()).collect();
+        assert_eq!(tags(&answers), (1..=30).collect::<Vec<_>>());
+        let whole =
+            |g: &Got| (g.word == "200" && g.body.len() == 240_000) || (g.word == "500" && g.body.is_empty());
+        assert!(answers.iter().all(whole));
+        assert_eq!(client.settle(), []);
+    }
+    assert!(router.counter("withheld") > 0);
+}
+
+#[test]
+fn a_router_started_while_its_predecessor_still_listens_waits_for_the_address() {
+    let (edge, parent, origin, log) = (Cache::full(), Cache::full(), Cache::full(), ChangeLog::start());
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
+    config["listen"] = json!(held.local_addr().expect("an address").to_string());
+    let waiting = thread::spawn(move || Router::start(&config));
+    thread::sleep(Duration::from_millis(300));
+    drop(held);
+    let router = waiting.join().expect("a router that listens");
+    let mut client = router.client();
+    client.ask(1, "pages", 1, "", b"");
+    assert_eq!(client.must().word, "200");
+    assert_eq!(client.settle(), []);
+}
+
 #[test]
 fn an_attempt_to_a_machine_that_never_answers_ends_before_the_clients_time() {
     let silent = || Cache::start(|_| Do::Silent);
