--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -2,7 +2,9 @@
 
 use crate::clients::WireId;
 use crate::clock::late;
-use crate::limits::{CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SILENT_MS, STALLED, WAIT};
+use crate::limits::{
+    ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SILENT_MS, STALLED, WAIT,
+};
 use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
 use crate::resp::{encode, Decoder, FieldList, Fields};
 use crate::Input;
@@ -357,16 +359,12 @@
         }
     }
 
-    /// Closes connections that carry nothing and are idle, silent or retired.
+    /// Closes connections that carry nothing and are idle or retired, or on which all was given up before a word came.
     pub fn tidy(&mut self, now: Ms) {
         let idle = self.shared.transport.conn_idle * IDLE_SHARE;
         self.conns.retain(|_, c| {
-            let done = c.retired || c.silent(now) || now - c.used >= idle;
-            if c.open.is_empty() && !c.silent(now) {
-                // What was given up before it was late is owed no answer.
-                c.asked = None;
-            }
-            !(c.open.is_empty() && done)
+            let unheard = c.asked.is_some_and(|t| now - t >= ABANDONED_MS);
+            !(c.open.is_empty() && (c.retired || unheard || now - c.used >= idle))
         });
     }
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -25,6 +25,8 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
+    /// Answered, but taken back before the answer was begun, since the client had given up.
+    pub taken_back: u64,
     /// Served, but failed for want of memory before they were begun.
     pub withheld: u64,
     /// Turned away before the module, for the number open.
@@ -108,7 +110,7 @@
             self.unreadable, self.left, self.served, self.same
         )?;
         write!(f, "refused={} failed={} turned_away={} ", self.refused, self.failed, self.turned_away)?;
-        write!(f, "withheld={} ", self.withheld)?;
+        write!(f, "taken_back={} withheld={} ", self.taken_back, self.withheld)?;
         write!(f, "attempts={}", self.attempts)?;
         for (end, count) in ENDS.iter().zip(self.ends) {
             write!(f, " attempts_{}={count}", end_name(*end).1)?;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -26,6 +26,9 @@
 pub const IDLE_SHARE: f64 = 0.8;
 /// A connection on which something was asked and nothing at all came for this long takes no more requests.
 pub const SILENT_MS: Ms = 800.0;
+/// One on which all that was asked has been given up, and nothing came for this long, is closed: the next attempt learns by a
+/// new one whether the machine is there.
+pub const ABANDONED_MS: Ms = 300.0;
 /// No more is read from a client while so many bytes wait to be written to it.
 pub const CLIENT_UNSENT: usize = 1024 * 1024;
 /// While messages hold more than this share of the memory, the client for which most waits has its waiting answers failed:
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -213,6 +213,8 @@
             due.push(*what);
             self.timers.pop();
         }
+        // Attempts whose time is out go before the module's own timers, in which it gives up what is left.
+        due.sort_by_key(|what| matches!(what, Due::Module(_)));
         for what in due {
             match what {
                 Due::Module(token) => self.tell(Event::Timer(token)),
@@ -347,7 +349,7 @@
                 Some(no) => self.left(no),
                 None => {
                     let unsent = client.unsent.remove(&tag);
-                    unsent.into_iter().for_each(|p| self.counters.left += u64::from(p.take_back()));
+                    unsent.into_iter().for_each(|p| self.counters.taken_back += u64::from(p.take_back()));
                 }
             },
             FromClient::Ping(tag) => {
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -121,24 +121,25 @@
 
 #[test]
 fn after_undo_nothing_is_written_and_the_cache_is_told_to_abort() {
-    let rig = rig(Cache::start(|s| {
-        if s.field("k") == Some("0000000000000001") {
-            Do::Later(400, content(s))
-        } else {
-            Do::Ok(content(s))
-        }
+    let rig = rig(Cache::start(|s| match s.field("k") {
+        Some("0000000000000001") => Do::Later(400, content(s)),
+        Some("0000000000000003") => Do::Silent,
+        _ => Do::Ok(content(s)),
     }));
     let mut client = rig.router.client();
     let id = client.ask(1, "pages", 1, "", b"");
-    until("the cache has it", || rig.edge.count() == 1);
+    // Another that is open keeps the connection.
+    client.ask_for(60_000, 3, "pages", 3, "", b"");
+    until("the cache has them", || rig.edge.count() == 2);
     client.say("UNDO", 1);
     until("the cache is told", || rig.edge.aborted.lock().expect("lock").contains(&id));
     // The late answer comes all the same, and is dropped.
     until("the late answer was read", || rig.router.counter("late_answers") == 1);
     client.ask(2, "pages", 2, "", b"");
     assert_eq!(client.must().tag, 2);
+    client.say("UNDO", 3);
     assert_eq!(client.settle(), []);
-    assert_eq!((rig.router.counter("left"), rig.router.counter("served")), (1, 1));
+    assert_eq!((rig.router.counter("left"), rig.router.counter("served")), (2, 1));
 }
 
 #[test]
@@ -151,7 +152,7 @@
         }
     }));
     let mut client = rig.router.client();
-    let id = client.ask(1, "pages", 1, "", b"");
+    let id = client.ask_for(60_000, 1, "pages", 1, "", b"");
     until("the cache has it", || rig.edge.count() == 1);
     drop(client);
     until("the cache is told", || rig.edge.aborted.lock().expect("lock").contains(&id));
@@ -198,6 +199,20 @@
     until("it is closed", || rig.router.counter("conns_now") == 1);
 }
 
+#[test]
+fn a_connection_on_which_all_was_given_up_unheard_is_not_used_again() {
+    let edge = Cache::start(|s| if s.conn == 1 { Do::Silent } else { Do::Ok(content(s)) });
+    let rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask_for(60_000, 1, "pages", 1, "", b"");
+    until("the cache has it", || rig.edge.count() == 1);
+    client.say("UNDO", 1);
+    until("it is closed", || rig.router.counter("conns_now") == 0);
+    client.ask_for(60_000, 2, "pages", 2, "", b"");
+    assert_eq!(client.must().tag, 2);
+    assert_eq!(client.settle(), []);
+}
+
 #[test]
 fn a_refused_connection_proves_that_a_write_never_ran() {
     let closed = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
@@ -338,7 +353,11 @@
 
 #[test]
 fn sigterm_under_load_loses_nothing_and_then_the_process_ends() {
-    let mut rig = rig(Cache::start(|s| Do::Later(150, content(s))));
+    const SLOW: u64 = 0xffff;
+    let slow = format!("{SLOW:016x}");
+    let edge =
+        Cache::start(move |s| Do::Later(if s.field("k") == Some(&slow) { 2000 } else { 150 }, content(s)));
+    let mut rig = rig(edge);
     let (stop, done) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
     let address = rig.router.address;
     let clients: Vec<_> = (0..4)
@@ -363,6 +382,9 @@
         .collect();
     until("they are served", || done.lock().expect("lock").len() > 8);
     let served = done.lock().expect("lock").len();
+    let mut patient = rig.router.client();
+    patient.ask_for(60_000, 1, "pages", SLOW, "", b"");
+    until("it was passed on", || rig.edge.all().iter().any(|s| s.field("k") == Some("000000000000ffff")));
     rig.router.signal("TERM");
     until("it was heard", || rig.router.said("asked to end"));
     let asked = Instant::now();
@@ -382,6 +404,8 @@
     for client in clients {
         client.join().expect("a client that lost nothing");
     }
+    assert_eq!(patient.must().word, "200", "what takes longer than the end of accepting is answered");
+    assert_eq!(patient.next(), None);
     assert!(rig.router.ended().success());
     until("counters are printed", || rig.router.said("ended: clients="));
 }
@@ -550,4 +574,5 @@
     assert_eq!((word(1), word(2)), (Some("503"), Some("500")));
     assert_eq!(client.settle(), []);
     assert_eq!(rig.origin.count(), 1);
+    assert_eq!((rig.router.counter("attempts_late"), rig.router.counter("attempts_cancelled")), (2, 0));
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -11,7 +11,7 @@
 /// A request, named by the caller; given back unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub Arc<str>);
-/// A server of any role (edge cache, parent, origin), named by its address.
+/// A server of any role (edge cache, parent, origin), named alike at all routers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub Arc<str>);
 /// An object, whatever the part.
@@ -194,7 +194,7 @@
 /// An entry of the server list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerEntry {
-    /// Its address.
+    /// Its name.
     pub id: ServerId,
     /// Its zone.
     pub zone: ZoneId,
