--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -142,6 +142,22 @@
     assert_eq!((rig.router.counter("left"), rig.router.counter("served")), (2, 1));
 }
 
+#[test]
+fn after_undo_nothing_is_written_where_attempts_may_not_be_called_off() {
+    let (parent, origin, log) = (Cache::full(), Cache::full(), ChangeLog::start());
+    let edge = Cache::start(|s| Do::Later(400, content(s)));
+    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
+    config["settings"]["limits"]["cancel"] = json!(false);
+    let router = Router::start(&config);
+    let mut client = router.client();
+    client.ask(1, "pages", 1, "", b"");
+    until("the cache has it", || edge.count() == 1);
+    client.say("UNDO", 1);
+    until("its answer came", || router.counter("attempts_served") == 1);
+    assert_eq!(client.settle(), []);
+    assert_eq!(edge.aborted.lock().expect("lock").len(), 0);
+}
+
 #[test]
 fn a_closed_client_leaves_its_requests_and_other_clients_go_on() {
     let rig = rig(Cache::start(|s| {
@@ -155,6 +171,7 @@
     let id = client.ask_for(60_000, 1, "pages", 1, "", b"");
     until("the cache has it", || rig.edge.count() == 1);
     drop(client);
+    until("it has left", || rig.router.counter("left") == 1);
     until("the cache is told", || rig.edge.aborted.lock().expect("lock").contains(&id));
     let mut other = rig.router.client();
     other.ask(1, "pages", 2, "", b"");
