A whole list recalls what waits for servers it leaves out; the node's tests share their set-up

Cause, by reading: attempts that waited for a connection to a server that a whole list no longer held were not taken back, unlike those to one listed as gone, and could have left after the grace.

--- a/crates/node/src/changelog.rs
+++ b/crates/node/src/changelog.rs
@@ -202,7 +202,7 @@
         while let Some(frame) = decoder.frame(names).map_err(bad)? {
             *heard = true;
             if let Some(news) = follower.take(frame).map_err(bad)? {
-                if queue.send(Input::News(follower.last, news)).await.is_err() {
+                if queue.send(Input::News(news)).await.is_err() {
                     return Ok(());
                 }
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,7 +18,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use basaltgw_config::{News, NodeConfig, Seq};
+use basaltgw_config::{News, NodeConfig};
 use counters::Counters;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -39,8 +39,8 @@
     Cache(caches::ConnId, caches::Answer),
     /// A connection to a server is over, or never came up.
     CacheDown(caches::ConnId, caches::Down),
-    /// Events of the change log, and the last one's number.
-    News(Seq, News),
+    /// An event of the change log.
+    News(News),
     /// The process was asked to end.
     End,
     /// The counters were asked for.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -68,10 +68,6 @@
     }
 }
 
-struct Server {
-    place: Place,
-}
-
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -107,7 +103,8 @@
     clients: BTreeMap<ClientId, Client>,
     requests: BTreeMap<RequestNo, Open>,
     requests_ever: u64,
-    servers: BTreeMap<ServerId, Server>,
+    /// Where each server that was ever listed is reached.
+    servers: BTreeMap<ServerId, Place>,
     list_in: bool,
     timers: BinaryHeap<Reverse<(u64, u64, Due)>>,
     timers_ever: u64,
@@ -261,7 +258,7 @@
                     self.end((no, n), end, UNTOLD, false);
                 }
             }
-            Input::News(_, news) => self.news(news),
+            Input::News(news) => self.news(news),
             Input::End => {
                 log::info!("asked to end");
                 self.ending.ask(self.now);
@@ -301,12 +298,12 @@
 
     fn list(&mut self, whole: bool, members: Vec<Member>) {
         self.list_in = true;
+        let mut leaving = Vec::new();
         if whole {
             let told = |id: &ServerId| members.iter().any(|m| m.entry.id == *id);
-            let gone: Vec<ServerId> = self.servers.keys().filter(|id| !told(id)).cloned().collect();
-            gone.iter().for_each(|id| self.caches.moved(id, None));
+            leaving.extend(self.servers.keys().filter(|id| !told(id)).cloned());
+            leaving.iter().for_each(|id| self.caches.moved(id, None));
         }
-        let mut leaving = Vec::new();
         for member in &members {
             let id = &member.entry.id;
             let up = member.entry.listed == Listed::Up;
@@ -314,7 +311,7 @@
             if !up {
                 leaving.push(id.clone());
             }
-            self.servers.insert(id.clone(), Server { place: member.place() });
+            self.servers.insert(id.clone(), member.place());
         }
         let mode = if whole { ListMode::Whole } else { ListMode::Changes };
         self.tell(Event::Servers(mode, members.into_iter().map(|m| m.entry).collect()));
@@ -455,7 +452,7 @@
         let asked = Some(fetch.timeout).filter(|t| *t != 0.0);
         let until = asked.map_or(open.deadline, |t| open.deadline.min(self.now + t));
         let in_time = !open.answered && until > self.now && n.0 < self.max_attempts;
-        let server = self.servers.get(&fetch.server).filter(|_| in_time);
+        let place = self.servers.get(&fetch.server).filter(|_| in_time);
         let body = open.body.as_ref().map_or(&[][..], Counted::bytes);
         let ask = Ask {
             id: &open.request.id,
@@ -472,10 +469,10 @@
             seen: open.request.got.as_deref(),
             body,
         };
-        let (end, way) = match server {
+        let (end, way) = match place {
             None => (End::NotSent, None),
-            Some(server) => {
-                let to = (&fetch.server, server.place);
+            Some(place) => {
+                let to = (&fetch.server, *place);
                 let way = self.caches.send(self.now, to, (no, n), &open.request.id, ask.encode());
                 (End::NoConnection, way)
             }
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,7 +25,7 @@
     ]
 }
 
-/// A router before one edge cache of that behaviour, and a parent and an origin that hold everything.
+/// A router before an edge cache, a parent and an origin.
 struct Rig {
     edge: Cache,
     parent: Cache,
@@ -34,23 +34,27 @@
     router: Router,
 }
 
+/// With a parent and an origin that hold everything.
 fn rig(edge: Cache) -> Rig {
-    rig_of(edge, Cache::full(), Cache::full())
+    rig_of(edge, Cache::full(), Cache::full(), |_| {})
 }
 
-fn rig_of(edge: Cache, parent: Cache, origin: Cache) -> Rig {
+/// With something changed in its configuration.
+fn rig_of(edge: Cache, parent: Cache, origin: Cache, change: impl FnOnce(&mut Value)) -> Rig {
     let log = ChangeLog::start();
-    let router = Router::start(&configuration(&three(&edge, &parent, &origin), log.address));
+    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
+    change(&mut config);
+    let router = Router::start(&config);
     Rig { edge, parent, origin, log, router }
 }
 
-/// With a second edge cache, since a read that failed at one goes to another.
-fn rig_of_two(edge: Cache, second: &Cache, origin: Cache) -> Rig {
-    let (parent, log) = (Cache::full(), ChangeLog::start());
-    let mut list: Vec<Listed> = three(&edge, &parent, &origin).into();
-    list.push(Listed(EDGE_2, second.address, "box"));
-    let router = Router::start(&configuration(&list, log.address));
-    Rig { edge, parent, origin, log, router }
+/// Adds a second edge cache to a configuration, since a read that failed at one goes to another.
+fn with_second(config: &mut Value, second: &Cache) {
+    let members = &mut config["known"]["results"][0]["fleet"]["members"];
+    let mut member = members[0].clone();
+    member["id"] = json!(format!("s-{EDGE_2:08x}"));
+    member["host_port"] = json!(second.address.to_string());
+    members.as_array_mut().expect("members").push(member);
 }
 
 /// Behaves once in one way, and then holds everything; clones share the one time.
@@ -144,18 +148,16 @@
 
 #[test]
 fn after_undo_nothing_is_written_where_attempts_may_not_be_called_off() {
-    let (parent, origin, log) = (Cache::full(), Cache::full(), ChangeLog::start());
     let edge = Cache::start(|s| Do::Later(400, content(s)));
-    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
-    config["settings"]["limits"]["cancel"] = json!(false);
-    let router = Router::start(&config);
-    let mut client = router.client();
+    let never = |c: &mut Value| c["settings"]["limits"]["cancel"] = json!(false);
+    let rig = rig_of(edge, Cache::full(), Cache::full(), never);
+    let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
-    until("the cache has it", || edge.count() == 1);
+    until("the cache has it", || rig.edge.count() == 1);
     client.say("UNDO", 1);
-    until("its answer came", || router.counter("attempts_served") == 1);
+    until("its answer came", || rig.router.counter("attempts_served") == 1);
     assert_eq!(client.settle(), []);
-    assert_eq!(edge.aborted.lock().expect("lock").len(), 0);
+    assert_eq!(rig.edge.aborted.lock().expect("lock").len(), 0);
 }
 
 #[test]
@@ -184,7 +186,7 @@
 fn a_reset_in_mid_answer_is_tried_again_for_reads_and_fails_writes() {
     let act = once(|| Do::Half);
     let (edge, second) = (Cache::start(act.clone()), Cache::start(act));
-    let rig = rig_of_two(edge, &second, Cache::start(|_| Do::Half));
+    let rig = rig_of(edge, Cache::full(), Cache::start(|_| Do::Half), |c| with_second(c, &second));
     let mut client = rig.router.client();
     client.ask(1, "pages", 7, "", b"");
     let got = client.must();
@@ -316,11 +318,9 @@
 
 #[test]
 fn a_draining_cache_gets_nothing_more_and_a_new_address_is_a_new_connection() {
-    let (edge, second, parent, origin) = (Cache::full(), Cache::full(), Cache::full(), Cache::full());
-    let log = ChangeLog::start();
-    let mut list: Vec<Listed> = three(&edge, &parent, &origin).into();
-    list.push(Listed(EDGE_2, second.address, "box"));
-    let router = Router::start(&configuration(&list, log.address));
+    let second = Cache::full();
+    let rig = rig_of(Cache::full(), Cache::full(), Cache::full(), |c| with_second(c, &second));
+    let Rig { edge, log, router, .. } = &rig;
     let mut client = router.client();
     let round = |client: &mut Client, from: u64| {
         (from..from + 20).for_each(|t| {
@@ -349,11 +349,9 @@
 
 #[test]
 fn ping_says_serving_once_the_list_is_in() {
-    let (edge, parent, origin) = (Cache::full(), Cache::full(), Cache::full());
-    let log = ChangeLog::start();
-    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
-    config["known"] = json!({"seq": 0, "results": []});
-    let router = Router::start(&config);
+    let empty = |c: &mut Value| c["known"] = json!({"seq": 0, "results": []});
+    let rig = rig_of(Cache::full(), Cache::full(), Cache::full(), empty);
+    let Rig { edge, origin, log, router, .. } = &rig;
     let mut client = router.client();
     client.say("PING", 8);
     assert_eq!(client.must().word, "not_serving");
@@ -449,10 +447,9 @@
 
 #[test]
 fn no_more_clients_are_taken_than_their_share_of_the_descriptors() {
-    let (edge, parent, origin, log) = (Cache::full(), Cache::full(), Cache::full(), ChangeLog::start());
-    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
-    config["limits"]["sockets"] = json!(60);
-    let router = Router::start(&config);
+    let few = |c: &mut Value| c["limits"]["sockets"] = json!(60);
+    let rig = rig_of(Cache::full(), Cache::full(), Cache::full(), few);
+    let router = &rig.router;
     let waiting: Vec<Client> = (0..40).map(|_| router.client()).collect();
     until("a third is taken", || router.counter("clients_now") == 20);
     for mut client in waiting {
@@ -488,27 +485,27 @@
     assert_eq!(good.settle(), []);
 }
 
-#[test]
-fn a_cache_that_talks_nonsense_loses_its_connection_and_no_request() {
-    let act = once(|| Do::Raw(b"HTTP/1.1 200 OK\r\n\r\n"));
+/// A read whose first attempt ends in that way is served by the next.
+fn served_by_the_next(act: fn() -> Do) -> Rig {
+    let act = once(act);
     let (edge, second) = (Cache::start(act.clone()), Cache::start(act));
-    let rig = rig_of_two(edge, &second, Cache::full());
+    let rig = rig_of(edge, Cache::full(), Cache::full(), |c| with_second(c, &second));
     let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
     assert_eq!(client.must().word, "200");
     assert_eq!(client.settle(), []);
+    rig
+}
+
+#[test]
+fn a_cache_that_talks_nonsense_loses_its_connection_and_no_request() {
+    let rig = served_by_the_next(|| Do::Raw(b"HTTP/1.1 200 OK\r\n\r\n"));
     assert_eq!((rig.router.counter("attempts_broken"), rig.router.counter("conns_now")), (1, 1));
 }
 
 #[test]
 fn an_answer_with_an_unknown_word_is_an_error_of_that_attempt_alone() {
-    let act = once(|| Do::Word("what", "no fields at all"));
-    let (edge, second) = (Cache::start(act.clone()), Cache::start(act));
-    let rig = rig_of_two(edge, &second, Cache::full());
-    let mut client = rig.router.client();
-    client.ask(1, "pages", 1, "", b"");
-    assert_eq!(client.must().word, "200");
-    assert_eq!(client.settle(), []);
+    let rig = served_by_the_next(|| Do::Word("what", "no fields at all"));
     assert_eq!((rig.router.counter("attempts_error"), rig.router.counter("conns_now")), (1, 2));
 }
 
@@ -533,11 +530,10 @@
 
 #[test]
 fn answers_that_wait_for_a_slow_reader_never_fill_the_memory() {
-    let (parent, origin, log) = (Cache::full(), Cache::full(), ChangeLog::start());
     let edge = Cache::start(|_| Do::Ok(vec![b'x'; 240_000]));
-    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
-    config["limits"]["memory_mb"] = json!(4);
-    let router = Router::start(&config);
+    let little = |c: &mut Value| c["limits"]["memory_mb"] = json!(4);
+    let rig = rig_of(edge, Cache::full(), Cache::full(), little);
+    let router = &rig.router;
     let mut slow: Vec<Client> = (0..3).map(|_| router.client()).collect();
     for client in &mut slow {
         (1..=30).for_each(|t| {
@@ -563,15 +559,15 @@
 
 #[test]
 fn a_router_started_while_its_predecessor_still_listens_waits_for_the_address() {
-    let (edge, parent, origin, log) = (Cache::full(), Cache::full(), Cache::full(), ChangeLog::start());
     let held = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut config = configuration(&three(&edge, &parent, &origin), log.address);
-    config["listen"] = json!(held.local_addr().expect("an address").to_string());
-    let waiting = thread::spawn(move || Router::start(&config));
+    let at = json!(held.local_addr().expect("an address").to_string());
+    let waiting = thread::spawn(|| {
+        rig_of(Cache::full(), Cache::full(), Cache::full(), |c: &mut Value| c["listen"] = at)
+    });
     thread::sleep(Duration::from_millis(300));
     drop(held);
-    let router = waiting.join().expect("a router that listens");
-    let mut client = router.client();
+    let rig = waiting.join().expect("a router that listens");
+    let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
     assert_eq!(client.must().word, "200");
     assert_eq!(client.settle(), []);
@@ -580,7 +576,7 @@
 #[test]
 fn an_attempt_to_a_machine_that_never_answers_ends_before_the_clients_time() {
     let silent = || Cache::start(|_| Do::Silent);
-    let rig = rig_of(silent(), silent(), silent());
+    let rig = rig_of(silent(), silent(), silent(), |_| {});
     let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
     client.ask(2, "loan", 2, "", b"borrow");
