--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -4,14 +4,14 @@
 use basaltgw::api::Ms;
 use std::time::Duration;
 
-/// Messages of clients: a write's body is the longest word.
-pub const FROM_CLIENT: Bounds = Bounds { words: 6, bytes: 64 * 1024 };
-/// Answers of caches: an object's bytes are the longest word.
+/// Messages of clients: a write carries up to 48,000 bytes.
+pub const FROM_CLIENT: Bounds = Bounds { words: 6, bytes: 56 * 1024 };
+/// Answers of caches: an object holds up to 240,000 bytes.
 pub const FROM_CACHE: Bounds = Bounds { words: 6, bytes: 256 * 1024 };
 /// Bytes read at once.
 pub const READ_BYTES: usize = 16 * 1024;
 /// Inputs that wait for the owner before sockets have to wait.
-pub const QUEUE: usize = 1024;
+pub const QUEUE: usize = 256;
 /// Requests open on one client's connection: four times what clients may have.
 pub const OPEN_PER_CLIENT: usize = 128;
 /// Clients hold one descriptor in so many.
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -19,7 +19,7 @@
 pub struct Bounds {
     /// Words.
     pub words: usize,
-    /// Bytes of a word.
+    /// Bytes of all its words together.
     pub bytes: usize,
 }
 
@@ -41,13 +41,15 @@
     at: usize,
     expect: Expect,
     left: usize,
+    /// Bytes that the message's further words may have.
+    room: usize,
     words: Vec<Vec<u8>>,
 }
 
 impl Decoder {
     /// A decoder at the start of a connection.
     pub fn new(bounds: Bounds) -> Self {
-        Self { bounds, buf: Vec::new(), at: 0, expect: Expect::Array, left: 0, words: Vec::new() }
+        Self { bounds, buf: Vec::new(), at: 0, expect: Expect::Array, left: 0, room: 0, words: Vec::new() }
     }
 
     /// Takes bytes in.
@@ -57,11 +59,6 @@
         self.buf.extend_from_slice(bytes);
     }
 
-    /// Bytes held of a message that is not whole.
-    pub fn held(&self) -> usize {
-        self.buf.len() - self.at + self.words.iter().map(Vec::len).sum::<usize>()
-    }
-
     /// The next whole message, if there is one. After an error the connection is of no more use.
     pub fn message(&mut self) -> Result<Option<Vec<Vec<u8>>>, Malformed> {
         loop {
@@ -71,10 +68,11 @@
                     if count == 0 {
                         return Err(Malformed("an array without words"));
                     }
-                    (self.left, self.expect) = (count, Expect::Header);
+                    (self.left, self.room, self.expect) = (count, self.bounds.bytes, Expect::Header);
                 }
                 Expect::Header => {
-                    let Some(length) = self.header(b'$', self.bounds.bytes)? else { break };
+                    let Some(length) = self.header(b'$', self.room)? else { break };
+                    self.room -= length;
                     self.expect = Expect::Body(length);
                 }
                 Expect::Body(length) => {
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use serde_json::json;
 
-const BOUNDS: Bounds = Bounds { words: 4, bytes: 100 };
+const BOUNDS: Bounds = Bounds { words: 4, bytes: 300 };
 
 fn names() -> Names {
     let v = json!({"areas": ["hub", "edge"], "kinds": ["box", "parent", "origin"],
@@ -61,13 +61,14 @@
         b"*000000001\r\n",
         b"*123456789",
         b"*1\r\n:1\r\n",
-        b"*1\r\n$101\r\n",
+        b"*1\r\n$301\r\n",
+        b"*2\r\n$3\r\nabc\r\n$298\r\n",
         b"*1\r\n$-1\r\n",
         b"*1\r\n$2\r\nabc\r\n",
     ] {
         assert!(decode(&[bytes]).is_err(), "{}", String::from_utf8_lossy(bytes));
     }
-    assert_eq!(decode(&[b"*1\r\n$100\r\n"]), Ok(vec![]));
+    assert_eq!(decode(&[b"*2\r\n$3\r\nabc\r\n$297\r\n"]), Ok(vec![]));
 }
 
 #[test]
