One event that can't be read holds up neither the start nor the change log

Cause, by reading: an unreadable event under known ended the process, and one in the change log was asked for again for ever, with every drain and purge after it unheard. Now the first is left out (check-config still fails on it), and the second is passed over when it is as bad on the next connection.

--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -107,6 +107,8 @@
     pub known_seq: Seq,
     /// The events told so far.
     pub known: Vec<News>,
+    /// Those among them that could not be read, by their faults.
+    pub unread: Vec<BadInput>,
     /// The module's settings.
     pub settings: Settings,
     /// Names by which messages speak.
@@ -177,8 +179,14 @@
         most_open: of_limits.whole("most-held", DEFAULT_OPEN)?.max(1) as usize,
     };
     let known = Keys(&v["known"], "known.");
-    let events = known.list("results")?.iter().enumerate();
-    let events = events.map(|(i, e)| news(e, &names).map_err(|e| e.within(&format!("known.results[{i}]"))));
+    let (mut events, mut unread) = (Vec::new(), Vec::new());
+    for (i, event) in known.list("results")?.iter().enumerate() {
+        // One event that can't be read is no reason not to start.
+        match news(event, &names) {
+            Ok(event) => events.push(event),
+            Err(e) => unread.push(e.within(&format!("known.results[{i}]"))),
+        }
+    }
     Ok(NodeConfig {
         name,
         listen,
@@ -186,7 +194,8 @@
         limits,
         changelog: address(text(&v["changelog"], "changelog")?, "changelog")?,
         known_seq: Seq(known.whole("seq", 0)?),
-        known: events.collect::<Result<_, _>>()?,
+        known: events,
+        unread,
         settings: set,
         names,
         transport,
--- a/crates/node/src/changelog.rs
+++ b/crates/node/src/changelog.rs
@@ -32,8 +32,8 @@
 pub struct Frame {
     /// The number.
     pub seq: Seq,
-    /// What it tells.
-    pub news: Option<News>,
+    /// What it tells, if that can be read.
+    pub news: Result<Option<News>, BadFrame>,
 }
 
 /// Reads big-endian numbers off a payload.
@@ -45,14 +45,6 @@
         self.0 = rest;
         Ok(head.iter().fold(0, |n, b| n << 8 | u64::from(*b)))
     }
-
-    fn end(self, frame: Frame) -> Result<Frame, BadFrame> {
-        if self.0.is_empty() {
-            Ok(frame)
-        } else {
-            Err(BadFrame("a payload that is too long"))
-        }
-    }
 }
 
 /// Takes bytes in any pieces and gives whole frames.
@@ -73,20 +65,17 @@
             return Err(BadFrame("a length out of bounds"));
         }
         let Some(body) = rest.get(..length) else { return Ok(None) };
-        let frame = frame(Bytes(body), names)?;
+        let mut body = Bytes(body);
+        let frame = Frame { seq: Seq(body.number(8)?), news: news(body, names) };
         self.0.drain(..4 + length);
         Ok(Some(frame))
     }
 }
 
-fn frame(mut b: Bytes<'_>, names: &Names) -> Result<Frame, BadFrame> {
-    let seq = Seq(b.number(8)?);
+fn news(mut b: Bytes<'_>, names: &Names) -> Result<Option<News>, BadFrame> {
     let news = match b.number(1)? {
         0 => None,
         kind @ (1 | 2) => {
-            if !b.0.len().is_multiple_of(RECORD) {
-                return Err(BadFrame("a list that is no whole number of records"));
-            }
             let mut members = Vec::with_capacity(b.0.len() / RECORD);
             while !b.0.is_empty() {
                 members.push(record(&mut b, names)?);
@@ -103,7 +92,11 @@
         }
         _ => return Err(BadFrame("an unknown kind")),
     };
-    b.end(Frame { seq, news })
+    if b.0.is_empty() {
+        Ok(news)
+    } else {
+        Err(BadFrame("a payload that is too long"))
+    }
 }
 
 fn record(b: &mut Bytes<'_>, names: &Names) -> Result<Member, BadFrame> {
@@ -124,18 +117,19 @@
     Ok(Member { entry: ServerEntry { id, zone, role, cell, listed, weight, started }, address })
 }
 
-/// Which frame comes next, and what a connection's end means for the one after.
+/// Which event comes next, and what a fault means for the connection.
 #[derive(Debug)]
 pub struct Follower {
     last: Seq,
-    /// A gap was met at this event; met again on the next connection, the log holds no more than that.
-    gap: Option<Seq>,
+    /// A gap or an unreadable event was met here. Met again on the next connection, the log has nothing better, and
+    /// what follows must not wait for it.
+    fault: Option<Seq>,
 }
 
 impl Follower {
     /// A follower that has events up to `last`.
     pub fn new(last: Seq) -> Self {
-        Self { last, gap: None }
+        Self { last, fault: None }
     }
 
     /// The last event it has.
@@ -143,18 +137,30 @@
         self.last
     }
 
-    /// Passes a frame's news on if it is the next event. An event that is known already is passed over.
+    /// Passes a frame's news on if it is the next event. An event that is known already is passed over. After an error the
+    /// connection is of no more use.
     pub fn take(&mut self, frame: Frame) -> Result<Option<News>, BadFrame> {
-        let Some(news) = frame.news else { return Ok(None) };
-        if frame.seq <= self.last {
-            return Ok(None);
-        }
-        if frame.seq.0 > self.last.0 + 1 && self.gap != Some(frame.seq) {
-            self.gap = Some(frame.seq);
+        let known = frame.seq <= self.last;
+        let news = match frame.news {
+            Ok(None) => return Ok(None),
+            Ok(Some(_)) if known => return Ok(None),
+            Err(e) if known => return Err(e),
+            news => news,
+        };
+        let again = self.fault.replace(frame.seq) == Some(frame.seq);
+        if frame.seq.0 > self.last.0 + 1 && !again {
             return Err(BadFrame("a gap"));
         }
-        (self.last, self.gap) = (frame.seq, None);
-        Ok(Some(news))
+        let news = match news {
+            Err(e) if !again => return Err(e),
+            Err(e) => {
+                log::warn!("change log: event {} is passed over: {e}", frame.seq.0);
+                None
+            }
+            Ok(news) => news,
+        };
+        (self.last, self.fault) = (frame.seq, None);
+        Ok(news)
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -49,6 +49,7 @@
 
 /// Runs a router until it is asked to end; gives its counters.
 pub fn serve(config: NodeConfig) -> io::Result<Counters> {
+    config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
     let executor = Rc::new(LocalExecutor::new());
     let clock = Rc::new(clock::Clock::default());
     let meter = Rc::new(outbox::Meter::default());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -73,9 +73,13 @@
             println!("basaltgw {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig => configuration().map_err(|e| e.to_string()).map(|c| {
-            println!("{}: {} events known, listens at {}", c.name, c.known.len(), c.listen);
-        }),
+        Command::CheckConfig => configuration()
+            .and_then(|c| match c.unread.first() {
+                Some(fault) => Err(fault.clone()),
+                None => Ok(c),
+            })
+            .map_err(|e| e.to_string())
+            .map(|c| println!("{}: {} events known, listens at {}", c.name, c.known.len(), c.listen)),
         Command::Serve => configuration()
             .map_err(|e| e.to_string())
             .and_then(|c| serve(c).map_err(|e| e.to_string()))
