News goes before what the last batch left over; unit tests for what news recalls

Cause, by reading: outcomes left over from a batch were told before the next batch's lists and purges, so that a request could be decided again without them. Tests on an owner whose connections never come up: a drain before a request of its batch, and what is recalled by a drain, a whole list and a purge. Each guard was taken out once to see its test fail.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -197,13 +197,13 @@
     fn batch(&mut self, inputs: &mut Vec<Input>) {
         self.now = self.clock.now();
         let begun = self.now;
-        // Purges and drains go before all that came with them.
+        // Purges and drains go before all that came with them, and before what is decided again.
         let (news, others): (Vec<_>, Vec<_>) =
             inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
-        for event in std::mem::take(&mut self.pending) {
-            self.tell(event);
-        }
-        news.into_iter().chain(others).for_each(|input| self.input(input));
+        let left_over = std::mem::take(&mut self.pending);
+        news.into_iter().for_each(|input| self.input(input));
+        left_over.into_iter().for_each(|event| self.tell(event));
+        others.into_iter().for_each(|input| self.input(input));
         let now = micros(self.now);
         let mut due = Vec::new();
         while let Some(Reverse((_, _, what))) = self.timers.peek().filter(|Reverse((at, ..))| *at <= now) {
@@ -593,3 +593,123 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::caches;
+    use crate::clients::WireId;
+    use crate::outbox::outbox;
+    use async_executor::LocalExecutor;
+    use basaltgw_config::{parse, Environment};
+    use serde_json::json;
+
+    const CLIENT: ClientId = ClientId(1);
+
+    /// An owner before two edge caches whose connections never come up, since nothing runs its executor.
+    fn owner() -> (Owner, async_channel::Receiver<Rc<Parcel>>) {
+        let member = |id: &str, port: u16, flavor: &str| {
+            json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "locality": "here", "flavor": flavor,
+                   "phase": "SERVING"})
+        };
+        let config = json!({
+            "listen": "127.0.0.1:1", "changelog": "127.0.0.1:2",
+            "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"complete": true, "members": [
+                member("s-0000000a", 3, "box"), member("s-0000000b", 4, "box"), member("s-0000000c", 5, "origin")]}}]},
+            "settings": {"areas": ["here"], "my-zone": "here", "kinds": ["box", "origin"],
+                         "family-info": {"shield-kind": -1, "store-kind": 1, "purge-settles": 6000.0},
+                         "services": [{"name": "pages", "idempotency": "read_like", "deadline": 5000.0, "slo": 400.0}],
+                         "limits": {"try-limit": 8, "cancel": true}}
+        });
+        let config = parse(&config, &Environment::default()).expect("a configuration");
+        let meter = Rc::default();
+        let shared = caches::Shared {
+            executor: Rc::new(LocalExecutor::new()),
+            queue: async_channel::unbounded().0,
+            meter: Rc::clone(&meter),
+            held_limit: usize::MAX,
+            most: 100,
+            transport: config.transport,
+        };
+        let (out, written) = outbox(&meter, &Rc::default());
+        let mut owner = Owner::new(&config, Rc::default(), meter, Caches::new(shared));
+        owner.batch(&mut vec![Input::ClientOpen(CLIENT, out)]);
+        (owner, written)
+    }
+
+    fn request(owner: &Owner, tag: u64) -> Input {
+        let request = Do {
+            id: WireId(Arc::from(format!("{tag:016x}"))),
+            class: "pages".into(),
+            object: ObjectId(7),
+            object_text: "0000000000000007".into(),
+            part: Part(0),
+            group: GroupId(17),
+            size_kb: 0.0,
+            left: 60_000.0,
+            got: None,
+            body: Vec::new(),
+        };
+        Input::Client(CLIENT, FromClient::Do(Tag(tag), Box::new(request)), owner.clock.now())
+    }
+
+    /// The servers of a request's attempts, and whether each is still out.
+    fn attempts(owner: &Owner, no: u64) -> Vec<(ServerId, bool)> {
+        let open = owner.requests.get(&RequestNo(no)).expect("an open request");
+        open.attempts.iter().map(|a| (a.server.clone(), a.way.is_some())).collect()
+    }
+
+    fn draining(owner: &Owner, id: &ServerId) -> Input {
+        let address = owner.servers.get(id).expect("a listed server").address;
+        let entry = ServerEntry {
+            id: id.clone(),
+            zone: ZoneId(0),
+            role: Role::Edge,
+            cell: 0,
+            listed: Listed::Draining,
+            weight: 1.0,
+            started: None,
+        };
+        Input::News(News::Servers { whole: false, members: vec![Member { entry, address }] })
+    }
+
+    #[test]
+    fn a_drain_goes_before_a_request_of_its_batch_and_recalls_what_waits() {
+        let (mut owner, written) = owner();
+        let first = request(&owner, 1);
+        owner.batch(&mut vec![first]);
+        let [(home, true)] = &attempts(&owner, 1)[..] else { panic!("one attempt that is out") };
+        let home = home.clone();
+        let (second, drain) = (request(&owner, 2), draining(&owner, &home));
+        owner.batch(&mut vec![second, drain]);
+        let other = attempts(&owner, 2);
+        assert!(other.len() == 1 && other[0].0 != home, "decided after the news: {other:?}");
+        assert_eq!(attempts(&owner, 1), [(home, false), (other[0].0.clone(), true)]);
+        assert_eq!((owner.counters.attempts, written.len()), (3, 0));
+    }
+
+    #[test]
+    fn a_whole_list_recalls_what_waits_for_servers_it_leaves_out() {
+        let (mut owner, _written) = owner();
+        let first = request(&owner, 1);
+        owner.batch(&mut vec![first]);
+        owner.batch(&mut vec![Input::News(News::Servers { whole: true, members: Vec::new() })]);
+        // There is nowhere left to go, so it is answered; and nothing of it is out.
+        assert!(owner.requests.is_empty());
+        assert_eq!((owner.counters.refused, owner.counters.attempts), (1, 1));
+    }
+
+    #[test]
+    fn a_purge_recalls_what_waits_with_an_older_age_limit() {
+        let (mut owner, _written) = owner();
+        let first = request(&owner, 1);
+        owner.batch(&mut vec![first]);
+        let purge = |group| News::Purge { object: None, group: GroupId(group), time: owner.clock.now() };
+        let (elsewhere, here) = (Input::News(purge(16)), Input::News(purge(17)));
+        owner.batch(&mut vec![elsewhere]);
+        assert_eq!(attempts(&owner, 1).len(), 1, "another group's purge is no reason");
+        owner.batch(&mut vec![here]);
+        let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
+        assert_eq!(out, [false, true], "decided again");
+    }
+}
