Signals are heard before the first client is

Cause: on a machine kept busy (twelve loops on four cores) one or two of the node's tests failed with counters never printed: signals were listened for by a task that ran only after the address was announced, so one that came before killed the process. Now they are listened for before anything else is opened.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,6 +50,7 @@
 /// Runs a router until it is asked to end; gives its counters.
 pub fn serve(config: NodeConfig) -> io::Result<Counters> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
+    let signals = shutdown::listen()?;
     let executor = Rc::new(LocalExecutor::new());
     let clock = Rc::new(clock::Clock::default());
     let meter = Rc::new(outbox::Meter::default());
@@ -78,7 +79,7 @@
     let listener = executor.spawn(clients::accept(listener, shared));
     let follow = changelog::follow(config.changelog, config.known_seq, config.names.clone(), queue.clone());
     executor.spawn(follow).detach();
-    executor.spawn(shutdown::watch(queue)).detach();
+    executor.spawn(shutdown::watch(signals, queue)).detach();
     Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
 }
 
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -6,13 +6,15 @@
 use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
 use futures_lite::StreamExt;
+use std::io;
+
+/// Listens for signals from now on; before this, each of them would kill the process.
+pub fn listen() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+}
 
 /// Passes signals on: TERM and INT end the router, USR1 asks for its counters.
-pub async fn watch(queue: Sender<Input>) {
-    let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Usr1]) {
-        Ok(signals) => signals,
-        Err(e) => return log::error!("no signals are heard: {e}"),
-    };
+pub async fn watch(mut signals: Signals, queue: Sender<Input>) {
     while let Some(signal) = signals.next().await {
         let input = match signal {
             Ok(Signal::Usr1) => Input::Count,
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -367,6 +367,16 @@
     assert_eq!(client.settle(), []);
 }
 
+#[test]
+fn a_signal_at_the_very_start_is_heard() {
+    for _ in 0..5 {
+        let mut rig = rig(Cache::full());
+        assert_eq!(rig.router.counter("requests"), 0);
+        rig.router.signal("TERM");
+        assert!(rig.router.ended().success());
+    }
+}
+
 #[test]
 fn sigterm_under_load_loses_nothing_and_then_the_process_ends() {
     const SLOW: u64 = 0xffff;
