--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -202,7 +202,7 @@
 }
 
 /// Ids that a connection remembers as given up.
-const ABORTED_KEPT: usize = 4096;
+const ABORTED_KEPT: usize = 1024;
 
 impl Conn {
     /// Something was asked, and nothing at all came for long.
