A client that reads nothing keeps its connection for 30 s, not 6

Cause, by reading: closing it gives up all that is open on it, also requests that came later and could still be answered; memory is already kept by failing what waits. Servers keep 6 s.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -3,7 +3,7 @@
 use crate::clients::WireId;
 use crate::clock::late;
 use crate::limits::{
-    ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SILENT_MS, STALLED, WAIT,
+    ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SERVER_STALLED, SILENT_MS, WAIT,
 };
 use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
 use crate::resp::{encode, Decoder, FieldList, Fields};
@@ -389,7 +389,7 @@
         log::debug!("{}: {e}", place.address);
     }
     if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
-        future::or(read(at, &socket, shared), write_all(&socket, parcels, || late(STALLED))).await;
+        future::or(read(at, &socket, shared), write_all(&socket, parcels, || late(SERVER_STALLED))).await;
     }
     Down::Ended
 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
 use crate::clock::{late, Clock};
-use crate::limits::{ACCEPT_REST, CLIENT_UNSENT, FROM_CLIENT, READ_BYTES, STALLED, WAIT};
+use crate::limits::{ACCEPT_REST, CLIENT_STALLED, CLIENT_UNSENT, FROM_CLIENT, READ_BYTES, WAIT};
 use crate::outbox::{outbox, write_all, Meter};
 use crate::resp::{encode, Decoder, FieldList, Fields};
 use crate::Input;
@@ -207,7 +207,7 @@
     if shared.queue.send(Input::ClientOpen(id, outbox)).await.is_err() {
         return;
     }
-    future::or(read(id, &socket, &shared, &own), write_all(&socket, parcels, || late(STALLED))).await;
+    future::or(read(id, &socket, &shared, &own), write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
     // The owner is gone only when the process ends.
     let _ = shared.queue.send(Input::ClientClosed(id)).await;
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -38,8 +38,11 @@
 pub const HELD_STOP_SHARE: f64 = 0.5;
 /// How often what had to wait is tried again.
 pub const WAIT: Duration = Duration::from_millis(5);
-/// A client that takes no byte of an answer for so long is gone.
-pub const STALLED: Duration = Duration::from_secs(6);
+/// A client that takes no byte of an answer for so long is gone. Long, since what is open on its connection goes with it;
+/// until then its answers wait, or are failed for want of memory.
+pub const CLIENT_STALLED: Duration = Duration::from_secs(30);
+/// A server that takes no byte for so long is gone.
+pub const SERVER_STALLED: Duration = Duration::from_secs(6);
 /// A client's connection on which nothing is open and nothing came for so long is closed: clients that are still there close
 /// their own sooner, so that only those that vanished are met.
 pub const CLIENT_IDLE_MS: Ms = 15_000.0;
