--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -160,16 +160,16 @@
 }
 
 /// The place of a connected client, free again when dropped.
-struct Place(Rc<Cell<usize>>);
+struct Slot(Rc<Cell<usize>>);
 
-impl Place {
+impl Slot {
     fn take(taken: &Rc<Cell<usize>>) -> Self {
         taken.set(taken.get() + 1);
         Self(Rc::clone(taken))
     }
 }
 
-impl Drop for Place {
+impl Drop for Slot {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
@@ -186,8 +186,8 @@
         match listener.accept().await {
             Ok((socket, _)) => {
                 count += 1;
-                let place = Place::take(&taken);
-                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), place)).detach();
+                let slot = Slot::take(&taken);
+                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), slot)).detach();
             }
             Err(e) => {
                 log::debug!("accept: {e}");
@@ -198,7 +198,7 @@
 }
 
 /// A client's connection from its start to its end; the socket is closed when this returns.
-async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, _place: Place) {
+async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, _slot: Slot) {
     if let Err(e) = socket.get_ref().set_nodelay(true) {
         log::debug!("client {}: {e}", id.0);
     }
