One loop reads both clients and caches; small repeats folded

Clients and caches each had the same read loop and nearly the same record of what connections share: both are one now (inbox.rs, Shared). Clients are asked whether they are at rest only while the router ends. The change log's back-off no longer tests what a frame heard implies.

--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -77,6 +77,13 @@
     pub sockets: u64,
 }
 
+impl Limits {
+    /// A share of the memory, in bytes.
+    pub fn share_of_memory(&self, share: f64) -> usize {
+        (self.memory_mb as f64 * 1e6 * share) as usize
+    }
+}
+
 /// What the settings say of connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Transport {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -113,15 +113,15 @@
         origin: kind("store-kind")?,
         zones,
     };
-    let zone = place(&names.zones, s.text("my-zone", "")?).unwrap_or(0);
+    let zone = names.zone(s.text("my-zone", "")?).unwrap_or(ZoneId(0));
     let routers = s.whole("peers-total", 1)? as usize;
-    let by_zone = family.list("count-by-zone")?.get(zone);
+    let by_zone = family.list("count-by-zone")?.get(zone.0);
     let zone_routers = by_zone.map(|v| whole(v, "settings.family-info.count-by-zone")).transpose()?;
     let hubs = family.list("zone-hub")?.iter();
     let hubs = hubs.map(|v| whole(v, "settings.family-info.zone-hub").map(|h| ZoneId(h as usize)));
     let window = contract.number("fall", 0.0)?;
     let parsed = Settings {
-        zone: ZoneId(zone),
+        zone,
         zone_routers: zone_routers.map_or(routers, |n| n as usize).max(1),
         routers: routers.max(1),
         zone_hub: hubs.collect::<Result<_, _>>()?,
--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -2,18 +2,15 @@
 
 use crate::clients::WireId;
 use crate::clock::late;
-use crate::limits::{
-    ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, READ_BYTES, SERVER_STALLED, SILENT_MS, WAIT,
-};
+use crate::inbox::read_all;
+use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, SERVER_STALLED, SILENT_MS};
 use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
-use crate::resp::{encode, Decoder, FieldList, Fields};
-use crate::Input;
-use async_channel::Sender;
-use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use crate::resp::{encode, FieldList, Fields};
+use crate::{Input, Shared};
+use async_io::Async;
 use basaltgw::api::{AttemptNo, End, Load, Ms, Note, Rank, ServerId};
 use basaltgw_config::{Place, Transport};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -216,34 +213,20 @@
     }
 }
 
-/// What connections to servers share.
-#[derive(Clone)]
-pub struct Shared {
-    /// Where connections run.
-    pub executor: Rc<LocalExecutor<'static>>,
-    /// To the owner.
-    pub queue: Sender<Input>,
-    /// Bytes held by all connections.
-    pub meter: Rc<Meter>,
-    /// No more is read from servers while so much is held.
-    pub held_limit: usize,
-    /// Connections to servers that may be open.
-    pub most: usize,
-    /// What the settings say.
-    pub transport: Transport,
-}
-
 /// All connections to servers.
 pub struct Caches {
     shared: Shared,
+    /// Connections that may be open.
+    most: usize,
+    transport: Transport,
     conns: BTreeMap<ConnId, Conn>,
     count: u64,
 }
 
 impl Caches {
     /// No connections yet.
-    pub fn new(shared: Shared) -> Self {
-        Self { shared, conns: BTreeMap::new(), count: 0 }
+    pub fn new(shared: Shared, most: usize, transport: Transport) -> Self {
+        Self { shared, most, transport, conns: BTreeMap::new(), count: 0 }
     }
 
     /// Connections that are open or coming up, and how many there ever were.
@@ -262,7 +245,7 @@
         bytes: Vec<u8>,
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
-        let streams = self.shared.transport.max_streams;
+        let streams = self.transport.max_streams;
         let mut of_server = 0;
         let mut chosen = None;
         for (at, conn) in self.conns.iter().filter(|(_, c)| c.server == *server && c.place == place) {
@@ -273,7 +256,7 @@
         }
         let at = match chosen {
             Some(at) => at,
-            None if of_server < CONNS_PER_SERVER && self.conns.len() < self.shared.most => {
+            None if of_server < CONNS_PER_SERVER && self.conns.len() < self.most => {
                 self.open(now, server, place)
             }
             None => return None,
@@ -297,8 +280,9 @@
             Conn { server, place, out, up: false, retired: false, open, aborted, asked: None, used: now };
         self.conns.insert(at, conn);
         let shared = self.shared.clone();
+        let limit = Duration::from_secs_f64(self.transport.connect_timeout.clamp(1.0, 60_000.0) / 1000.0);
         let run = async move {
-            let down = connection(at, place, &shared, parcels).await;
+            let down = connection(at, place, limit, &shared, parcels).await;
             // The owner is gone only when the process ends.
             let _ = shared.queue.send(Input::CacheDown(at, down)).await;
         };
@@ -361,7 +345,7 @@
 
     /// Closes connections that carry nothing and are idle or retired, or on which all was given up before a word came.
     pub fn tidy(&mut self, now: Ms) {
-        let idle = self.shared.transport.conn_idle * IDLE_SHARE;
+        let idle = self.transport.conn_idle * IDLE_SHARE;
         self.conns.retain(|_, c| {
             let unheard = c.asked.is_some_and(|t| now - t >= ABANDONED_MS);
             !(c.open.is_empty() && (c.retired || unheard || now - c.used >= idle))
@@ -373,10 +357,10 @@
 async fn connection(
     at: ConnId,
     place: Place,
+    limit: Duration,
     shared: &Shared,
     parcels: async_channel::Receiver<Rc<Parcel>>,
 ) -> Down {
-    let limit = Duration::from_secs_f64(shared.transport.connect_timeout.clamp(1.0, 60_000.0) / 1000.0);
     let connect = async { Async::<TcpStream>::connect(place.address).await };
     let socket = match future::or(connect, late(limit)).await {
         Ok(socket) => socket,
@@ -389,35 +373,13 @@
         log::debug!("{}: {e}", place.address);
     }
     if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
-        future::or(read(at, &socket, shared), write_all(&socket, parcels, || late(SERVER_STALLED))).await;
-    }
-    Down::Ended
-}
-
-async fn read(at: ConnId, mut socket: &Async<TcpStream>, shared: &Shared) {
-    let mut decoder = Decoder::new(FROM_CACHE);
-    let mut piece = vec![0; READ_BYTES];
-    loop {
-        while shared.meter.held() > shared.held_limit {
-            Timer::after(WAIT).await;
-        }
-        let n = match socket.read(&mut piece).await {
-            Ok(n) if n > 0 => n,
-            Ok(_) | Err(_) => return,
-        };
-        decoder.feed(piece.get(..n).unwrap_or_default());
-        loop {
-            let answer = match decoder.message() {
-                Ok(Some(words)) => Answer::read(words, &[&shared.meter]),
-                Ok(None) => break,
-                Err(e) => return log::debug!("connection {} closed: {e}", at.0),
-            };
-            let Some(answer) = answer else {
-                return log::debug!("connection {} closed: an answer that can't be read", at.0);
-            };
-            if shared.queue.send(Input::Cache(at, answer)).await.is_err() {
-                return;
+        let read = async {
+            let typed = |words, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
+            if let Err(e) = read_all(&socket, FROM_CACHE, shared, || false, typed).await {
+                log::debug!("connection {} closed: {e}", at.0);
             }
-        }
+        };
+        future::or(read, write_all(&socket, parcels, || late(SERVER_STALLED))).await;
     }
+    Down::Ended
 }
--- a/crates/node/src/changelog.rs
+++ b/crates/node/src/changelog.rs
@@ -169,14 +169,13 @@
     let mut follower = Follower::new(from);
     let mut rest = LOG_REST;
     loop {
-        let before = follower.last;
         let mut heard = false;
         let why = match connection(at, &mut follower, &names, &queue, &mut heard).await {
             Ok(()) => return,
             Err(e) => e,
         };
         log::info!("change log: {why}; resumed after event {}", follower.last.0);
-        if heard || follower.last > before {
+        if heard {
             rest = LOG_REST;
         }
         Timer::after(rest).await;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,15 +1,14 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
-use crate::clock::{late, Clock};
-use crate::limits::{ACCEPT_REST, CLIENT_STALLED, CLIENT_UNSENT, FROM_CLIENT, READ_BYTES, WAIT};
+use crate::clock::late;
+use crate::inbox::read_all;
+use crate::limits::{ACCEPT_REST, CLIENT_STALLED, CLIENT_UNSENT, FROM_CLIENT, WAIT};
 use crate::outbox::{outbox, write_all, Meter};
-use crate::resp::{encode, Decoder, FieldList, Fields};
-use crate::Input;
-use async_channel::Sender;
-use async_executor::LocalExecutor;
+use crate::resp::{encode, FieldList, Fields};
+use crate::{Input, Shared};
 use async_io::{Async, Timer};
 use basaltgw::api::{GroupId, Ms, ObjectId, Part};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use std::cell::Cell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -142,23 +141,6 @@
     encode(&[tag.0.to_string().as_bytes(), word, b"", b""])
 }
 
-/// What clients' connections share.
-#[derive(Clone)]
-pub struct Shared {
-    /// Where connections run.
-    pub executor: Rc<LocalExecutor<'static>>,
-    /// To the owner.
-    pub queue: Sender<Input>,
-    /// The time.
-    pub clock: Rc<Clock>,
-    /// Bytes held by all connections.
-    pub meter: Rc<Meter>,
-    /// No more is read from clients while so much is held.
-    pub held_limit: usize,
-    /// Clients that may be connected.
-    pub most: usize,
-}
-
 /// The place of a connected client, free again when dropped.
 struct Slot(Rc<Cell<usize>>);
 
@@ -176,11 +158,11 @@
 }
 
 /// Accepts clients for good. Without a free place or descriptor they wait in the listener's backlog.
-pub async fn accept(listener: Async<TcpListener>, shared: Shared) {
+pub async fn accept(listener: Async<TcpListener>, most: usize, shared: Shared) {
     let taken = Rc::new(Cell::new(0));
     let mut count = 0;
     loop {
-        while taken.get() >= shared.most {
+        while taken.get() >= most {
             Timer::after(WAIT).await;
         }
         match listener.accept().await {
@@ -207,36 +189,14 @@
     if shared.queue.send(Input::ClientOpen(id, outbox)).await.is_err() {
         return;
     }
-    future::or(read(id, &socket, &shared, &own), write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
+    let read = async {
+        let full = || own.held() > CLIENT_UNSENT;
+        let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
+        if let Err(e) = read_all(&socket, FROM_CLIENT, &shared, full, typed).await {
+            log::debug!("client {} closed: {e}", id.0);
+        }
+    };
+    future::or(read, write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
     // The owner is gone only when the process ends.
     let _ = shared.queue.send(Input::ClientClosed(id)).await;
 }
-
-async fn read(id: ClientId, mut socket: &Async<TcpStream>, shared: &Shared, own: &Meter) {
-    let mut decoder = Decoder::new(FROM_CLIENT);
-    let mut piece = vec![0; READ_BYTES];
-    loop {
-        while shared.meter.held() > shared.held_limit || own.held() > CLIENT_UNSENT {
-            Timer::after(WAIT).await;
-        }
-        let n = match socket.read(&mut piece).await {
-            Ok(n) if n > 0 => n,
-            Ok(_) | Err(_) => return,
-        };
-        decoder.feed(piece.get(..n).unwrap_or_default());
-        let now = shared.clock.now();
-        loop {
-            let message = match decoder.message() {
-                Ok(Some(words)) => FromClient::read(words),
-                Ok(None) => break,
-                Err(e) => return log::debug!("client {} closed: {e}", id.0),
-            };
-            let Some(message) = message else {
-                return log::debug!("client {} closed: a message without a tag", id.0);
-            };
-            if shared.queue.send(Input::Client(id, message, now)).await.is_err() {
-                return;
-            }
-        }
-    }
-}
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -72,18 +72,6 @@
     }
 }
 
-const ENDS: [End; 9] = [
-    End::Served,
-    End::Error,
-    End::Full,
-    End::Late,
-    End::NoConnection,
-    End::Broken,
-    End::Cancelled,
-    End::NotSent,
-    End::Miss,
-];
-
 impl Counters {
     /// Counts the end of an attempt.
     pub fn ended(&mut self, end: End) {
@@ -112,8 +100,8 @@
         write!(f, "refused={} failed={} turned_away={} ", self.refused, self.failed, self.turned_away)?;
         write!(f, "taken_back={} withheld={} ", self.taken_back, self.withheld)?;
         write!(f, "attempts={}", self.attempts)?;
-        for (end, count) in ENDS.iter().zip(self.ends) {
-            write!(f, " attempts_{}={count}", end_name(*end).1)?;
+        for (at, name) in End::ALL.map(end_name) {
+            write!(f, " attempts_{name}={}", self.ends[at])?;
         }
         write!(f, " late_answers={} conns={} conns_now={} ", self.late_answers, self.conns, self.conns_now)?;
         write!(f, "conns_failed={} lists={} purges={} ", self.conns_failed, self.lists, self.purges)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,12 +10,14 @@
 pub mod clients;
 pub mod clock;
 pub mod counters;
+pub mod inbox;
 pub mod limits;
 pub mod outbox;
 pub mod owner;
 pub mod resp;
 pub mod shutdown;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use basaltgw_config::{News, NodeConfig};
@@ -47,39 +49,44 @@
     Count,
 }
 
+/// What all connections share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Where they run.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// To the owner.
+    pub queue: Sender<Input>,
+    /// The time.
+    pub clock: Rc<clock::Clock>,
+    /// Bytes held by all of them.
+    pub meter: Rc<outbox::Meter>,
+    /// Nothing more is read while so much is held.
+    pub held_limit: usize,
+}
+
 /// Runs a router until it is asked to end; gives its counters.
 pub fn serve(config: NodeConfig) -> io::Result<Counters> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
     let signals = shutdown::listen()?;
-    let executor = Rc::new(LocalExecutor::new());
-    let clock = Rc::new(clock::Clock::default());
-    let meter = Rc::new(outbox::Meter::default());
     let (queue, inputs) = async_channel::bounded(limits::QUEUE);
-    let memory = config.limits.memory_mb as f64 * 1e6;
-    let clients = config.limits.sockets / limits::CLIENT_SHARE;
-    let shared = caches::Shared {
-        executor: Rc::clone(&executor),
-        queue: queue.clone(),
-        meter: Rc::clone(&meter),
-        held_limit: (memory * limits::HELD_STOP_SHARE) as usize,
-        most: config.limits.sockets.saturating_sub(clients + limits::OWN_DESCRIPTORS) as usize,
-        transport: config.transport,
+    let shared = Shared {
+        executor: Rc::new(LocalExecutor::new()),
+        queue,
+        clock: Rc::default(),
+        meter: Rc::default(),
+        held_limit: config.limits.share_of_memory(limits::HELD_STOP_SHARE),
     };
-    let owner = owner::Owner::new(&config, Rc::clone(&clock), Rc::clone(&meter), caches::Caches::new(shared));
+    let clients = config.limits.sockets / limits::CLIENT_SHARE;
+    let servers = config.limits.sockets.saturating_sub(clients + limits::OWN_DESCRIPTORS);
+    let caches = caches::Caches::new(shared.clone(), servers as usize, config.transport);
+    let owner = owner::Owner::new(&config, &shared, caches);
     let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
-    let shared = clients::Shared {
-        executor: Rc::clone(&executor),
-        queue: queue.clone(),
-        clock,
-        meter,
-        held_limit: (memory * limits::HELD_STOP_SHARE) as usize,
-        most: clients as usize,
-    };
-    let listener = executor.spawn(clients::accept(listener, shared));
-    let follow = changelog::follow(config.changelog, config.known_seq, config.names.clone(), queue.clone());
-    executor.spawn(follow).detach();
-    executor.spawn(shutdown::watch(signals, queue)).detach();
+    let executor = Rc::clone(&shared.executor);
+    let listener = executor.spawn(clients::accept(listener, clients as usize, shared.clone()));
+    let queue = shared.queue.clone();
+    executor.spawn(changelog::follow(config.changelog, config.known_seq, config.names, queue)).detach();
+    executor.spawn(shutdown::watch(signals, shared.queue)).detach();
     Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,7 @@
 //! basaltgw: the router on sockets, from the command line.
 #![forbid(unsafe_code)]
 
-use basaltgw_config::{read, BadInput, Environment, NodeConfig};
+use basaltgw_config::{read, Environment, NodeConfig};
 use basaltgw_node::serve;
 use std::process::ExitCode;
 
@@ -50,8 +50,8 @@
     }
 }
 
-fn configuration() -> Result<NodeConfig, BadInput> {
-    read(&Environment::take())
+fn configuration() -> Result<NodeConfig, String> {
+    read(&Environment::take()).map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
@@ -75,13 +75,11 @@
         }
         Command::CheckConfig => configuration()
             .and_then(|c| match c.unread.first() {
-                Some(fault) => Err(fault.clone()),
+                Some(fault) => Err(fault.to_string()),
                 None => Ok(c),
             })
-            .map_err(|e| e.to_string())
             .map(|c| println!("{}: {} events known, listens at {}", c.name, c.known.len(), c.listen)),
         Command::Serve => configuration()
-            .map_err(|e| e.to_string())
             .and_then(|c| serve(c).map_err(|e| e.to_string()))
             .map(|counters| log::info!("ended: {counters}")),
     };
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,7 +7,7 @@
 use crate::limits::{CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT};
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::shutdown::Ending;
-use crate::Input;
+use crate::{Input, Shared};
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
@@ -129,17 +129,17 @@
 
 impl Owner {
     /// An owner with a fresh module that has heard what is known.
-    pub fn new(config: &NodeConfig, clock: Rc<Clock>, meter: Rc<Meter>, caches: Caches) -> Self {
+    pub fn new(config: &NodeConfig, shared: &Shared, caches: Caches) -> Self {
         let mut owner = Self {
             router: Router::new(config.settings.clone(), config.seed),
             names: config.names.clone(),
             tick: config.settings.tick,
             max_attempts: config.settings.max_attempts,
             most_open: config.transport.most_open,
-            most_held: (config.limits.memory_mb as f64 * 1e6 * HELD_SHARE) as usize,
-            now: clock.now(),
-            clock,
-            meter,
+            most_held: config.limits.share_of_memory(HELD_SHARE),
+            now: shared.clock.now(),
+            clock: Rc::clone(&shared.clock),
+            meter: Rc::clone(&shared.meter),
             caches,
             clients: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -183,13 +183,12 @@
             }
             self.batch(&mut inputs);
             if !self.ending.accepts(self.now) {
-                listener = None;
-            }
-            let open = self.clients.values().any(|c| !c.at_rest());
-            if self.ending.over(self.now, open) {
-                drop(listener);
-                self.count();
-                return self.counters;
+                drop(listener.take());
+                let open = self.clients.values().any(|c| !c.at_rest());
+                if self.ending.over(self.now, open) {
+                    self.count();
+                    return self.counters;
+                }
             }
         }
     }
@@ -240,10 +239,7 @@
                 self.clients.insert(id, Client { outbox, open, unsent, heard: self.now });
             }
             Input::Client(id, message, at) => self.message(id, message, at),
-            Input::ClientClosed(id) => {
-                let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
-                open.into_values().for_each(|no| self.left(no));
-            }
+            Input::ClientClosed(id) => self.disconnect(id),
             Input::CacheUp(at) => self.caches.up(self.now, at),
             Input::Cache(at, answer) => self.outcome(at, answer),
             Input::CacheDown(at, down) => {
@@ -364,8 +360,7 @@
         if client.open.contains_key(&tag) || client.open.len() >= OPEN_PER_CLIENT {
             // Which of the two an answer would be for can't be told, so the connection is closed.
             self.counters.unreadable += 1;
-            let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
-            return open.into_values().for_each(|no| self.left(no));
+            return self.disconnect(id);
         }
         self.counters.requests += 1;
         if self.requests.len() >= self.most_open {
@@ -393,6 +388,12 @@
         self.tell(event);
     }
 
+    /// Forgets a client and all that it waits for; its connection ends with its outbox.
+    fn disconnect(&mut self, id: ClientId) {
+        let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
+        open.into_values().for_each(|no| self.left(no));
+    }
+
     /// The client waits no longer.
     fn left(&mut self, no: RequestNo) {
         let Some(open) = self.requests.get_mut(&no) else { return };
@@ -597,7 +598,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::caches;
     use crate::clients::WireId;
     use crate::outbox::outbox;
     use async_executor::LocalExecutor;
@@ -622,17 +622,16 @@
                          "limits": {"try-limit": 8, "cancel": true}}
         });
         let config = parse(&config, &Environment::default()).expect("a configuration");
-        let meter = Rc::default();
-        let shared = caches::Shared {
+        let shared = Shared {
             executor: Rc::new(LocalExecutor::new()),
             queue: async_channel::unbounded().0,
-            meter: Rc::clone(&meter),
+            clock: Rc::default(),
+            meter: Rc::default(),
             held_limit: usize::MAX,
-            most: 100,
-            transport: config.transport,
         };
-        let (out, written) = outbox(&meter, &Rc::default());
-        let mut owner = Owner::new(&config, Rc::default(), meter, Caches::new(shared));
+        let (out, written) = outbox(&shared.meter, &Rc::default());
+        let caches = Caches::new(shared.clone(), 100, config.transport);
+        let mut owner = Owner::new(&config, &shared, caches);
         owner.batch(&mut vec![Input::ClientOpen(CLIENT, out)]);
         (owner, written)
     }
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -6,6 +6,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(&'static str);
 
+impl Malformed {
+    /// A message of good form from which nothing can be made out.
+    pub const SENSELESS: Self = Self("a message that makes no sense");
+}
+
 impl fmt::Display for Malformed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.0)
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -1,10 +1,13 @@
 //! The codecs: any split of the bytes, what is over the limits, and bytes that are anything.
 
+mod common;
+
 use basaltgw::api::{GroupId, Listed, ObjectId, Role};
 use basaltgw_config::{settings, Names, News, Seq};
 use basaltgw_node::changelog::{self, Follower, Frame};
 use basaltgw_node::clients::{FromClient, Tag};
 use basaltgw_node::resp::{encode, Bounds, Decoder, Fields};
+use common::frame;
 use proptest::prelude::*;
 use serde_json::json;
 
@@ -97,14 +100,6 @@
     assert_eq!(none.get("w"), None);
 }
 
-fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
-    let mut bytes = (9 + payload.len() as u32).to_be_bytes().to_vec();
-    bytes.extend_from_slice(&number.to_be_bytes());
-    bytes.push(kind);
-    bytes.extend_from_slice(payload);
-    bytes
-}
-
 fn frames(pieces: &[&[u8]]) -> Result<Vec<Frame>, String> {
     let (mut decoder, names, mut frames) = (changelog::Decoder::default(), names(), Vec::new());
     for piece in pieces {
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -396,9 +396,7 @@
                     tag += 1;
                     client.ask(tag, "pages", tag, "", b"");
                     client.ask(tag + 100_000, "pages", tag + 9000, "", b"");
-                    let mut got = tags(&[client.must(), client.must()]);
-                    got.sort_unstable();
-                    assert_eq!(got, [tag, tag + 100_000]);
+                    assert_eq!(tags(&[client.must(), client.must()]), [tag, tag + 100_000]);
                     done.lock().expect("lock").push(tag);
                 }
                 // What the router closes had nothing open.
--- a/src/api.rs
+++ b/src/api.rs
@@ -254,6 +254,21 @@
     Miss,
 }
 
+impl End {
+    /// Every way in which an attempt may end.
+    pub const ALL: [Self; 9] = [
+        Self::Served,
+        Self::Error,
+        Self::Full,
+        Self::Late,
+        Self::NoConnection,
+        Self::Broken,
+        Self::Cancelled,
+        Self::NotSent,
+        Self::Miss,
+    ];
+}
+
 /// What an outcome tells of how it came about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Note {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -33,17 +33,6 @@
     ]
 }
 
-const ENDS: [End; 9] = [
-    End::Served,
-    End::Error,
-    End::Full,
-    End::Late,
-    End::NoConnection,
-    End::Broken,
-    End::Cancelled,
-    End::NotSent,
-    End::Miss,
-];
 const NOTES: [Note; 11] = [
     Note::Untold,
     Note::Hit,
@@ -118,7 +107,7 @@
                     let (id, n) = open[pick % open.len()].clone();
                     let r = seen.get_mut(&id).expect("seen");
                     r.tries[n].1 = true;
-                    let end = ENDS[end as usize];
+                    let end = End::ALL[end as usize];
                     let proved =
                         matches!(end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
                     r.may_have_run |= !proved;
