SIGHUP: configuration read again, change log followed at its new address

HUP now has the one reader read the file again; the follower leaves the old change log at once and resumes at the new address after its last event. A file that can't be used is logged with its key and all stays; keys that only a new start can take are named. An event is told before it counts as had, and news, signals and the end have a queue of their own that goes before all that clients and servers send.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,6 @@
 mod settings;
 pub mod value;
 
-pub use node::{parse, read, Environment, Limits, Member, News, NodeConfig, Place, Seq, Transport};
+pub use node::{parse, read, Environment, Limits, Member, News, NodeConfig, Place, Reload, Seq, Transport};
 pub use settings::{settings, Names};
 pub use value::BadInput;
--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -97,6 +97,15 @@
     pub most_open: usize,
 }
 
+/// What a running router takes over from a configuration that was read again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reload {
+    /// Where the change log is now.
+    pub changelog: SocketAddr,
+    /// Keys whose new values only a new start can take.
+    pub fixed: Vec<&'static str>,
+}
+
 /// All that a router on sockets is told.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -209,6 +218,25 @@
     })
 }
 
+impl NodeConfig {
+    /// Reads the configuration again for a router that runs with this one.
+    pub fn reload(&self, env: &Environment) -> Result<Reload, BadInput> {
+        let new = read(env)?;
+        let fixed = [
+            ("name", new.name != self.name),
+            ("listen", new.listen != self.listen),
+            ("seed", new.seed != self.seed),
+            ("limits", new.limits != self.limits),
+            (
+                "settings",
+                (&new.settings, &new.names, new.transport) != (&self.settings, &self.names, self.transport),
+            ),
+        ];
+        let fixed = fixed.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect();
+        Ok(Reload { changelog: new.changelog, fixed })
+    }
+}
+
 fn address(text: &str, field: &str) -> Result<SocketAddr, BadInput> {
     text.parse().map_err(|_| BadInput::new(field, format!("expected address:port, found {text:?}")))
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 /// The names by which the wire speaks of an instance's classes, zones and kinds.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     pub(crate) classes: Vec<String>,
     pub(crate) zones: Vec<String>,
--- a/crates/node/src/changelog.rs
+++ b/crates/node/src/changelog.rs
@@ -3,15 +3,17 @@
 use crate::clock::late;
 use crate::limits::{LOG_CONNECT, LOG_FRAME, LOG_REST, LOG_REST_MOST, LOG_SILENT, READ_BYTES};
 use crate::Input;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use basaltgw::api::{GroupId, Listed, ObjectId, ServerEntry, ServerId};
 use basaltgw_config::{Member, Names, News, Seq};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::fmt;
+use std::future::Future;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Number and kind, which every frame has.
 const HEAD: usize = 9;
@@ -137,7 +139,7 @@
         self.last
     }
 
-    /// Passes a frame's news on if it is the next event. An event that is known already is passed over. After an error the
+    /// What a frame tells if it is the next event. An event that is known already is passed over. After an error the
     /// connection is of no more use.
     pub fn take(&mut self, frame: Frame) -> Result<Option<News>, BadFrame> {
         let known = frame.seq <= self.last;
@@ -164,50 +166,101 @@
     }
 }
 
-/// Follows the change log for good.
-pub async fn follow(at: SocketAddr, from: Seq, names: Names, queue: Sender<Input>) {
+/// Where the change log is: at an address, until another is told.
+struct Source {
+    at: SocketAddr,
+    moves: Receiver<SocketAddr>,
+}
+
+impl Source {
+    /// Waits for something, but no longer than the address holds.
+    async fn here<T>(&mut self, what: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+        let moved = async {
+            loop {
+                match self.moves.recv().await {
+                    Ok(at) if at == self.at => {}
+                    Ok(at) => {
+                        self.at = at;
+                        return Err(io::Error::other(format!("it is at {at} now")));
+                    }
+                    Err(_) => return future::pending().await,
+                }
+            }
+        };
+        future::or(moved, what).await
+    }
+}
+
+/// Follows the change log for good; `moves` tells where else it is from then on.
+pub async fn follow(
+    at: SocketAddr,
+    moves: Receiver<SocketAddr>,
+    from: Seq,
+    names: Names,
+    urgent: Sender<Input>,
+) {
+    let mut source = Source { at, moves };
     let mut follower = Follower::new(from);
     let mut rest = LOG_REST;
     loop {
         let mut heard = false;
-        let why = match connection(at, &mut follower, &names, &queue, &mut heard).await {
+        let at = source.at;
+        let why = match connection(&mut source, &mut follower, &names, &urgent, &mut heard).await {
             Ok(()) => return,
             Err(e) => e,
         };
         log::info!("change log: {why}; resumed after event {}", follower.last.0);
+        if urgent.send(Input::LogLost).await.is_err() {
+            return;
+        }
         if heard {
             rest = LOG_REST;
         }
-        Timer::after(rest).await;
+        let timer = Timer::after(rest);
+        let rested = async {
+            timer.await;
+            Ok(())
+        };
+        // At a new address it is asked at once.
+        if source.at != at || source.here(rested).await.is_err() {
+            rest = LOG_REST;
+            continue;
+        }
         rest = (rest * 2).min(LOG_REST_MOST);
     }
 }
 
 /// One connection; returns without an error only when nobody listens to the news any more.
 async fn connection(
-    at: SocketAddr,
+    source: &mut Source,
     follower: &mut Follower,
     names: &Names,
-    queue: &Sender<Input>,
+    urgent: &Sender<Input>,
     heard: &mut bool,
 ) -> io::Result<()> {
+    let at = source.at;
     let connect = async { Async::<TcpStream>::connect(at).await };
-    let mut socket = future::or(connect, late(LOG_CONNECT)).await?;
+    let mut socket = source.here(future::or(connect, late(LOG_CONNECT))).await?;
     socket.get_ref().set_nodelay(true)?;
     socket.write_all(&follower.last.0.to_be_bytes()).await?;
     let mut decoder = Decoder::default();
     let mut piece = vec![0; READ_BYTES];
     let bad = |e: BadFrame| io::Error::new(io::ErrorKind::InvalidData, e.to_string());
+    // Bytes without a whole frame are silence too.
+    let mut until = Instant::now() + LOG_SILENT;
     loop {
-        let n = future::or(socket.read(&mut piece), late(LOG_SILENT)).await?;
+        let rest = until.saturating_duration_since(Instant::now());
+        let n = source.here(future::or(socket.read(&mut piece), late(rest))).await?;
         if n == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         decoder.feed(piece.get(..n).unwrap_or_default());
         while let Some(frame) = decoder.frame(names).map_err(bad)? {
             *heard = true;
+            until = Instant::now() + LOG_SILENT;
             if let Some(news) = follower.take(frame).map_err(bad)? {
-                if queue.send(Input::News(news)).await.is_err() {
+                // Not given up for a new address: what is taken is told.
+                if urgent.send(Input::News(news)).await.is_err() {
                     return Ok(());
                 }
             }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -47,6 +47,12 @@
     pub lists: u64,
     /// See `lists`.
     pub purges: u64,
+    /// Connections to the change log that ended, whatever for.
+    pub log_lost: u64,
+    /// Configurations read again, and those that could not be used.
+    pub reloads: u64,
+    /// See `reloads`.
+    pub reloads_refused: u64,
     /// Bytes that messages hold.
     pub held: u64,
     /// The most so far.
@@ -105,6 +111,11 @@
         }
         write!(f, " late_answers={} conns={} conns_now={} ", self.late_answers, self.conns, self.conns_now)?;
         write!(f, "conns_failed={} lists={} purges={} ", self.conns_failed, self.lists, self.purges)?;
+        write!(
+            f,
+            "log_lost={} reloads={} reloads_refused={} ",
+            self.log_lost, self.reloads, self.reloads_refused
+        )?;
         write!(f, "held={} held_most={} ", self.held, self.held_most)?;
         write!(f, "batches={} batch_longest_ms={:.2}", self.batches, self.batch_longest)
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,10 @@
     CacheDown(caches::ConnId, caches::Down),
     /// An event of the change log.
     News(News),
+    /// The change log's connection was lost, or it moved.
+    LogLost,
+    /// The configuration was read again; false if it could not be used.
+    Reloaded(bool),
     /// The process was asked to end.
     End,
     /// The counters were asked for.
@@ -65,10 +69,12 @@
 }
 
 /// Runs a router until it is asked to end; gives its counters.
-pub fn serve(config: NodeConfig) -> io::Result<Counters> {
+pub fn serve(mut config: NodeConfig) -> io::Result<Counters> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
     let signals = shutdown::listen()?;
     let (queue, inputs) = async_channel::bounded(limits::QUEUE);
+    let (urgent, news) = async_channel::bounded(limits::QUEUE);
+    let (moves, moved) = async_channel::bounded(limits::QUEUE);
     let shared = Shared {
         executor: Rc::new(LocalExecutor::new()),
         queue,
@@ -84,10 +90,12 @@
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let executor = Rc::clone(&shared.executor);
     let listener = executor.spawn(clients::accept(listener, clients as usize, shared.clone()));
-    let queue = shared.queue.clone();
-    executor.spawn(changelog::follow(config.changelog, config.known_seq, config.names, queue)).detach();
-    executor.spawn(shutdown::watch(signals, shared.queue)).detach();
-    Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
+    let names = config.names.clone();
+    let follow = changelog::follow(config.changelog, moved, config.known_seq, names, urgent.clone());
+    executor.spawn(follow).detach();
+    config.known = Vec::new();
+    executor.spawn(shutdown::watch(signals, urgent, config, moves)).detach();
+    Ok(async_io::block_on(executor.run(owner.run(news, inputs, listener))))
 }
 
 /// Listens; a process that is just ending may hold the address for a moment.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,7 @@
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::limits::{CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT};
+use crate::limits::{CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT, QUEUE};
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::shutdown::Ending;
 use crate::{Input, Shared};
@@ -158,8 +158,13 @@
     }
 
     /// Takes inputs in batches until the router has ended; gives its counters. `listener` accepts clients and is
-    /// dropped when none are taken any more.
-    pub async fn run(mut self, queue: Receiver<Input>, listener: Task<()>) -> Counters {
+    /// dropped when none are taken any more. `urgent` is taken first, however much there is of the rest.
+    pub async fn run(
+        mut self,
+        urgent: Receiver<Input>,
+        queue: Receiver<Input>,
+        listener: Task<()>,
+    ) -> Counters {
         let mut listener = Some(listener);
         let mut inputs = Vec::new();
         loop {
@@ -167,20 +172,20 @@
             let due = self.timers.peek().map(|Reverse((due, ..))| *due as f64 / 1000.0);
             let rest = due.map_or(TIDY_MS, |due| (due - self.clock.now()).min(TIDY_MS));
             if self.pending.is_empty() && rest > 0.0 {
-                let first = future::or(async { queue.recv().await.ok() }, async {
+                let wake = async {
                     Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
                     None
-                });
-                inputs.extend(first.await);
+                };
+                let first = future::or(async { queue.recv().await.ok() }, wake);
+                inputs.extend(future::or(async { urgent.recv().await.ok() }, first).await);
             }
             // No oftener than the tick.
             let rest = self.now + self.tick - self.clock.now();
             if rest > 0.0 {
                 Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
             }
-            while let Ok(input) = queue.try_recv() {
-                inputs.push(input);
-            }
+            inputs.extend(std::iter::from_fn(|| urgent.try_recv().ok()).take(QUEUE));
+            inputs.extend(std::iter::from_fn(|| queue.try_recv().ok()).take(QUEUE));
             self.batch(&mut inputs);
             if !self.ending.accepts(self.now) {
                 drop(listener.take());
@@ -255,6 +260,9 @@
                 }
             }
             Input::News(news) => self.news(news),
+            Input::LogLost => self.counters.log_lost += 1,
+            Input::Reloaded(true) => self.counters.reloads += 1,
+            Input::Reloaded(false) => self.counters.reloads_refused += 1,
             Input::End => {
                 log::info!("asked to end");
                 self.ending.ask(self.now);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,35 +1,60 @@
-//! The end of a router: the signals, and when it is over.
+//! The signals: the end of a router and when it is over, a new configuration, the counters.
 
 use crate::limits::{END_ACCEPT_MS, END_QUIET_MS};
 use crate::Input;
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
+use basaltgw_config::{Environment, NodeConfig};
 use futures_lite::StreamExt;
 use std::io;
+use std::net::SocketAddr;
 
 /// Listens for signals from now on; before this, each of them would kill the process.
 pub fn listen() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
 }
 
-/// Passes signals on: TERM and INT end the router, USR1 asks for its counters.
-pub async fn watch(mut signals: Signals, queue: Sender<Input>) {
+/// Passes signals on: TERM and INT end the router, HUP has the configuration read again, USR1 asks for the counters.
+pub async fn watch(
+    mut signals: Signals,
+    urgent: Sender<Input>,
+    running: NodeConfig,
+    changelog: Sender<SocketAddr>,
+) {
     while let Some(signal) = signals.next().await {
         let input = match signal {
             Ok(Signal::Usr1) => Input::Count,
+            Ok(Signal::Hup) => Input::Reloaded(reload(&running, &changelog).await),
             Ok(_) => Input::End,
             Err(e) => {
                 log::warn!("a signal was not read: {e}");
                 continue;
             }
         };
-        if queue.send(input).await.is_err() {
+        if urgent.send(input).await.is_err() {
             return;
         }
     }
 }
 
+/// Reads the configuration again and has the change log followed where it now is. False if it can't be used: then all stays.
+async fn reload(running: &NodeConfig, changelog: &Sender<SocketAddr>) -> bool {
+    match running.reload(&Environment::take()) {
+        Ok(new) => {
+            for key in &new.fixed {
+                log::warn!("reload: {key} can't change in a running router");
+            }
+            log::info!("reload: the change log is at {}", new.changelog);
+            changelog.send(new.changelog).await.is_ok()
+        }
+        Err(e) => {
+            log::error!("reload: {e}; the running configuration stays");
+            false
+        }
+    }
+}
+
 /// How far the end has come.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ending {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -359,6 +359,11 @@
         self.lines.lock().expect("lock").iter().any(|l| l.contains(text))
     }
 
+    /// Replaces the configuration file; a router hears of it by SIGHUP.
+    pub fn rewrite(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a configuration file");
+    }
+
     /// A counter, as printed on request.
     pub fn counter(&self, name: &str) -> u64 {
         let printed = |l: &&String| l.contains("clients_now=");
