Places of clients: idle and silent ones are closed, and make room when others wait

Cause: a third of the descriptors was clients' and an idle connection kept its place for 15 s, while 1,893 connections asked once and stayed; 7,014 requests were never accepted (clients.rs accept, limits.rs CLIENT_SHARE and CLIENT_IDLE_MS). Excluded: servers and memory (3 to 4 of 32 MB, 23 connections). Now clients have what servers (a third) and the process leave; idle ones are closed after 6 s (clients in service leave after 4), silent ones and unfinished messages after 2 s; and while others wait, the owner closes first what nobody misses. The backlog holds 1,024. A cache's answer that stops for 250 ms (answers were measured to come whole within 0.1 ms) or isn't whole after 5 s ends its connection.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::WireId;
 use crate::clock::late;
-use crate::inbox::read_all;
+use crate::inbox::{read_all, Over};
 use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, SERVER_STALLED, SILENT_MS};
 use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
 use crate::resp::{encode, FieldList, Fields};
@@ -32,7 +32,7 @@
     /// It never came up.
     NeverUp,
     /// It was up.
-    Ended,
+    Ended(Over),
 }
 
 /// What a server says of an attempt.
@@ -375,11 +375,15 @@
     if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
         let read = async {
             let typed = |words, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
-            if let Err(e) = read_all(&socket, FROM_CACHE, shared, || false, typed).await {
-                log::debug!("connection {} closed: {e}", at.0);
-            }
+            read_all(&socket, FROM_CACHE, shared, || false, typed).await
+        };
+        let write = async {
+            write_all(&socket, parcels, || late(SERVER_STALLED)).await;
+            Over::Ended
         };
-        future::or(read, write_all(&socket, parcels, || late(SERVER_STALLED))).await;
+        let over = future::or(read, write).await;
+        log::debug!("connection {} to {}: {over:?}", at.0, place.address);
+        return Down::Ended(over);
     }
-    Down::Ended
+    Down::Ended(Over::Ended)
 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
 use crate::clock::late;
-use crate::inbox::read_all;
-use crate::limits::{ACCEPT_REST, CLIENT_STALLED, CLIENT_UNSENT, FROM_CLIENT, WAIT};
+use crate::inbox::{read_all, Over};
+use crate::limits::{ACCEPT_REST, ACCEPT_ROW, CLIENT_STALLED, CLIENT_UNSENT, FROM_CLIENT, WAIT};
 use crate::outbox::{outbox, write_all, Meter};
 use crate::resp::{encode, FieldList, Fields};
 use crate::{Input, Shared};
@@ -157,12 +157,17 @@
     }
 }
 
-/// Accepts clients for good. Without a free place or descriptor they wait in the listener's backlog.
+/// Accepts clients for good. Without a free place the owner is asked to make room; until there is, they wait in the listener's
+/// backlog.
 pub async fn accept(listener: Async<TcpListener>, most: usize, shared: Shared) {
     let taken = Rc::new(Cell::new(0));
     let mut count = 0;
+    let mut row = 0;
     loop {
         while taken.get() >= most {
+            if shared.queue.send(Input::RoomWanted).await.is_err() {
+                return;
+            }
             Timer::after(WAIT).await;
         }
         match listener.accept().await {
@@ -176,6 +181,10 @@
                 Timer::after(ACCEPT_REST).await;
             }
         }
+        row += 1;
+        if row % ACCEPT_ROW == 0 {
+            future::yield_now().await;
+        }
     }
 }
 
@@ -192,11 +201,14 @@
     let read = async {
         let full = || own.held() > CLIENT_UNSENT;
         let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
-        if let Err(e) = read_all(&socket, FROM_CLIENT, &shared, full, typed).await {
-            log::debug!("client {} closed: {e}", id.0);
-        }
+        read_all(&socket, FROM_CLIENT, &shared, full, typed).await
+    };
+    let write = async {
+        write_all(&socket, parcels, || late(CLIENT_STALLED)).await;
+        Over::Ended
     };
-    future::or(read, write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
+    let over = future::or(read, write).await;
+    log::debug!("client {}: {over:?}", id.0);
     // The owner is gone only when the process ends.
-    let _ = shared.queue.send(Input::ClientClosed(id)).await;
+    let _ = shared.queue.send(Input::ClientClosed(id, over)).await;
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -13,6 +13,17 @@
     pub clients_now: u64,
     /// Requests taken in.
     pub requests: u64,
+    /// Connections of clients closed here: for what could not be read, for having said nothing, for a message without an end, for
+    /// having been idle, and for the place.
+    pub closed_unreadable: u64,
+    /// See `closed_unreadable`.
+    pub closed_silent: u64,
+    /// See `closed_unreadable`.
+    pub closed_unfinished: u64,
+    /// See `closed_unreadable`.
+    pub closed_idle: u64,
+    /// See `closed_unreadable`.
+    pub closed_for_room: u64,
     /// Messages of clients that could not be read as what they should be.
     pub unreadable: u64,
     /// Requests that clients gave up, or left with their connection.
@@ -47,6 +58,10 @@
     pub lists: u64,
     /// See `lists`.
     pub purges: u64,
+    /// Connections to servers closed for what could not be read, and for stopping in mid-answer.
+    pub conns_unreadable: u64,
+    /// See `conns_unreadable`.
+    pub conns_unfinished: u64,
     /// Connections to the change log that ended, whatever for.
     pub log_lost: u64,
     /// Configurations read again, and those that could not be used.
@@ -98,6 +113,15 @@
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "clients={} clients_now={} requests={} ", self.clients, self.clients_now, self.requests)?;
+        write!(
+            f,
+            "closed_unreadable={} closed_silent={} closed_unfinished={} closed_idle={} closed_for_room={} ",
+            self.closed_unreadable,
+            self.closed_silent,
+            self.closed_unfinished,
+            self.closed_idle,
+            self.closed_for_room
+        )?;
         write!(
             f,
             "unreadable={} left={} served={} same={} ",
@@ -110,7 +134,9 @@
             write!(f, " attempts_{name}={}", self.ends[at])?;
         }
         write!(f, " late_answers={} conns={} conns_now={} ", self.late_answers, self.conns, self.conns_now)?;
-        write!(f, "conns_failed={} lists={} purges={} ", self.conns_failed, self.lists, self.purges)?;
+        write!(f, "conns_failed={} conns_unreadable={} ", self.conns_failed, self.conns_unreadable)?;
+        write!(f, "conns_unfinished={} ", self.conns_unfinished)?;
+        write!(f, "lists={} purges={} ", self.lists, self.purges)?;
         write!(
             f,
             "log_lost={} reloads={} reloads_refused={} ",
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -5,35 +5,89 @@
 use crate::{Input, Shared};
 use async_io::{Async, Timer};
 use basaltgw::api::Ms;
-use futures_lite::AsyncReadExt;
+use futures_lite::{future, AsyncReadExt};
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
-/// Reads messages until the connection ends or sends what can't be read. `full` holds the reading up; `typed` makes an input
-/// of a message whose last byte was read at that time, or `None` if it makes no sense at all.
+/// What may be read on a connection, and how long it may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// What a message may hold.
+    pub bounds: Bounds,
+    /// The first message has to be whole after this; `None` where it may take any time to begin.
+    pub first: Option<Duration>,
+    /// A message has to be whole this long after its first byte.
+    pub whole: Duration,
+    /// A message that has begun goes on after no more than this.
+    pub gap: Duration,
+}
+
+/// Why no more is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// The connection ended.
+    Ended,
+    /// It sent what can't be read.
+    Unreadable(Malformed),
+    /// It never said anything.
+    Silent,
+    /// It stopped in mid-message.
+    Unfinished,
+}
+
+/// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
+/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all.
 pub async fn read_all(
     mut socket: &Async<TcpStream>,
-    bounds: Bounds,
+    terms: Terms,
     shared: &Shared,
     full: impl Fn() -> bool,
     typed: impl Fn(Vec<Vec<u8>>, Ms) -> Option<Input>,
-) -> Result<(), Malformed> {
-    let mut decoder = Decoder::new(bounds);
+) -> Over {
+    let mut decoder = Decoder::new(terms.bounds);
     let mut piece = vec![0; READ_BYTES];
+    let mut first = terms.first.map(|t| Instant::now() + t);
+    // Since when a message has been under way.
+    let mut begun: Option<Instant> = None;
     loop {
         while shared.meter.held() > shared.held_limit || full() {
             Timer::after(WAIT).await;
+            begun = begun.map(|_| Instant::now());
         }
-        let n = match socket.read(&mut piece).await {
-            Ok(n) if n > 0 => n,
-            Ok(_) | Err(_) => return Ok(()),
+        let end = begun.map(|t| (t + terms.whole).min(Instant::now() + terms.gap));
+        let end = end.into_iter().chain(first).min();
+        let late = async {
+            match end {
+                Some(end) => Timer::at(end).await,
+                None => future::pending().await,
+            };
+            None
+        };
+        // What has come is read before it is called late.
+        let n = match future::or(async { Some(socket.read(&mut piece).await) }, late).await {
+            Some(Ok(n)) if n > 0 => n,
+            Some(Ok(_) | Err(_)) => return Over::Ended,
+            None if begun.is_none() => return Over::Silent,
+            None => return Over::Unfinished,
         };
         decoder.feed(piece.get(..n).unwrap_or_default());
         let now = shared.clock.now();
-        while let Some(words) = decoder.message()? {
-            let input = typed(words, now).ok_or(Malformed::SENSELESS)?;
+        loop {
+            let words = match decoder.message() {
+                Ok(Some(words)) => words,
+                Ok(None) => break,
+                Err(e) => return Over::Unreadable(e),
+            };
+            (begun, first) = (None, None);
+            let Some(input) = typed(words, now) else { return Over::Unreadable(Malformed::SENSELESS) };
             if shared.queue.send(input).await.is_err() {
-                return Ok(());
+                return Over::Ended;
             }
         }
+        if decoder.mid_message() {
+            begun.get_or_insert_with(Instant::now);
+        }
+        // A peer at full speed leaves the thread to the others after each piece.
+        future::yield_now().await;
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,7 +34,9 @@
     /// A client sent a message; its last byte was read at that time.
     Client(clients::ClientId, clients::FromClient, basaltgw::api::Ms),
     /// A client's connection is over.
-    ClientClosed(clients::ClientId),
+    ClientClosed(clients::ClientId, inbox::Over),
+    /// A client waits for a place.
+    RoomWanted,
     /// A connection to a server came up.
     CacheUp(caches::ConnId),
     /// A server answered.
@@ -82,8 +84,8 @@
         meter: Rc::default(),
         held_limit: config.limits.share_of_memory(limits::HELD_STOP_SHARE),
     };
-    let clients = config.limits.sockets / limits::CLIENT_SHARE;
-    let servers = config.limits.sockets.saturating_sub(clients + limits::OWN_DESCRIPTORS);
+    let servers = config.limits.sockets / limits::SERVER_SHARE;
+    let clients = config.limits.sockets.saturating_sub(servers + limits::OWN_DESCRIPTORS).max(1);
     let caches = caches::Caches::new(shared.clone(), servers as usize, config.transport);
     let owner = owner::Owner::new(&config, &shared, caches);
     let listener = bind(config.listen)?;
@@ -106,7 +108,11 @@
             Err(e) if e.kind() == io::ErrorKind::AddrInUse && start.elapsed() < limits::BIND => {
                 std::thread::sleep(limits::WAIT);
             }
-            done => return done,
+            Err(e) => return Err(e),
+            Ok(listener) => {
+                rustix::net::listen(&listener, limits::BACKLOG)?;
+                return Ok(listener);
+            }
         }
     }
 }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,21 +1,46 @@
 //! The transport's limits, all of them. None decides where, whether or how often something is sent.
 
+use crate::inbox::Terms;
 use crate::resp::Bounds;
 use basaltgw::api::Ms;
 use std::time::Duration;
 
-/// Messages of clients: a write carries up to 48,000 bytes.
-pub const FROM_CLIENT: Bounds = Bounds { words: 6, bytes: 56 * 1024 };
-/// Answers of caches: an object holds up to 240,000 bytes.
-pub const FROM_CACHE: Bounds = Bounds { words: 6, bytes: 256 * 1024 };
+/// Clients: a write carries up to 48,000 bytes. One that says nothing, or sends a message without an end, holds its place for no
+/// longer than this; those in service ask as soon as they are connected, and their messages are there within one round trip.
+pub const FROM_CLIENT: Terms = Terms {
+    bounds: Bounds { words: 6, bytes: 56 * 1024 },
+    first: Some(Duration::from_millis(2000)),
+    whole: Duration::from_millis(2000),
+    gap: Duration::from_millis(2000),
+};
+/// Caches: an object holds up to 240,000 bytes.
+pub const FROM_CACHE: Terms = Terms {
+    bounds: Bounds { words: 6, bytes: 256 * 1024 },
+    first: None,
+    whole: Duration::from_millis(5000),
+    gap: Duration::from_millis(250),
+};
 /// Bytes read at once.
 pub const READ_BYTES: usize = 16 * 1024;
 /// Inputs that wait for the owner before sockets have to wait.
 pub const QUEUE: usize = 256;
 /// Requests open on one client's connection: four times what clients may have.
 pub const OPEN_PER_CLIENT: usize = 128;
-/// Clients hold one descriptor in so many.
-pub const CLIENT_SHARE: u64 = 3;
+/// Servers hold one descriptor in so many; what is left is clients'. Those in service hold a third themselves.
+pub const SERVER_SHARE: u64 = 3;
+/// Connections that wait to be accepted. Where they don't fit, a client tries again only after a second.
+pub const BACKLOG: i32 = 1024;
+/// Accepted in a row before others have their turn.
+pub const ACCEPT_ROW: usize = 32;
+/// Without a free place, so many clients at a time make room (see `Owner::make_room`): those that have said nothing for this
+/// long since they connected, and those that clients of their own accord would have closed (after 4 s).
+pub const ROOM_ROW: usize = 8;
+/// See [`ROOM_ROW`].
+pub const ROOM_SILENT_MS: Ms = 100.0;
+/// See [`ROOM_ROW`].
+pub const ROOM_IDLE_MS: Ms = 4_200.0;
+/// Where none of those is left, one that has had its answers and has been idle for this long makes room.
+pub const ROOM_REST_MS: Ms = 250.0;
 /// Descriptors that are neither clients' nor servers': listener, change log, reactor, signals, standard streams.
 pub const OWN_DESCRIPTORS: u64 = 16;
 /// The listener's address may still be held by the process before; it is tried for this long.
@@ -43,9 +68,9 @@
 pub const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// A server that takes no byte for so long is gone.
 pub const SERVER_STALLED: Duration = Duration::from_secs(6);
-/// A client's connection on which nothing is open and nothing came for so long is closed: clients that are still there close
-/// their own sooner, so that only those that vanished are met.
-pub const CLIENT_IDLE_MS: Ms = 15_000.0;
+/// A client's connection on which nothing is open and nothing came for so long is closed: clients in service close their own
+/// after 4 s, so that only those are met that vanished or keep theirs for good.
+pub const CLIENT_IDLE_MS: Ms = 6_000.0;
 /// After a failed accept, such as for want of descriptors, the listener rests for this.
 pub const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// The change log sends a frame each second; after so long without one its connection is given up.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,7 +4,10 @@
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::limits::{CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT, QUEUE};
+use crate::inbox::Over;
+use crate::limits::{
+    CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT, QUEUE, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_ROW, ROOM_SILENT_MS,
+};
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::shutdown::Ending;
 use crate::{Input, Shared};
@@ -57,8 +60,10 @@
     open: BTreeMap<Tag, RequestNo>,
     /// Answers that may not be written yet.
     unsent: BTreeMap<Tag, Rc<Parcel>>,
-    /// Its last message.
-    heard: Ms,
+    /// It has sent a whole message.
+    spoke: bool,
+    /// When it connected, sent its last message or got its last answer.
+    active: Ms,
 }
 
 impl Client {
@@ -228,7 +233,9 @@
             // A client that is dropped here is disconnected.
             let now = self.now;
             let idle = if self.ending.accepts(now) { CLIENT_IDLE_MS } else { 0.0 };
-            self.clients.retain(|_, c| !c.at_rest() || now - c.heard < idle);
+            let before = self.clients.len();
+            self.clients.retain(|_, c| !c.at_rest() || now - c.active < idle);
+            self.counters.closed_idle += (before - self.clients.len()) as u64;
         }
         self.relieve();
         self.counters.batches += 1;
@@ -241,20 +248,35 @@
             Input::ClientOpen(id, outbox) => {
                 self.counters.clients += 1;
                 let (open, unsent) = (BTreeMap::new(), BTreeMap::new());
-                self.clients.insert(id, Client { outbox, open, unsent, heard: self.now });
+                let client = Client { outbox, open, unsent, spoke: false, active: self.now };
+                self.clients.insert(id, client);
             }
             Input::Client(id, message, at) => self.message(id, message, at),
-            Input::ClientClosed(id) => self.disconnect(id),
+            Input::ClientClosed(id, over) => {
+                match over {
+                    Over::Ended => {}
+                    Over::Unreadable(_) => self.counters.closed_unreadable += 1,
+                    Over::Silent => self.counters.closed_silent += 1,
+                    Over::Unfinished => self.counters.closed_unfinished += 1,
+                }
+                self.disconnect(id);
+            }
+            Input::RoomWanted => self.make_room(),
             Input::CacheUp(at) => self.caches.up(self.now, at),
             Input::Cache(at, answer) => self.outcome(at, answer),
             Input::CacheDown(at, down) => {
-                self.counters.conns_failed += u64::from(down == Down::NeverUp);
+                match down {
+                    Down::NeverUp => self.counters.conns_failed += 1,
+                    Down::Ended(Over::Ended | Over::Silent) => {}
+                    Down::Ended(Over::Unreadable(_)) => self.counters.conns_unreadable += 1,
+                    Down::Ended(Over::Unfinished) => self.counters.conns_unfinished += 1,
+                }
                 for (no, n) in self.caches.down(at) {
                     let end = match (down, self.stage(no, n)) {
                         (Down::NeverUp, _) => End::NoConnection,
-                        (Down::Ended, Some(Stage::Written)) => End::Broken,
+                        (Down::Ended(_), Some(Stage::Written)) => End::Broken,
                         // Its last byte was not written.
-                        (Down::Ended, _) => End::NotSent,
+                        (Down::Ended(_), _) => End::NotSent,
                     };
                     self.end((no, n), end, UNTOLD, false);
                 }
@@ -343,7 +365,7 @@
 
     fn message(&mut self, id: ClientId, message: FromClient, at: Ms) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.heard = self.now;
+        (client.spoke, client.active) = (true, self.now);
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
             FromClient::Undo(tag) => match client.open.remove(&tag) {
@@ -396,6 +418,26 @@
         self.tell(event);
     }
 
+    /// Closes connections for those that wait for a place: first what clients in service would not miss, one that has said
+    /// nothing yet or has been idle for longer than they are; else the one that has been idle for longest after an answer.
+    /// One on which something is open is never closed for this.
+    fn make_room(&mut self) {
+        let now = self.now;
+        let idle = |c: &Client| now - c.active;
+        let missed = |c: &Client| idle(c) < if c.spoke { ROOM_IDLE_MS } else { ROOM_SILENT_MS };
+        let at_rest = self.clients.iter().filter(|(_, c)| c.at_rest());
+        let mut order: Vec<_> =
+            at_rest.map(|(id, c)| (missed(c), c.spoke, Reverse(micros(idle(c))), *id)).collect();
+        order.sort_unstable();
+        let mut closed: Vec<_> = order.iter().take_while(|o| !o.0).take(ROOM_ROW).map(|o| o.3).collect();
+        if closed.is_empty() {
+            let rested = order.iter().find(|o| o.1 && o.2 .0 >= micros(ROOM_REST_MS));
+            closed.extend(rested.map(|o| o.3));
+        }
+        self.counters.closed_for_room += closed.len() as u64;
+        closed.into_iter().for_each(|id| self.disconnect(id));
+    }
+
     /// Forgets a client and all that it waits for; its connection ends with its outbox.
     fn disconnect(&mut self, id: ClientId) {
         let open = self.clients.remove(&id).map(|c| c.open).unwrap_or_default();
@@ -423,6 +465,7 @@
         if let Some(client) = self.clients.get_mut(&open.client) {
             self.counters.answered(&reply);
             client.open.remove(&tag);
+            client.active = self.now;
             client.unsent.retain(|_, p| p.stage() == Stage::Waiting);
             client.unsent.insert(tag, client.outbox.put(answer(tag, reply)));
         }
--- a/crates/node/src/resp.rs
+++ b/crates/node/src/resp.rs
@@ -105,6 +105,11 @@
         Ok(None)
     }
 
+    /// A message has begun and is not whole.
+    pub fn mid_message(&self) -> bool {
+        self.at < self.buf.len() || !matches!(self.expect, Expect::Array)
+    }
+
     /// A sign, digits and the line's end; `None` if the line is not whole yet.
     fn header(&mut self, sign: u8, most: usize) -> Result<Option<usize>, Malformed> {
         let bytes = &self.buf[self.at..];
