Connections to servers are proven by alive, shared by few, and writes go alone

Writes may have run then and fail. Excluded: decisions (the attempts went where they should), time-outs. Now a connection that is new, or was idle for 50 ms, is asked alive before a request is written; one that doesn't answer within the connect time-out counts as never up, which is provable since nothing was written; another is opened while all carry three, and a write goes alone. In rules.rs gates() no longer holds against the link what a cache is slower by with hits.

--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -3,7 +3,9 @@
 use crate::clients::WireId;
 use crate::clock::late;
 use crate::inbox::{read_all, Over};
-use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, SERVER_STALLED, SILENT_MS};
+use crate::limits::{
+    ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, PROVEN_MS, SERVER_STALLED, SHARED, SILENT_MS,
+};
 use crate::outbox::{outbox, write_all, Counted, Meter, Outbox, Parcel};
 use crate::resp::{decimal, encode, FieldList, Fields};
 use crate::{Input, Shared};
@@ -210,6 +212,11 @@
     /// When something was asked after the last that was heard.
     asked: Option<Ms>,
     used: Ms,
+    /// Its last answer.
+    heard: Option<Ms>,
+    /// Under this tag it was asked whether it works; what is to be written waits for the answer.
+    proving: Option<WireId>,
+    held: Vec<Rc<Parcel>>,
 }
 
 /// Ids that a connection remembers as given up.
@@ -221,6 +228,27 @@
         self.up && self.asked.is_some_and(|t| now - t >= SILENT_MS)
     }
 
+    /// Nobody knows whether it works: it is new, or nothing was open on it for a while. Connections are cut when they are new or
+    /// idle, and a request that crosses this may have run.
+    fn unproven(&self, now: Ms) -> bool {
+        self.open.is_empty() && self.heard.is_none_or(|t| now - t > PROVEN_MS)
+    }
+
+    /// Puts a request in line, behind a proof where one is needed.
+    fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>) -> Rc<Parcel> {
+        if self.proving.is_none() && self.unproven(now) {
+            let tag = WireId(Arc::from(at.0.to_string()));
+            self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
+            self.proving = Some(tag);
+        }
+        if self.proving.is_none() {
+            return self.out.put(bytes);
+        }
+        let parcel = self.out.hold(bytes);
+        self.held.push(Rc::clone(&parcel));
+        parcel
+    }
+
     /// Whether it takes an attempt. None under an id for which it has been asked before: an answer to that one, or a second
     /// copy of it, would pass for this one's.
     fn takes(&self, now: Ms, id: &WireId, streams: usize) -> bool {
@@ -253,40 +281,44 @@
         (self.conns.len() as u64, self.count)
     }
 
-    /// Puts an attempt on a connection to a server's process that was not `asked` for this request, opening one if none takes
-    /// it; `None` if none may be opened.
+    /// Puts an attempt on a connection to a server's process that was not `asked` for this request, the one that carries
+    /// fewest; opens one if none takes it or all carry many (for one that is best `alone`: any); `None` if none may be opened.
     pub fn send(
         &mut self,
         now: Ms,
         to: (&ServerId, Place),
         key: AttemptKey,
-        (id, asked): (&WireId, &[ConnId]),
+        (id, asked, alone): (&WireId, &[ConnId], bool),
         bytes: Vec<u8>,
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
         let mut of_server = 0;
-        let mut chosen = None;
+        let mut least: Option<(usize, ConnId)> = None;
         let all = self.of_server.get(server).into_iter().flatten();
         let all = all.filter_map(|at| Some((at, self.conns.get(at)?)));
         for (at, conn) in all.filter(|(_, c)| c.place == place) {
             of_server += 1;
-            if chosen.is_none() && !asked.contains(at) && conn.takes(now, id, streams) {
-                chosen = Some(*at);
+            let takes = !asked.contains(at) && conn.takes(now, id, streams);
+            if takes && least.is_none_or(|(open, _)| conn.open.len() < open) {
+                least = Some((conn.open.len(), *at));
             }
         }
-        let at = match chosen {
-            Some(at) => at,
-            None if of_server < CONNS_PER_SERVER && self.room() => self.open(now, server, place),
-            None => return None,
+        let few = least.filter(|(open, _)| *open < if alone { 1 } else { SHARED });
+        let at = match (few, least) {
+            (Some((_, at)), _) => at,
+            _ if of_server < CONNS_PER_SERVER && self.room() => self.open(now, server, place),
+            (None, Some((_, at))) => at,
+            (None, None) => return None,
         };
         let conn = self.conns.get_mut(&at)?;
+        let parcel = conn.put(now, at, bytes);
         conn.open.insert(id.clone(), key);
         conn.used = now;
         if conn.up {
             conn.asked.get_or_insert(now);
         }
-        Some((at, conn.out.put(bytes)))
+        Some((at, parcel))
     }
 
     /// Whether a connection may be opened; without a place, the one that has carried nothing for longest gives up its own.
@@ -307,8 +339,20 @@
         let (out, parcels) = outbox(&self.shared.meter, &Rc::default());
         let (open, aborted) = (BTreeMap::new(), BTreeSet::new());
         let of = server.clone();
-        let conn =
-            Conn { server: of, place, out, up: false, retired: false, open, aborted, asked: None, used: now };
+        let conn = Conn {
+            server: of,
+            place,
+            out,
+            up: false,
+            retired: false,
+            open,
+            aborted,
+            asked: None,
+            used: now,
+            heard: None,
+            proving: None,
+            held: Vec::new(),
+        };
         self.of_server.entry(server.clone()).or_default().insert(at);
         self.conns.insert(at, conn);
         let shared = self.shared.clone();
@@ -339,6 +383,11 @@
     pub fn answered(&mut self, now: Ms, at: ConnId, id: &WireId) -> Option<AttemptKey> {
         let conn = self.conns.get_mut(&at)?;
         let key = conn.open.remove(id);
+        conn.heard = Some(now);
+        if conn.proving.as_ref() == Some(id) {
+            conn.proving = None;
+            std::mem::take(&mut conn.held).iter().for_each(|parcel| conn.out.release(parcel));
+        }
         conn.asked = Some(now).filter(|_| !conn.open.is_empty());
         conn.used = now;
         if key.is_none() {
@@ -388,6 +437,13 @@
         }
     }
 
+    /// Connections that were asked whether they work and have not said so in the time in which one has to come up.
+    pub fn unproved(&self, now: Ms) -> Vec<ConnId> {
+        let limit = self.transport.connect_timeout;
+        let mute = |c: &Conn| c.proving.is_some() && c.asked.is_some_and(|t| now - t >= limit);
+        self.conns.iter().filter(|(_, c)| mute(c)).map(|(at, _)| *at).collect()
+    }
+
     /// Closes connections that carry nothing and are idle or retired, or on which all was given up before a word came.
     pub fn tidy(&mut self, now: Ms) {
         let idle = self.transport.conn_idle * IDLE_SHARE;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -63,6 +63,11 @@
 pub const BIND: Duration = Duration::from_secs(5);
 /// Connections to one process of a server.
 pub const CONNS_PER_SERVER: usize = 8;
+/// While every connection to a process carries so many, another is opened: what breaks one off takes all that is open on it.
+pub const SHARED: usize = 3;
+/// A connection to a server on which nothing is open is asked whether it works (`alive`) before a request is written to it,
+/// unless it answered within this time.
+pub const PROVEN_MS: Ms = 50.0;
 /// Of its idle time a connection to a server uses this share, so that the server never closes one in use.
 pub const IDLE_SHARE: f64 = 0.8;
 /// A connection on which something was asked and nothing at all came for this long takes no more requests.
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -133,13 +133,23 @@
 impl Outbox {
     /// Puts a message in line.
     pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
+        let parcel = self.hold(bytes);
+        self.release(&parcel);
+        parcel
+    }
+
+    /// A message that is not in line until it is released.
+    pub fn hold(&self, bytes: Vec<u8>) -> Rc<Parcel> {
         let bytes = Counted::new(bytes, &[&self.all, &self.own]);
-        let parcel = Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)) });
-        if self.queue.try_send(Rc::clone(&parcel)).is_err() {
+        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)) })
+    }
+
+    /// Puts a held message in line.
+    pub fn release(&self, parcel: &Rc<Parcel>) {
+        if self.queue.try_send(Rc::clone(parcel)).is_err() {
             // The connection is over; nothing of this will be written.
             parcel.take_back();
         }
-        parcel
     }
 
     /// Bytes that wait here.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -239,6 +239,10 @@
         if self.now >= self.tidied + TIDY_MS {
             self.tidied = self.now;
             self.caches.tidy(self.now);
+            // Nothing was written on them, so they count as never up.
+            for at in self.caches.unproved(self.now) {
+                self.input(Input::CacheDown(at, Down::NeverUp));
+            }
             // A client that is dropped here is disconnected.
             let now = self.now;
             let idle = if self.ending.accepts(now) { CLIENT_IDLE_MS } else { 0.0 };
@@ -567,7 +571,13 @@
             Some(place) => {
                 let to = (&fetch.server, *place);
                 let used: Vec<ConnId> = open.attempts.iter().filter_map(|a| a.on).collect();
-                let way = self.caches.send(self.now, to, (no, n), (&open.request.id, &used), ask.encode());
+                let way = self.caches.send(
+                    self.now,
+                    to,
+                    (no, n),
+                    (&open.request.id, &used, !body.is_empty()),
+                    ask.encode(),
+                );
                 (End::NoConnection, way)
             }
         };
@@ -607,7 +617,7 @@
     fn outcome(&mut self, at: ConnId, answer: Answer) {
         let key = self.caches.answered(self.now, at, &answer.id);
         let (Some(key), Some(end)) = (key, answer.end) else {
-            self.counters.late_answers += 1;
+            self.counters.late_answers += u64::from(answer.end.is_some());
             return;
         };
         if end == End::Served && !answer.copy && !self.is_write(key.0) {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -83,6 +83,14 @@
 
 impl Cache {
     pub fn start(behaviour: impl Fn(&Seen) -> Do + Send + Sync + 'static) -> Self {
+        Self::start_as(|_| true, behaviour)
+    }
+
+    /// One that says `yes` to `alive` only on some connections.
+    pub fn start_as(
+        proves: impl Fn(usize) -> bool + Send + Sync + 'static,
+        behaviour: impl Fn(&Seen) -> Do + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let cache = Self { address, seen: Arc::default(), aborted: Arc::default(), conns: Arc::default() };
@@ -94,7 +102,8 @@
                 let conn = conns.fetch_add(1, Ordering::SeqCst) + 1;
                 let (seen, aborted, behaviour) =
                     (Arc::clone(&seen), Arc::clone(&aborted), Arc::clone(&behaviour));
-                thread::spawn(move || serve(conn, socket, &seen, &aborted, &*behaviour));
+                let proves = proves(conn);
+                thread::spawn(move || serve(conn, socket, proves, &seen, &aborted, &*behaviour));
             }
         });
         cache
@@ -122,6 +131,7 @@
 fn serve(
     conn: usize,
     mut socket: TcpStream,
+    proves: bool,
     seen: &Mutex<Vec<Seen>>,
     aborted: &Mutex<Vec<String>>,
     behaviour: &Behaviour,
@@ -137,6 +147,12 @@
         decoder.feed(&piece[..n]);
         while let Some(words) = decoder.message().expect("a well-formed message") {
             let id = String::from_utf8(words[1].clone()).expect("an id");
+            if words[0] == b"alive" {
+                if proves && writer.lock().expect("lock").write_all(&encode(&[&words[1], b"yes"])).is_err() {
+                    return;
+                }
+                continue;
+            }
             if words[0] == b"abort" {
                 aborted.lock().expect("lock").push(id);
                 continue;
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -7,6 +7,7 @@
 use serde_json::{json, Value};
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A router before an edge cache, a parent and an origin, which all hold everything unless told otherwise.
@@ -384,3 +385,37 @@
         assert_eq!(client.settle(), []);
     }
 }
+
+#[test]
+fn a_connection_that_does_not_prove_itself_gets_no_request() {
+    // The first of all is mute from its start; the machine behind it may be gone.
+    let first = Arc::new(AtomicBool::new(true));
+    let other = Arc::clone(&first);
+    let edge = Cache::start_as(move |_| !first.swap(false, Ordering::SeqCst), |s| Do::Ok(content(s)));
+    let second = Cache::start_as(move |_| !other.swap(false, Ordering::SeqCst), |s| Do::Ok(content(s)));
+    let rig = rig_of(edge, |c| with_second(c, &second));
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    assert_eq!(rig.edge.count() + second.count(), 1);
+    assert_eq!(rig.router.counter("attempts_no_connection"), 1);
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_write_never_shares_a_connection_with_what_may_break_it() {
+    let origin = Cache::start(|s| Do::Later(200, content(s)));
+    let log = ChangeLog::start();
+    let edge = Cache::full();
+    let router = Router::start(&configuration(&three(&edge, &Cache::full(), &origin), log.address));
+    let mut client = router.client();
+    for tag in 1..=8 {
+        client.ask(tag, "loan", tag, "", b"borrow");
+    }
+    let answers: Vec<Got> = (0..8).map(|_| client.must()).collect();
+    assert!(answers.iter().all(|g| g.word == "200"));
+    let mut conns: Vec<usize> = origin.all().iter().map(|s| s.conn).collect();
+    conns.sort_unstable();
+    conns.dedup();
+    assert_eq!((origin.count(), conns.len()), (8, 8), "each on one of its own");
+    assert_eq!(client.settle(), []);
+}
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -70,7 +70,7 @@
     let seen = rig.edge.all();
     assert_eq!(seen.len(), 30);
     assert_eq!(seen.iter().map(|s| s.id.clone()).collect::<BTreeSet<_>>(), ids.into_iter().collect());
-    assert_eq!(rig.edge.conns.load(Ordering::SeqCst), 1, "one connection carries them all");
+    assert_eq!(rig.edge.conns.load(Ordering::SeqCst), 8, "a few connections carry them all");
     assert_eq!(seen[0].field("from"), Some("s-0000000c"));
     assert_eq!((seen[0].field("c"), seen[0].field("p")), (Some("pages"), Some("0")));
     assert_eq!(rig.router.counter("served"), 30);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -785,7 +785,10 @@
                 }
                 // Most fills are for objects not known yet; those are held against their class.
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
-                self.link.answer(self.now, slow(o.source_wait).unwrap_or(new), SLOW_LINK, fills);
+                // What the cache is slower by with hits is not the link's.
+                let of_cache = gate.slow.get().unwrap_or(0.0).max(0.0);
+                let slow = slow(o.source_wait).unwrap_or(new) - of_cache;
+                self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
             (End::Late, _) if sure => self.link.full(self.now, fills),
@@ -851,8 +854,7 @@
                     s.started = Some(self.now);
                     s.vanished = false;
                 }
-                let text = format!("{} back after its trial", s.entry.id.0);
-                self.report(acts, text);
+                self.report(acts, format!("{} back after its trial", self.servers[i].entry.id.0));
             }
             Health::Trial(wins) => s.health = Health::Trial(wins + 1),
             Health::Good | Health::Out(_) => {}
@@ -865,8 +867,7 @@
         s.health = Health::Out(self.now + span);
         s.strikes += 1;
         s.vanished |= vanished;
-        let text = format!("{} out for {span:.0} ms: {why}", s.entry.id.0);
-        self.report(acts, text);
+        self.report(acts, format!("{} out for {span:.0} ms: {why}", self.servers[i].entry.id.0));
     }
 
     // ---- Sweep ----
