--- a/src/rules.rs
+++ b/src/rules.rs
@@ -448,8 +448,7 @@
     /// The source for a miss: the object's home among all listed parents, else the next in hash order,
     /// else the origin.
     fn pick_source(&self, at: usize, weight: f64) -> Option<usize> {
-        let key = mix(self.open[at].req.object.0, 0);
-        let parents = self.in_order(Role::Parent, key);
+        let parents = self.in_order(Role::Parent, mix(self.open[at].req.object.0, 0));
         let ready = |i: &usize| self.usable(*i) && !self.open[at].blames(*i) && self.has_room(*i, weight);
         let parent = parents.into_iter().find(ready);
         parent.or_else(|| self.origin().filter(|i| self.usable(*i)))
@@ -767,6 +766,8 @@
         let slow = |wait: f64| own.map(|own| ((o.delay - wait).max(1.0) / own.max(1.0)).ln());
         let usual = self.mean_time(class) * NEW_OF_MEAN;
         let fills = self.fills_out(None);
+        let near = self.up[Role::Edge as usize].iter().filter_map(|i| self.servers[*i].gate.slow.get());
+        let quickest = near.fold(f64::INFINITY, f64::min);
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
             (End::Served, Note::Hit) if edge => {
@@ -785,9 +786,8 @@
                 }
                 // Most fills are for objects not known yet; those are held against their class.
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
-                // What the cache is slower by with hits is not the link's.
-                let of_cache = gate.slow.get().unwrap_or(0.0).max(0.0);
-                let slow = slow(o.source_wait).unwrap_or(new) - of_cache;
+                // What the cache is slower by with hits than its zone's quickest is not the link's.
+                let slow = slow(o.source_wait).unwrap_or(new) - gate.slow.get().map_or(0.0, |s| s - quickest);
                 self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
