--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -71,6 +71,8 @@
     pub reloads: u64,
     /// See `reloads`.
     pub reloads_refused: u64,
+    /// Servers that are listed.
+    pub servers_now: u64,
     /// Bytes that messages hold.
     pub held: u64,
     /// The most so far.
@@ -141,7 +143,7 @@
         write!(f, " late_answers={} conns={} conns_now={} ", self.late_answers, self.conns, self.conns_now)?;
         write!(f, "conns_failed={} conns_unreadable={} ", self.conns_failed, self.conns_unreadable)?;
         write!(f, "conns_unfinished={} ", self.conns_unfinished)?;
-        write!(f, "lists={} purges={} ", self.lists, self.purges)?;
+        write!(f, "servers_now={} lists={} purges={} ", self.servers_now, self.lists, self.purges)?;
         write!(
             f,
             "log_lost={} reloads={} reloads_refused={} ",
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -314,6 +314,7 @@
     fn count(&mut self) {
         (self.counters.conns_now, self.counters.conns) = self.caches.counts();
         self.counters.clients_now = self.clients.len() as u64;
+        self.counters.servers_now = self.servers.len() as u64;
         self.counters.held = self.meter.held() as u64;
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -71,6 +71,17 @@
     Half,
 }
 
+/// What a stand-in does when it is asked `alive`.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// It says `yes`.
+    Yes,
+    /// It says nothing.
+    Mute,
+    /// It ends the connection.
+    Cut,
+}
+
 type Behaviour = dyn Fn(&Seen) -> Do + Send + Sync;
 
 /// A server of any role.
@@ -83,12 +94,12 @@
 
 impl Cache {
     pub fn start(behaviour: impl Fn(&Seen) -> Do + Send + Sync + 'static) -> Self {
-        Self::start_as(|_| true, behaviour)
+        Self::start_as(|_| Proof::Yes, behaviour)
     }
 
-    /// One that says `yes` to `alive` only on some connections.
+    /// One that takes `alive` in another way on some connections.
     pub fn start_as(
-        proves: impl Fn(usize) -> bool + Send + Sync + 'static,
+        proves: impl Fn(usize) -> Proof + Send + Sync + 'static,
         behaviour: impl Fn(&Seen) -> Do + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -131,7 +142,7 @@
 fn serve(
     conn: usize,
     mut socket: TcpStream,
-    proves: bool,
+    proves: Proof,
     seen: &Mutex<Vec<Seen>>,
     aborted: &Mutex<Vec<String>>,
     behaviour: &Behaviour,
@@ -148,10 +159,12 @@
         while let Some(words) = decoder.message().expect("a well-formed message") {
             let id = String::from_utf8(words[1].clone()).expect("an id");
             if words[0] == b"alive" {
-                if proves && writer.lock().expect("lock").write_all(&encode(&[&words[1], b"yes"])).is_err() {
-                    return;
+                let yes = encode(&[&words[1], b"yes"]);
+                match proves {
+                    Proof::Yes if writer.lock().expect("lock").write_all(&yes).is_ok() => continue,
+                    Proof::Mute => continue,
+                    Proof::Yes | Proof::Cut => return,
                 }
-                continue;
             }
             if words[0] == b"abort" {
                 aborted.lock().expect("lock").push(id);
@@ -209,6 +222,8 @@
     pub asked: Arc<Mutex<Vec<u64>>>,
     /// The next frame of this number is left out once.
     pub skip: Arc<Mutex<Option<u64>>>,
+    /// The next frame of this number is cut in the middle, with its connection.
+    pub cut: Arc<Mutex<Option<u64>>>,
     /// Empty frames are sent.
     pub beats: Arc<AtomicBool>,
 }
@@ -229,10 +244,12 @@
             frames: Arc::default(),
             asked: Arc::default(),
             skip: Arc::default(),
+            cut: Arc::default(),
             beats: Arc::new(AtomicBool::new(true)),
         };
         let (frames, asked, skip, beats) =
             (Arc::clone(&log.frames), Arc::clone(&log.asked), Arc::clone(&log.skip), Arc::clone(&log.beats));
+        let cut = Arc::clone(&log.cut);
         thread::spawn(move || {
             for mut socket in listener.incoming().flatten() {
                 let mut from = [0; 8];
@@ -242,11 +259,16 @@
                 let mut last = u64::from_be_bytes(from);
                 asked.lock().expect("lock").push(last);
                 let (frames, skip, beats) = (Arc::clone(&frames), Arc::clone(&skip), Arc::clone(&beats));
+                let cut = Arc::clone(&cut);
                 thread::spawn(move || loop {
                     let news: Vec<_> =
                         frames.lock().expect("lock").iter().filter(|f| f.0 > last).cloned().collect();
                     for (number, bytes) in news {
                         last = number;
+                        if cut.lock().expect("lock").take_if(|c| *c == number).is_some() {
+                            let _ = socket.write_all(&bytes[..bytes.len() / 2]);
+                            return;
+                        }
                         let left_out = skip.lock().expect("lock").take_if(|s| *s == number).is_some();
                         if !left_out && socket.write_all(&bytes).is_err() {
                             return;
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -389,10 +389,13 @@
 #[test]
 fn a_connection_that_does_not_prove_itself_gets_no_request() {
     // The first of all is mute from its start; the machine behind it may be gone.
+    let mute = |first: Arc<AtomicBool>| {
+        move |_| if first.swap(false, Ordering::SeqCst) { Proof::Mute } else { Proof::Yes }
+    };
     let first = Arc::new(AtomicBool::new(true));
     let other = Arc::clone(&first);
-    let edge = Cache::start_as(move |_| !first.swap(false, Ordering::SeqCst), |s| Do::Ok(content(s)));
-    let second = Cache::start_as(move |_| !other.swap(false, Ordering::SeqCst), |s| Do::Ok(content(s)));
+    let edge = Cache::start_as(mute(first), |s| Do::Ok(content(s)));
+    let second = Cache::start_as(mute(other), |s| Do::Ok(content(s)));
     let rig = rig_of(edge, |c| with_second(c, &second));
     let mut client = rig.router.client();
     serves(&mut client, 1);
@@ -419,3 +422,76 @@
     assert_eq!((origin.count(), conns.len()), (8, 8), "each on one of its own");
     assert_eq!(client.settle(), []);
 }
+
+#[test]
+fn a_write_that_meets_the_end_of_a_connection_that_was_new_or_idle_never_ran() {
+    let origin =
+        Cache::start_as(|conn| if conn == 1 { Proof::Cut } else { Proof::Yes }, |s| Do::Ok(content(s)));
+    let parent = Cache::full();
+    let log = ChangeLog::start();
+    let router = Router::start(&configuration(&three(&Cache::full(), &parent, &origin), log.address));
+    let mut client = router.client();
+    client.ask(1, "loan", 1, "", b"borrow");
+    assert_eq!(client.must().word, "200", "sent again, since it provably never ran");
+    assert_eq!((parent.count(), origin.count()), (1, 0));
+    assert_eq!((router.counter("attempts_broken"), router.counter("attempts_not_sent")), (0, 1));
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_change_log_that_breaks_in_mid_event_or_repeats_itself_tells_each_event_once() {
+    let rig = rig();
+    until("it is followed", || !rig.log.asked.lock().expect("lock").is_empty());
+    *rig.log.cut.lock().expect("lock") = Some(3);
+    for (number, object) in [(2, 1), (2, 1), (3, 2), (4, 3), (4, 3)] {
+        rig.log.tell(number, 3, &purge(object));
+    }
+    until("all are told", || rig.router.counter("purges") >= 3);
+    until("it was asked again after the break", || rig.log.asked.lock().expect("lock").contains(&2));
+    rig.log.tell(5, 3, &purge(4));
+    until("the next is told", || rig.router.counter("purges") >= 4);
+    assert_eq!((rig.router.counter("purges"), rig.router.counter("log_lost")), (4, 1));
+    let mut client = rig.router.client();
+    (1..=5).for_each(|tag| serves(&mut client, tag));
+    assert_eq!(client.settle(), []);
+    let bound = rig.edge.all().iter().filter(|s| s.field("oldest").is_some()).count();
+    assert_eq!(bound, 4);
+}
+
+#[test]
+fn servers_that_come_and_go_leave_nothing() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    let address = rig.edge.address;
+    for round in 0..40u32 {
+        let ids = (0..50).map(|n| 0x1000 + 50 * round + n);
+        let all = |state: u8| ids.clone().flat_map(|id| record(id, address, state, 0)).collect::<Vec<u8>>();
+        rig.log.tell(u64::from(2 + 2 * round), 2, &all(0));
+        rig.log.tell(u64::from(3 + 2 * round), 2, &all(2));
+    }
+    until("2,000 came and went", || rig.router.counter("lists") == 81);
+    assert_eq!(rig.router.counter("servers_now"), 3);
+    serves(&mut client, 2);
+    assert_eq!(client.settle(), []);
+}
+
+// ---- The end ----
+
+#[test]
+fn clients_that_misbehave_do_not_hold_up_the_end() {
+    let slow = Cache::start(|s| Do::Later(1200, content(s)));
+    let mut rig = rig_of(slow, |_| {});
+    let mut good = rig.router.client();
+    let silent: Vec<Client> = (0..100).map(|_| rig.router.client()).collect();
+    let mut half: Vec<Client> = (0..100).map(|_| rig.router.client()).collect();
+    half.iter_mut().for_each(|c| c.write(b"*5\r\n$2\r\nDO\r\n"));
+    good.ask(1, "pages", 1, "", b"");
+    until("it is open", || rig.router.counter("requests") == 1);
+    let asked = Instant::now();
+    rig.router.signal("TERM");
+    assert_eq!(good.must().word, "200");
+    assert!(rig.router.ended().success());
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+    drop((silent, half));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,3 +227,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{Role, ZoneId};
+
+    fn put(table: &mut IndexMap<ServerId, Server>, name: &str, listed: Listed, held: Option<usize>) -> usize {
+        let id = ServerId(name.into());
+        let (zone, role) = (ZoneId(0), Role::Edge);
+        let entry = ServerEntry { id: id.clone(), zone, role, cell: 0, listed, weight: 1.0, started: None };
+        let new = || Server::new(entry.clone(), 0, 0.0, 1.0, Gate::new(0.0, 1.0, 1));
+        place(table, &id, new, |i| Some(i) == held).entry = entry.clone();
+        table.get_index_of(&id).expect("its place")
+    }
+
+    #[test]
+    fn a_table_of_servers_grows_no_longer_than_what_is_listed() {
+        let mut table = IndexMap::new();
+        let stays = put(&mut table, "stays", Listed::Up, None);
+        let held = put(&mut table, "held", Listed::Up, None);
+        put(&mut table, "held", Listed::Gone, Some(held));
+        for n in 0..3000 {
+            let name = format!("s{n}");
+            let at = put(&mut table, &name, Listed::Up, Some(held));
+            assert!(at != stays && at != held, "an open attempt still means the one that has gone");
+            assert_eq!(put(&mut table, &name, Listed::Gone, Some(held)), at);
+        }
+        assert_eq!(table.len(), 3);
+        assert_eq!(put(&mut table, "stays", Listed::Up, Some(held)), stays);
+        // Once nothing means it any more, its place is free as well.
+        put(&mut table, "new", Listed::Up, None);
+        assert_eq!(put(&mut table, "newer", Listed::Up, None).max(2), 2);
+    }
+}
