--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -40,6 +40,8 @@
 pub const OPEN_PER_CLIENT: usize = 32;
 /// Tags that a client's connection remembers as answered: a number is used once.
 pub const TAGS_KEPT: usize = 32;
+/// So many requests taken back without an answer between them end a client's connection: three times what it may have open.
+pub const UNDONE_MOST: u32 = 96;
 /// So many requests that could not be understood end a client's connection.
 pub const UNREADABLE_MOST: u32 = 16;
 /// Servers hold one descriptor in so many; what is left is clients'. Those in service hold a third themselves.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,7 +7,7 @@
 use crate::inbox::Over;
 use crate::limits::{
     CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT, QUEUE, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE,
-    ROOM_SILENT_MS, TAGS_KEPT, UNREADABLE_MOST,
+    ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST, UNREADABLE_MOST,
 };
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::resp::Malformed;
@@ -68,6 +68,8 @@
     used: VecDeque<Tag>,
     /// Requests of it that could not be understood.
     unreadable: u32,
+    /// Requests that it took back since it was last answered.
+    undone: u32,
     /// It has sent a whole message.
     spoke: bool,
     /// When it connected, sent its last message or got its last answer.
@@ -262,8 +264,16 @@
                 self.counters.clients += 1;
                 let (open, unsent) = (BTreeMap::new(), BTreeMap::new());
                 let used = VecDeque::new();
-                let client =
-                    Client { outbox, open, unsent, used, unreadable: 0, spoke: false, active: self.now };
+                let client = Client {
+                    outbox,
+                    open,
+                    unsent,
+                    used,
+                    unreadable: 0,
+                    undone: 0,
+                    spoke: false,
+                    active: self.now,
+                };
                 self.clients.insert(id, client);
             }
             Input::Client(id, message, at) => self.message(id, message, at),
@@ -392,7 +402,15 @@
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
             FromClient::Undo(tag) => match client.open.remove(&tag) {
-                Some(no) => self.left(no),
+                Some(no) => {
+                    client.undone += 1;
+                    let too_many = client.undone >= UNDONE_MOST;
+                    self.left(no);
+                    if too_many {
+                        self.counters.closed_broken_rule += 1;
+                        self.disconnect(id);
+                    }
+                }
                 None => {
                     let unsent = client.unsent.remove(&tag);
                     unsent.into_iter().for_each(|p| self.counters.taken_back += u64::from(p.take_back()));
@@ -508,7 +526,7 @@
         if let Some(client) = self.clients.get_mut(&open.client) {
             self.counters.answered(&reply);
             client.open.remove(&tag);
-            client.active = self.now;
+            (client.active, client.undone) = (self.now, 0);
             client.unsent.retain(|_, p| p.stage() == Stage::Waiting);
             client.unsent.insert(tag, client.outbox.put(answer(tag, reply)));
         }
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -320,6 +320,22 @@
     assert_eq!((rig.router.counter("closed_broken_rule"), rig.router.counter("requests")), (2, 66));
 }
 
+#[test]
+fn one_that_takes_back_whatever_it_asks_is_closed() {
+    let rig = rig_of(Cache::start(|_| Do::Silent), |_| {});
+    let mut bad = rig.router.client();
+    let mut bytes = Vec::new();
+    for tag in 1..=300u64 {
+        let (id, object) = (format!("{:016x}", tag + 5000), format!("{tag:016x}"));
+        bytes.extend(bytes_of(&tag.to_string(), &id, &object, "5000"));
+        bytes.extend(encode(&[b"UNDO", tag.to_string().as_bytes()]));
+    }
+    let _ = bad.socket.write_all(&bytes);
+    assert_eq!(bad.next(), None);
+    until("all is given up", || rig.router.counter("left") == 96);
+    assert_eq!(rig.router.counter("closed_broken_rule"), 1);
+}
+
 // ---- Peers that misbehave ----
 
 #[test]
