--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -180,6 +180,31 @@
     assert!(looks > 10, "{looks} looks");
 }
 
+/// One cache that is slow with hits is slow with fills too; that closes its own gate and not the zone's link
+/// (stripbib-reader on sockets, wide with resets).
+#[test]
+fn a_slow_caches_fills_are_not_held_against_the_link() {
+    let mut d = Driver::new(settings(), fleet());
+    for n in 0..400 {
+        d.serve(n, SAFE, n as u64 % 200, if n % 2 == 0 { Note::Hit } else { Note::FilledBySource });
+    }
+    let slow = id("edge-0");
+    for round in 0..10 {
+        let first = 1000 + round * 40;
+        let out: Vec<(usize, Fetch)> = (first..first + 40)
+            .filter_map(|n| fetch(&d.ask(n, SAFE, n as u64 % 200)).map(|f| (n, f)))
+            .collect();
+        d.wait(900.0);
+        for (n, f) in out {
+            let note = if n % 2 == 0 || f.fill_from == f.server { Note::Hit } else { Note::FilledBySource };
+            d.outcome(n, 0, &f.server, End::Served, note, if f.server == slow { 900.0 } else { 100.0 });
+        }
+    }
+    let fills = (5000..5060).filter_map(|n| fetch(&d.ask(n, SAFE, n as u64)));
+    let (fills, looks): (Vec<_>, Vec<_>) = fills.partition(|f| f.fill_from != f.server);
+    assert!(fills.len() > 20 && looks.is_empty(), "{} fills, {} looks", fills.len(), looks.len());
+}
+
 /// A fill that is under way needs no place on the link.
 #[test]
 fn a_look_that_finds_a_fill_under_way_joins_it() {
