--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::WireId;
 use crate::clock::late;
-use crate::inbox::{read_all, Over};
+use crate::inbox::{either, read_all, Over};
 use crate::limits::{
     ABANDONED_MS, CONNS_PER_SERVER, FROM_CACHE, IDLE_SHARE, PROVEN_MS, SERVER_STALLED, SHARED, SILENT_MS,
 };
@@ -326,9 +326,9 @@
         if self.conns.len() >= self.most {
             let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty() && c.out.unsent() == 0);
             let longest = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(at, _)| *at);
-            longest.into_iter().for_each(|at| {
+            if let Some(at) = longest {
                 self.remove(at);
-            });
+            }
         }
         self.conns.len() < self.most
     }
@@ -481,11 +481,7 @@
             let typed = |words, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
             read_all(&socket, FROM_CACHE, shared, || false, typed).await
         };
-        let write = async {
-            write_all(&socket, parcels, || late(SERVER_STALLED)).await;
-            Over::Ended
-        };
-        let over = future::or(read, write).await;
+        let over = either(read, write_all(&socket, parcels, || late(SERVER_STALLED))).await;
         log::debug!("connection {} to {}: {over:?}", at.0, place.address);
         return Down::Ended(over);
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
 use crate::clock::late;
-use crate::inbox::{read_all, Over};
+use crate::inbox::{either, read_all};
 use crate::limits::{
     ACCEPT_REST, ACCEPT_ROW, BODY, CLIENT_STALLED, CLIENT_UNSENT, COPY_TAG, FROM_CLIENT, LONGEST_WAIT_MS,
     MOST_GROUP, MOST_KB, MOST_PART, WAIT,
@@ -235,11 +235,7 @@
         let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
         read_all(&socket, FROM_CLIENT, &shared, full, typed).await
     };
-    let write = async {
-        write_all(&socket, parcels, || late(CLIENT_STALLED)).await;
-        Over::Ended
-    };
-    let over = future::or(read, write).await;
+    let over = either(read, write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
     log::debug!("client {}: {over:?}", id.0);
     // The owner is gone only when the process ends.
     let _ = shared.queue.send(Input::ClientClosed(id, over)).await;
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -7,6 +7,7 @@
 use async_io::{Async, Timer};
 use basaltgw::api::Ms;
 use futures_lite::{future, AsyncReadExt};
+use std::future::Future;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,15 @@
     Unfinished,
 }
 
+/// Runs a connection's two sides until one is over. What is written ends when its outbox is dropped, or the peer takes no more.
+pub async fn either(read: impl Future<Output = Over>, write: impl Future<Output = ()>) -> Over {
+    let written = async {
+        write.await;
+        Over::Ended
+    };
+    future::or(read, written).await
+}
+
 /// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
 /// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all.
 pub async fn read_all(
