--- a/src/hash.rs
+++ b/crates/structures/src/hash.rs
@@ -22,3 +22,12 @@
 pub fn unit(word: u64) -> f64 {
     ((word >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
+
+/// Sets the hash of shares apart from that of placement, so that a server's share is no cut through its own objects' scores.
+const SHARE_SALT: u64 = 0x6c62_272e_07bb_0142;
+
+/// True if an object belongs to the share (0 to 1) that a server takes of its objects: what belongs to a share belongs to every larger
+/// one, and all who reckon reckon alike.
+pub fn within_share(object: u64, server: u64, share: f64) -> bool {
+    share >= 1.0 || unit(mix(mix(object, SHARE_SALT), server)) < share
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,9 @@
 #![warn(missing_docs)]
 
 pub mod api;
-pub mod hash;
 pub mod rules;
 pub mod shadow;
 mod state;
 pub mod window;
+
+pub use basaltgw_structures::hash;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,10 +6,11 @@
 //! life, from news to final answers.
 
 use crate::api::*;
-use crate::hash::{address, mix, rendezvous, unit};
+use crate::hash::{address, mix, unit};
 use crate::shadow::ShadowList;
 use crate::state::{place, Found, Gate, Health, Known, Mark, Open, Server, Try};
 use crate::window::Average;
+use basaltgw_structures::Candidates;
 use indexmap::IndexMap;
 
 // The mechanism.
@@ -172,6 +173,8 @@
     servers: IndexMap<ServerId, Server>,
     /// By role: what the list has up, edge caches of the own zone only.
     up: [Vec<usize>; 3],
+    /// The same, by hash order.
+    order: [Candidates; 3],
     open: IndexMap<RequestId, Open>,
     edge: ShadowList,
     missed: ShadowList,
@@ -210,6 +213,7 @@
             armed: false,
             servers: IndexMap::new(),
             up: Default::default(),
+            order: Default::default(),
             open: IndexMap::new(),
             edge: ShadowList::new(SHADOW_ENTRIES),
             missed: ShadowList::new(SHADOW_ENTRIES),
@@ -312,6 +316,8 @@
             let fits = |s: &Server| s.entry.role == role && s.entry.listed == Listed::Up && near(s);
             let all = self.servers.values().enumerate().filter(|(_, s)| fits(s));
             self.up[role as usize] = all.map(|(i, _)| i).collect();
+            let one = |i: &usize| (*i, self.servers[*i].hash, self.servers[*i].entry.weight);
+            self.order[role as usize] = Candidates::new(self.up[role as usize].iter().map(one));
         }
     }
 
@@ -365,17 +371,6 @@
 
     // ---- Placement ----
 
-    /// Servers of a role (edge caches: of the own zone) that the list has up, in hash order for the key.
-    fn in_order(&self, role: Role, key: u64) -> Vec<usize> {
-        let score = |i: &usize| {
-            let s = &self.servers[*i];
-            (rendezvous(key, s.hash, s.entry.weight), s.hash, *i)
-        };
-        let mut order: Vec<_> = self.up[role as usize].iter().map(score).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        order.into_iter().map(|(_, _, i)| i).collect()
-    }
-
     /// Healthy, or due for a trial with nothing out; the list has it up if it is in hash order.
     fn usable(&self, i: usize) -> bool {
         let s = &self.servers[i];
@@ -425,7 +420,8 @@
     /// The edge cache: the first in hash order that is usable and has room; its parts go on if it is hot.
     fn pick_edge(&self, at: usize, weight: f64) -> Option<usize> {
         let key = self.open[at].req.object.0;
-        let (mut order, ease) = (self.in_order(Role::Edge, key), self.ease(self.open[at].class));
+        let edges = &self.order[Role::Edge as usize];
+        let (mut order, ease) = (edges.sorted(key), self.ease(self.open[at].class));
         order.retain(|i| self.usable(*i) && !self.open[at].blames(*i));
         order.retain(|i| {
             self.servers[*i].gate.lets(self.now, self.servers[*i].out as f64, ease)
@@ -441,16 +437,16 @@
             return Some(home);
         }
         let place = mix(key, self.open[at].req.part.0 + 1);
-        let spread = self.in_order(Role::Edge, place).into_iter().filter(|i| order.contains(i));
-        spread.into_iter().find(|i| load(i) <= bound).or(Some(home))
+        let mut spread = edges.order(place).filter(|i| order.contains(i));
+        spread.find(|i| load(i) <= bound).or(Some(home))
     }
 
     /// The source for a miss: the object's home among all listed parents, else the next in hash order,
     /// else the origin.
     fn pick_source(&self, at: usize, weight: f64) -> Option<usize> {
-        let parents = self.in_order(Role::Parent, mix(self.open[at].req.object.0, 0));
+        let mut parents = self.order[Role::Parent as usize].order(mix(self.open[at].req.object.0, 0));
         let ready = |i: &usize| self.usable(*i) && !self.open[at].blames(*i) && self.has_room(*i, weight);
-        let parent = parents.into_iter().find(ready);
+        let parent = parents.find(ready);
         parent.or_else(|| self.origin().filter(|i| self.usable(*i)))
     }
 
@@ -557,10 +553,11 @@
         let fresh = |i: &usize| !self.open[at].tries.iter().any(|t| t.server == *i);
         let origin = self.origin();
         let straight = origin.filter(|i| self.set.direct && fresh(i));
-        let way = self.in_order(if self.set.direct { Role::Parent } else { Role::Edge }, mix(key, 0));
+        let role = if self.set.direct { Role::Parent } else { Role::Edge };
+        let mut way = self.order[role as usize].order(mix(key, 0));
         match straight.filter(|i| self.usable(*i)) {
             Some(_) => (straight, None),
-            None => (way.into_iter().find(|i| self.warm(i) && fresh(i)).or(straight), origin),
+            None => (way.find(|i| self.warm(i) && fresh(i)).or(straight), origin),
         }
     }
 
