Plans of the cache tree: checked whole, split into safe steps, reshaped by portions

Change: crates/hierarchy, no I/O. Plans with tiers to eight, checked for unknown, repeated and unreached nodes, rings, and the loss of any one source; mixtures of versions by the union of their edges; changes split into steps whose mixtures hold no ring; a router's side (newcomers' and leavers' shares by what was answered and by the cold rule, taken back from any state, pairs that loop set aside) and a cache's side (homes, handing over, trails, one fill for all who ask). Nothing uses it yet.

--- /dev/null
+++ b/crates/hierarchy/src/reshape.rs
@@ -0,0 +1,847 @@
+//! A router's side of a change: from one plan to the next by portions, each entered by what this router observed.
+//!
+//! While a change is under way an edge cache may name the sources of both plans. A source that only the new one permits is a newcomer
+//! there, one that only the old one permits a leaver; each has a share of its objects (see
+//! [`within_share`](basaltgw_structures::hash::within_share)) that grows or falls by steps.
+
+use crate::plan::{NodeId, Plan, PlanSpec, Refusal, Version};
+use crate::{steps, Ms, Settings};
+use basaltgw_structures::hash::{address, within_share};
+use indexmap::IndexMap;
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+
+/// Shares, smallest first. Doubled, since what a step shows is worth no more than twice what it tried.
+const SHARES: [f64; 6] = [0.0, 1.0 / 16.0, 1.0 / 8.0, 1.0 / 4.0, 1.0 / 2.0, 1.0];
+const NONE: usize = 0;
+const FIRST: usize = 1;
+const WHOLE: usize = SHARES.len() - 1;
+/// Pairs of which loops are counted.
+const MOST_PAIRS: usize = 1_024;
+
+/// How far a change has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    /// It came in.
+    Offered,
+    /// It passed every check, and its steps are known.
+    Checked,
+    /// Newcomers take growing shares.
+    Warming,
+    /// Newcomers have all that is theirs.
+    Serving,
+    /// Leavers give up their shares.
+    Retiring,
+    /// Nothing is asked of leavers; the new plan is the one in use.
+    Gone,
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Offered => "offered",
+            Self::Checked => "checked",
+            Self::Warming => "warming",
+            Self::Serving => "serving",
+            Self::Retiring => "retiring",
+            Self::Gone => "gone",
+        })
+    }
+}
+
+/// How an attempt that named a source ended, as far as the source is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// It gave what was asked.
+    Answered,
+    /// It said no.
+    Refused,
+    /// It was not reached, broke off or was too slow.
+    Failed,
+    /// The fill met itself.
+    Looped,
+}
+
+/// What a router tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A plan came in.
+    Offer(PlanSpec),
+    /// What is under way is to be taken back.
+    TakeBack,
+    /// The list tells of a node: whether it is up, and when it started, if lately.
+    Listed(NodeId, bool, Option<Ms>),
+    /// An attempt that named a source is over.
+    Ended {
+        /// The edge cache.
+        asker: NodeId,
+        /// The source.
+        source: NodeId,
+        /// For which object.
+        object: u64,
+        /// How it ended.
+        how: How,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What comes of it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Sources are named by this table from now on.
+    Use(Arc<Table>),
+    /// A state was entered, and why.
+    Entered(Version, State, String),
+    /// A plan, or taking one back, was refused; nothing has changed.
+    Refused(Refusal),
+    /// A pair loops; the asker names this source no more until the plan changes.
+    SetAside(NodeId, NodeId),
+}
+
+/// A source, and the share of its objects that it may be asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// Which node.
+    pub id: NodeId,
+    /// Its weight beside the others.
+    pub weight: f64,
+    /// 0 to 1.
+    pub share: f64,
+}
+
+/// What each edge cache may name as a source now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    /// By edge cache: its sources, but the archive. Caches with the same sources share them.
+    pub of: HashMap<NodeId, Arc<Vec<Share>>>,
+    /// Edge caches that may name the archive when they have nobody else.
+    pub archive: Vec<NodeId>,
+}
+
+/// A newcomer or leaver.
+#[derive(Clone, Debug)]
+struct Moving {
+    node: NodeId,
+    step: usize,
+    since: Ms,
+    proofs: u32,
+    bad: u32,
+    asked: bool,
+    last: Ms,
+}
+
+impl Moving {
+    fn new(node: NodeId, step: usize, now: Ms) -> Self {
+        Self { node, step, since: now, proofs: 0, bad: 0, asked: false, last: now }
+    }
+
+    fn go(&mut self, step: usize, now: Ms) {
+        (self.step, self.since, self.proofs, self.bad, self.asked) = (step, now, 0, 0, false);
+    }
+
+    /// This step has shown enough: so many answers, or that nothing here is touched by it.
+    fn shown(&self, now: Ms, set: &Settings) -> bool {
+        self.proofs >= set.proofs || (!self.asked && now - self.since >= set.idle)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    next: Arc<Plan>,
+    /// What follows it.
+    then: VecDeque<Arc<Plan>>,
+    /// Plans passed since the offer, the first one first: the way back.
+    passed: Vec<Arc<Plan>>,
+    state: State,
+    come: Vec<Moving>,
+    go: Vec<Moving>,
+    back: bool,
+}
+
+/// A router's plan, and the change that is under way.
+#[derive(Clone, Debug)]
+pub struct Reshape {
+    set: Settings,
+    plan: Option<Arc<Plan>>,
+    change: Option<Change>,
+    /// The highest version that was ever offered.
+    highest: Option<Version>,
+    /// Nodes that the list has named: up, and when started.
+    listed: HashMap<NodeId, (bool, Option<Ms>)>,
+    /// Loops by asker and source.
+    loops: IndexMap<(NodeId, NodeId), u32>,
+}
+
+impl Reshape {
+    /// A router without a plan: everything is as without this package.
+    pub fn new(set: Settings) -> Self {
+        Self { set, plan: None, change: None, highest: None, listed: HashMap::new(), loops: IndexMap::new() }
+    }
+
+    /// The plan in use.
+    pub fn plan(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
+    }
+
+    /// What is under way: the version, its state, and whether it is being taken back.
+    pub fn under_way(&self) -> Option<(Version, State, bool)> {
+        self.change.as_ref().map(|c| (c.next.version(), c.state, c.back))
+    }
+
+    /// For people: the plan, the change, and each newcomer's and leaver's share, one in each line.
+    pub fn describe(&self) -> Vec<String> {
+        let mut lines = vec![match &self.plan {
+            None => "no plan: every listed parent is a source".to_string(),
+            Some(plan) => format!("plan {}: {} nodes in use", plan.version(), plan.nodes().len()),
+        }];
+        if let Some(c) = &self.change {
+            let back = if c.back { ", being taken back" } else { "" };
+            lines.push(format!(
+                "change to {}: {}{back}, {} steps after it",
+                c.next.version(),
+                c.state,
+                c.then.len()
+            ));
+            let of = |m: &Moving, what: &str| {
+                let up = if self.up(&m.node) { "" } else { ", not up" };
+                format!("{what} {}: share {}, {} answers in this step{up}", m.node, SHARES[m.step], m.proofs)
+            };
+            lines
+                .extend(c.come.iter().map(|m| of(m, "newcomer")).chain(c.go.iter().map(|m| of(m, "leaver"))));
+        }
+        let aside = self.loops.iter().filter(|(_, n)| **n >= self.set.loops);
+        lines.extend(
+            aside.map(|((asker, source), n)| {
+                format!("set aside: {asker} no longer names {source}, {n} loops")
+            }),
+        );
+        lines
+    }
+
+    /// Takes an event in and appends what comes of it.
+    pub fn handle(&mut self, now: Ms, event: Event, acts: &mut Vec<Act>) {
+        match event {
+            Event::Offer(spec) => self.offer(now, spec, acts),
+            Event::TakeBack => self.take_back(now, acts),
+            Event::Listed(node, up, started) => self.listed(now, node, up, started, acts),
+            Event::Ended { asker, source, object, how } => {
+                self.ended(now, &asker, &source, object, how, acts)
+            }
+            Event::Tick => self.advance(now, acts),
+        }
+    }
+
+    fn up(&self, node: &NodeId) -> bool {
+        self.listed.get(node).is_some_and(|(up, _)| *up)
+    }
+
+    // ---- Offers ----
+
+    fn offer(&mut self, now: Ms, spec: PlanSpec, acts: &mut Vec<Act>) {
+        let offered = spec.version;
+        match self.steps_to(spec) {
+            Err(refusal) => acts.push(Act::Refused(refusal)),
+            Ok(mut steps) => {
+                self.highest = Some(offered);
+                let entered = |state, why: String| Act::Entered(offered, state, why);
+                acts.push(entered(State::Offered, "a later version came in".into()));
+                acts.push(entered(State::Checked, format!("no fault found; {} steps", steps.len())));
+                if self.plan.is_none() {
+                    self.plan = steps.pop_back();
+                    acts.push(entered(State::Gone, "the first plan acts whole".into()));
+                    acts.push(Act::Use(self.table()));
+                    return;
+                }
+                self.begin(now, steps, Vec::new(), acts);
+            }
+        }
+    }
+
+    /// The checked steps to a plan.
+    fn steps_to(&self, spec: PlanSpec) -> Result<VecDeque<Arc<Plan>>, Refusal> {
+        if let Some(c) = &self.change {
+            return Err(Refusal::Busy(c.next.version()));
+        }
+        if let Some(has) = self.highest.filter(|has| *has >= spec.version) {
+            return Err(Refusal::Version { offered: spec.version, has });
+        }
+        let plan = Plan::check(spec)?;
+        match &self.plan {
+            None => Ok(VecDeque::from([Arc::new(plan)])),
+            Some(old) => Ok(steps(old, &plan, self.set.behind)?.into_iter().map(Arc::new).collect()),
+        }
+    }
+
+    /// Begins the next step, if there is one.
+    fn begin(&mut self, now: Ms, mut then: VecDeque<Arc<Plan>>, passed: Vec<Arc<Plan>>, acts: &mut Vec<Act>) {
+        let (Some(old), Some(next)) = (self.plan.clone(), then.pop_front()) else { return };
+        let (come, go) = (gained(&old, &next), gained(&next, &old));
+        let come = come.into_iter().map(|n| {
+            let step = if self.up(&n) { FIRST } else { NONE };
+            Moving::new(n, step, now)
+        });
+        let come = come.collect();
+        let go = go.into_iter().map(|n| Moving::new(n, WHOLE, now)).collect();
+        self.loops.clear();
+        self.change = Some(Change { next, then, passed, state: State::Checked, come, go, back: false });
+        self.enter(State::Warming, "newcomers take their first share".into(), acts);
+        acts.push(Act::Use(self.table()));
+    }
+
+    fn enter(&mut self, state: State, why: String, acts: &mut Vec<Act>) {
+        if let Some(c) = &mut self.change {
+            c.state = state;
+            acts.push(Act::Entered(c.next.version(), state, why));
+        }
+    }
+
+    /// Turns the change round: who came leaves again, who left comes back, from the shares that they have now.
+    fn take_back(&mut self, now: Ms, acts: &mut Vec<Act>) {
+        let Some((c, plan)) = self.change.take().zip(self.plan.clone()) else {
+            acts.push(Act::Refused(Refusal::Nothing));
+            return;
+        };
+        let turned = |moving: Vec<Moving>| -> Vec<Moving> {
+            moving.into_iter().map(|m| Moving { last: m.last, ..Moving::new(m.node, m.step, now) }).collect()
+        };
+        let mut back: VecDeque<Arc<Plan>> = c.passed.into_iter().rev().collect();
+        if c.back {
+            // Taken back once more: forward again, as far as this step goes.
+            back.clear();
+        }
+        self.plan = Some(c.next);
+        self.loops.clear();
+        self.change = Some(Change {
+            next: plan,
+            then: back,
+            passed: Vec::new(),
+            state: State::Warming,
+            come: turned(c.go),
+            go: turned(c.come),
+            back: !c.back,
+        });
+        self.enter(State::Warming, "taken back: leavers take their shares again".into(), acts);
+        acts.push(Act::Use(self.table()));
+    }
+
+    // ---- What is observed ----
+
+    fn listed(&mut self, now: Ms, node: NodeId, up: bool, started: Option<Ms>, acts: &mut Vec<Act>) {
+        let before = self.listed.insert(node.clone(), (up, started));
+        let Some(c) = &mut self.change else {
+            // Nodes that no plan names and that are gone need not be known.
+            if !up && self.plan.as_ref().is_none_or(|p| p.node(&node).is_none()) {
+                self.listed.remove(&node);
+            }
+            return;
+        };
+        let anew = before.is_some_and(|(_, was)| started > was);
+        let Some(m) = c.come.iter_mut().find(|m| m.node == node) else { return };
+        let step = match (up, m.step) {
+            (false, NONE) => return,
+            (false, _) => NONE,
+            (true, NONE) => FIRST,
+            (true, _) if anew => FIRST,
+            (true, _) => return,
+        };
+        m.go(step, now);
+        let why = if up {
+            format!("{node} is there, and starts with its first share")
+        } else {
+            format!("{node} is lost")
+        };
+        self.enter(State::Warming, why, acts);
+        acts.push(Act::Use(self.table()));
+    }
+
+    fn ended(
+        &mut self,
+        now: Ms,
+        asker: &NodeId,
+        source: &NodeId,
+        object: u64,
+        how: How,
+        acts: &mut Vec<Act>,
+    ) {
+        if how == How::Looped {
+            let pair = (asker.clone(), source.clone());
+            if self.loops.len() >= MOST_PAIRS && !self.loops.contains_key(&pair) {
+                self.loops.shift_remove_index(0);
+            }
+            let count = self.loops.entry(pair).or_insert(0);
+            *count += 1;
+            if *count == self.set.loops {
+                acts.push(Act::SetAside(asker.clone(), source.clone()));
+                acts.push(Act::Use(self.table()));
+            }
+            return;
+        }
+        let (Some(c), Some(plan)) = (&mut self.change, &self.plan) else { return };
+        for m in c.come.iter_mut().chain(&mut c.go).filter(|m| m.node == *source) {
+            (m.asked, m.last) = (true, now);
+        }
+        if let Some(m) = c.come.iter_mut().find(|m| m.node == *source) {
+            match how {
+                How::Answered => m.proofs += 1,
+                How::Refused | How::Failed | How::Looped => m.bad += 1,
+            }
+        }
+        if c.state == State::Retiring && !c.go.is_empty() {
+            // What a leaver gave up and another now gave.
+            let first = plan.sources(asker, object).next();
+            let given_up = |m: &&mut Moving| {
+                first == Some(&m.node) && !within_share(object, address(&m.node.0), SHARES[m.step])
+            };
+            if let Some(m) = c.go.iter_mut().find(given_up).filter(|m| m.node != *source) {
+                m.asked = true;
+                match how {
+                    How::Answered => m.proofs += 1,
+                    How::Refused | How::Failed | How::Looped => m.bad += 1,
+                }
+            }
+        }
+        self.advance(now, acts);
+    }
+
+    // ---- Steps ----
+
+    /// The largest step that a node's age allows: no larger share of its load than it can do of its work.
+    fn allowed(&self, now: Ms, node: &NodeId) -> usize {
+        let cold = self.set.cold;
+        let started = self.listed.get(node).and_then(|(_, started)| *started);
+        let age = started.map_or(f64::INFINITY, |t| now - t);
+        let can =
+            if age >= cold.span { 1.0 } else { cold.share + (1.0 - cold.share) * (age / cold.span).max(0.0) };
+        SHARES.iter().rposition(|s| *s <= can).unwrap_or(NONE).max(FIRST)
+    }
+
+    fn advance(&mut self, now: Ms, acts: &mut Vec<Act>) {
+        let Some(c) = &self.change else { return };
+        let set = self.set;
+        match c.state {
+            State::Offered | State::Checked | State::Gone => {}
+            State::Warming => {
+                let allowed: Vec<usize> = c.come.iter().map(|m| self.allowed(now, &m.node)).collect();
+                let Some(c) = &mut self.change else { return };
+                let mut moved = false;
+                for (m, most) in c.come.iter_mut().zip(allowed) {
+                    moved |= grow(m, most, now, &set);
+                }
+                if c.come.iter().all(|m| m.step == WHOLE) {
+                    self.enter(State::Serving, "every newcomer has its whole share".into(), acts);
+                }
+                if moved {
+                    acts.push(Act::Use(self.table()));
+                }
+            }
+            State::Serving => {
+                let Some(c) = &mut self.change else { return };
+                // Nothing of the first portion is tried elsewhere before it is given up.
+                c.go.iter_mut().for_each(|m| m.go(m.step.saturating_sub(1), now));
+                self.enter(State::Retiring, "leavers give up their shares".into(), acts);
+                acts.push(Act::Use(self.table()));
+            }
+            State::Retiring => {
+                let down: Vec<bool> = c.go.iter().map(|m| !self.up(&m.node)).collect();
+                let Some(c) = &mut self.change else { return };
+                let mut moved = false;
+                for (m, down) in c.go.iter_mut().zip(down) {
+                    moved |= shrink(m, down, now, &set);
+                }
+                let quiet = c.go.iter().all(|m| m.step == NONE && now - m.last >= set.quiet);
+                if moved {
+                    acts.push(Act::Use(self.table()));
+                }
+                if quiet {
+                    self.finish(now, acts);
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Ms, acts: &mut Vec<Act>) {
+        self.enter(State::Gone, "nothing is asked of leavers any more".into(), acts);
+        let Some(c) = self.change.take() else { return };
+        let old = self.plan.replace(c.next);
+        let mut passed = c.passed;
+        passed.extend(old);
+        self.loops.clear();
+        acts.push(Act::Use(self.table()));
+        self.begin(now, c.then, passed, acts);
+        if let Some(change) = &mut self.change {
+            change.back = c.back;
+        }
+    }
+
+    // ---- The table ----
+
+    fn share(&self, node: &NodeId, old: bool, new: bool) -> f64 {
+        let of = |moving: &[Moving]| moving.iter().find(|m| m.node == *node).map_or(1.0, |m| SHARES[m.step]);
+        match (&self.change, old, new) {
+            (Some(c), false, true) => of(&c.come),
+            (Some(c), true, false) => of(&c.go),
+            _ => 1.0,
+        }
+    }
+
+    fn table(&self) -> Arc<Table> {
+        let mut table = Table::default();
+        let Some(plan) = &self.plan else { return Arc::new(table) };
+        let next = self.change.as_ref().map_or(plan, |c| &c.next);
+        let mut same: HashMap<Vec<(NodeId, u64)>, Arc<Vec<Share>>> = HashMap::new();
+        for asker in leaves(plan).chain(leaves(next)) {
+            if table.of.contains_key(asker) {
+                continue;
+            }
+            let of =
+                |p: &Plan| -> Vec<NodeId> { p.node(asker).map(|n| n.sources.clone()).unwrap_or_default() };
+            let (old, new) = (of(plan), of(next));
+            let mut shares: Vec<Share> = Vec::with_capacity(old.len() + 1);
+            for id in old.iter().chain(new.iter().filter(|n| !old.contains(n))) {
+                if id == plan.archive() {
+                    table.archive.push(asker.clone());
+                    continue;
+                }
+                // An asker that only one of the plans names has all that this one gives it.
+                let (in_old, in_new) =
+                    (old.contains(id) || old.is_empty(), new.contains(id) || new.is_empty());
+                let share = self.share(id, in_old, in_new);
+                let aside =
+                    self.loops.get(&(asker.clone(), id.clone())).is_some_and(|n| *n >= self.set.loops);
+                let weight = next.node(id).or_else(|| plan.node(id)).map_or(1.0, |n| n.weight);
+                if share > 0.0 && !aside {
+                    shares.push(Share { id: id.clone(), weight, share });
+                }
+            }
+            let key = shares.iter().map(|s| (s.id.clone(), s.share.to_bits())).collect();
+            let shares = same.entry(key).or_insert_with(|| Arc::new(shares));
+            table.of.insert(asker.clone(), Arc::clone(shares));
+        }
+        Arc::new(table)
+    }
+}
+
+/// Takes a newcomer's step up or down; true if its share changed.
+fn grow(m: &mut Moving, most: usize, now: Ms, set: &Settings) -> bool {
+    if m.step == NONE || m.step == WHOLE {
+        return false;
+    }
+    if m.bad >= set.setbacks {
+        let back = m.step > FIRST;
+        m.go(m.step.saturating_sub(1).max(FIRST), now + set.rest);
+        return back;
+    }
+    if now < m.since || m.step + 1 > most || !m.shown(now, set) {
+        return false;
+    }
+    m.go(m.step + 1, now);
+    true
+}
+
+/// Takes a leaver's step down; true if its share changed.
+fn shrink(m: &mut Moving, down: bool, now: Ms, set: &Settings) -> bool {
+    if m.step == NONE {
+        return false;
+    }
+    if down {
+        m.go(NONE, now);
+        return true;
+    }
+    if m.bad >= set.setbacks {
+        // The others are not ready for more; what was given up stays so.
+        m.go(m.step, now + set.rest);
+        return false;
+    }
+    if now < m.since || !m.shown(now, set) {
+        return false;
+    }
+    m.go(m.step - 1, now);
+    true
+}
+
+/// Nodes that nobody asks: edge caches.
+fn leaves(plan: &Plan) -> impl Iterator<Item = &NodeId> + '_ {
+    let mut asked = vec![false; plan.nodes().len()];
+    plan.edges().iter().flatten().for_each(|s| asked[*s] = true);
+    plan.nodes().iter().enumerate().filter(move |(i, n)| !asked[*i] && n.tier.0 > 0).map(|(_, n)| &n.id)
+}
+
+/// Sources that an edge cache has in the second plan and not in the first.
+fn gained(old: &Plan, new: &Plan) -> Vec<NodeId> {
+    let mut all = Vec::new();
+    for asker in leaves(new) {
+        let (Some(was), Some(is)) = (old.node(asker), new.node(asker)) else { continue };
+        for source in is.sources.iter().filter(|s| !was.sources.contains(s) && *s != new.archive()) {
+            if !all.contains(source) {
+                all.push(source.clone());
+            }
+        }
+    }
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::tests::{node, spec, tree};
+    use crate::Cold;
+
+    struct Rig {
+        reshape: Reshape,
+        now: Ms,
+        table: Arc<Table>,
+        log: Vec<(State, Version)>,
+        refused: Vec<String>,
+    }
+
+    fn set() -> Settings {
+        Settings { proofs: 3, cold: Cold { share: 0.1, span: 10_000.0 }, ..Settings::default() }
+    }
+
+    impl Rig {
+        fn new(first: PlanSpec) -> Self {
+            let mut rig = Self {
+                reshape: Reshape::new(set()),
+                now: 0.0,
+                table: Arc::default(),
+                log: Vec::new(),
+                refused: Vec::new(),
+            };
+            for n in &first.nodes {
+                rig.tell(Event::Listed(n.id.clone(), true, None));
+            }
+            rig.tell(Event::Offer(first));
+            rig.log.clear();
+            rig
+        }
+
+        fn tell(&mut self, event: Event) {
+            let mut acts = Vec::new();
+            self.reshape.handle(self.now, event, &mut acts);
+            for act in acts {
+                match act {
+                    Act::Use(table) => self.table = table,
+                    Act::Entered(v, state, _) => self.log.push((state, v)),
+                    Act::Refused(r) => self.refused.push(r.to_string()),
+                    Act::SetAside(a, s) => self.refused.push(format!("{a} {s}")),
+                }
+            }
+        }
+
+        fn wait(&mut self, ms: Ms) {
+            let end = self.now + ms;
+            while self.now < end {
+                self.now += 50.0;
+                self.tell(Event::Tick);
+            }
+        }
+
+        fn share(&self, asker: &str, source: &str) -> f64 {
+            let of = self.table.of.get(&NodeId::new(asker)).expect("an asker");
+            of.iter().find(|s| s.id == NodeId::new(source)).map_or(0.0, |s| s.share)
+        }
+
+        fn ended(&mut self, source: &str, object: u64, how: How) {
+            let event = Event::Ended { asker: NodeId::new("e1"), source: NodeId::new(source), object, how };
+            self.tell(event);
+        }
+
+        /// Answers from whoever has the object by the table, as a router would ask.
+        fn traffic(&mut self, objects: std::ops::Range<u64>) {
+            for object in objects {
+                let of = self.table.of.get(&NodeId::new("e1")).expect("an asker").clone();
+                let mut open: Vec<&Share> =
+                    of.iter().filter(|s| within_share(object, address(&s.id.0), s.share)).collect();
+                let score = |s: &Share| {
+                    basaltgw_structures::hash::rendezvous(
+                        basaltgw_structures::hash::mix(object, 0),
+                        address(&s.id.0),
+                        s.weight,
+                    )
+                };
+                open.sort_by(|a, b| score(b).total_cmp(&score(a)));
+                let id = open.first().expect("a source").id.0.to_string();
+                self.now += 1.0;
+                self.ended(&id, object, How::Answered);
+            }
+        }
+    }
+
+    fn more() -> PlanSpec {
+        tree(2, &["h1"], &["d1", "d2", "d3"], &["e1", "e2"])
+    }
+
+    fn few(version: u64) -> PlanSpec {
+        tree(version, &["h1"], &["d1", "d2"], &["e1", "e2"])
+    }
+
+    #[test]
+    fn a_newcomer_takes_its_share_by_answers_and_not_by_time() {
+        let mut rig = Rig::new(few(1));
+        rig.tell(Event::Listed(NodeId::new("d3"), true, None));
+        rig.tell(Event::Offer(more()));
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
+        // Asked, but not answered enough: it stays whatever time passes.
+        rig.ended("d3", 1, How::Answered);
+        rig.wait(60_000.0);
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
+        (0..2).for_each(|o| rig.ended("d3", o, How::Answered));
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 8.0);
+        (0..4).for_each(|o| rig.ended("d3", o, How::Failed));
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0, "a step back");
+        (0..3).for_each(|o| rig.ended("d3", o, How::Answered));
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0, "and a rest");
+        rig.wait(1_500.0);
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 8.0);
+        rig.traffic(0..2_000);
+        rig.wait(10_000.0);
+        let states: Vec<State> = rig.log.iter().map(|l| l.0).collect();
+        assert_eq!(
+            states,
+            [State::Offered, State::Checked, State::Warming, State::Serving, State::Retiring, State::Gone]
+        );
+        assert_eq!((rig.reshape.under_way(), rig.share("e1", "d3")), (None, 1.0));
+    }
+
+    #[test]
+    fn a_cold_newcomer_gets_no_more_than_its_age_allows() {
+        let mut rig = Rig::new(few(1));
+        rig.now = 1_000.0;
+        rig.tell(Event::Listed(NodeId::new("d3"), true, Some(1_000.0)));
+        rig.tell(Event::Offer(more()));
+        rig.traffic(0..3_000);
+        assert!(rig.now < 4_100.0);
+        assert_eq!(rig.share("e1", "d3"), 0.25, "a third of its warm-up: a quarter, however well it does");
+        rig.wait(8_000.0);
+        rig.traffic(0..3_000);
+        assert_eq!(rig.share("e1", "d3"), 1.0);
+    }
+
+    #[test]
+    fn a_hub_lost_while_it_warms_gives_its_share_back_and_begins_anew() {
+        let mut rig = Rig::new(few(1));
+        rig.tell(Event::Listed(NodeId::new("d3"), true, None));
+        rig.tell(Event::Offer(more()));
+        rig.traffic(0..400);
+        assert!(rig.share("e1", "d3") > 1.0 / 16.0);
+        rig.tell(Event::Listed(NodeId::new("d3"), false, None));
+        assert_eq!(rig.share("e1", "d3"), 0.0);
+        rig.wait(30_000.0);
+        assert_eq!(rig.reshape.under_way(), Some((Version(2), State::Warming, false)), "it waits");
+        let start = rig.now;
+        rig.tell(Event::Listed(NodeId::new("d3"), true, Some(start)));
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
+        // Lost again after all others were served by it: leavers wait as well.
+        rig.wait(20_000.0);
+        rig.traffic(0..2_000);
+        rig.wait(5_000.0);
+        assert_eq!(rig.reshape.under_way(), None);
+    }
+
+    #[test]
+    fn a_leaver_gives_up_by_portions_and_is_gone_only_when_quiet() {
+        let mut rig = Rig::new(tree(1, &["h1"], &["d1", "d2", "d3"], &["e1", "e2"]));
+        rig.tell(Event::Offer(few(2)));
+        rig.wait(100.0);
+        assert_eq!(rig.reshape.under_way(), Some((Version(2), State::Retiring, false)), "nobody comes");
+        assert_eq!(rig.share("e1", "d3"), 0.5);
+        rig.traffic(0..400);
+        assert_eq!(rig.share("e1", "d3"), 0.0);
+        assert!(rig.reshape.under_way().is_some(), "an attempt may still be out");
+        rig.wait(2_100.0);
+        assert_eq!(rig.reshape.under_way(), None);
+        assert_eq!(rig.reshape.plan().map(|p| p.version()), Some(Version(2)));
+    }
+
+    #[test]
+    fn a_plan_is_taken_back_half_way_and_what_comes_after_it_has_a_higher_version() {
+        let mut rig = Rig::new(few(1));
+        rig.tell(Event::Listed(NodeId::new("d3"), true, None));
+        // d3 takes d2's place.
+        rig.tell(Event::Offer(tree(2, &["h1"], &["d1", "d3"], &["e1", "e2"])));
+        rig.traffic(0..150);
+        let half = rig.share("e1", "d3");
+        assert!(half > 0.0 && half < 1.0 && rig.share("e1", "d2") == 1.0, "{half}");
+        rig.tell(Event::Offer(more()));
+        assert!(rig.refused.pop().expect("a refusal").contains("is under way"));
+        rig.tell(Event::TakeBack);
+        assert_eq!(rig.share("e1", "d3"), half, "from where it is");
+        rig.wait(100.0);
+        assert_eq!(rig.reshape.under_way(), Some((Version(1), State::Retiring, true)));
+        rig.traffic(0..2_000);
+        rig.wait(8_000.0);
+        assert_eq!((rig.reshape.under_way(), rig.share("e1", "d3"), rig.share("e1", "d2")), (None, 0.0, 1.0));
+        assert_eq!(rig.reshape.plan().map(|p| p.version()), Some(Version(1)));
+        rig.tell(Event::TakeBack);
+        assert!(rig.refused.pop().expect("a refusal").contains("nothing is under way"));
+        rig.tell(Event::Offer(more()));
+        assert!(rig.refused.pop().expect("a refusal").contains("version 2 is no later than 2"));
+        rig.tell(Event::Offer(PlanSpec { version: Version(3), ..more() }));
+        assert_eq!(rig.reshape.under_way(), Some((Version(3), State::Warming, false)), "{:?}", rig.refused);
+    }
+
+    #[test]
+    fn a_change_in_several_steps_is_taken_back_step_by_step() {
+        let pair = |version, a: &[&str], b: &[&str]| {
+            spec(
+                version,
+                vec![
+                    node("archive", 0, &[]),
+                    node("h", 1, &["archive"]),
+                    node("a", 2, a),
+                    node("b", 2, b),
+                    node("e1", 3, &["a", "b"]),
+                ],
+            )
+        };
+        let mut rig = Rig::new(pair(1, &["h", "b"], &["h", "archive"]));
+        rig.tell(Event::Offer(pair(2, &["h", "archive"], &["h", "a"])));
+        rig.wait(5_000.0);
+        assert!(rig.reshape.under_way().is_none() || rig.log.len() > 4);
+        let first = rig.log.iter().filter(|l| l.0 == State::Gone).count();
+        rig.wait(60_000.0);
+        let all = rig.log.iter().filter(|l| l.0 == State::Gone).count();
+        assert!(all >= 3 && first <= all, "one end for each step");
+        let b = NodeId::new("b");
+        assert_eq!(rig.reshape.plan().and_then(|p| p.node(&b)).map(|n| n.sources.len()), Some(2));
+    }
+
+    #[test]
+    fn what_is_refused_leaves_all_as_it_was() {
+        let mut rig = Rig::new(few(1));
+        let before = rig.table.clone();
+        let mut bad = more();
+        bad.nodes[1].sources = vec![NodeId::new("nowhere")];
+        rig.tell(Event::Offer(bad));
+        rig.tell(Event::Offer(few(1)));
+        assert_eq!(
+            rig.refused,
+            ["node h1: unknown source nowhere", "version 1 is no later than 1, which is in use"]
+        );
+        assert_eq!((rig.table.clone(), rig.reshape.under_way(), rig.log.len()), (before, None, 0));
+        rig.tell(Event::Listed(NodeId::new("d3"), true, None));
+        rig.tell(Event::Offer(more()));
+        assert!(rig.reshape.under_way().is_some(), "a refused version may be offered again, mended");
+    }
+
+    #[test]
+    fn a_pair_that_loops_is_set_aside_until_the_plan_changes() {
+        let mut rig = Rig::new(few(1));
+        rig.ended("d1", 1, How::Looped);
+        assert_eq!(rig.share("e1", "d1"), 1.0, "once may be the moment of a change");
+        rig.ended("d1", 2, How::Looped);
+        assert_eq!((rig.share("e1", "d1"), rig.share("e2", "d1")), (0.0, 1.0));
+        assert_eq!(rig.refused, ["e1 d1"]);
+        assert!(rig.reshape.describe().iter().any(|l| l.contains("set aside: e1 no longer names d1")));
+        (0..5_000).for_each(|n| {
+            let asker = NodeId::new(&format!("x{n}"));
+            rig.tell(Event::Ended { asker, source: NodeId::new("d1"), object: 1, how: How::Looped });
+        });
+        assert_eq!(rig.reshape.loops.len(), MOST_PAIRS);
+        rig.tell(Event::Listed(NodeId::new("d3"), true, None));
+        rig.tell(Event::Offer(more()));
+        assert_eq!(rig.share("e1", "d1"), 1.0);
+    }
+}
--- /dev/null
+++ b/crates/hierarchy/src/shield.rs
@@ -0,0 +1,291 @@
+//! Fills under way at a node: one for each object's part, whoever asks; those that wait for it; and failed ones.
+
+use crate::{Ms, NodeId, Settings, Trail};
+use indexmap::IndexMap;
+
+/// What is filled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FillKey {
+    /// The object.
+    pub object: u64,
+    /// Its part.
+    pub part: u64,
+}
+
+/// Somebody who waits, by a number of the caller's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Waiter(pub u64);
+
+/// What is to be done for somebody who asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// Begin the fill.
+    Begin,
+    /// Wait: it is under way.
+    Joined,
+    /// Nothing is held and nothing comes here: the one who asks is itself whom the fill waits for.
+    Lacks,
+    /// There is no place for another fill or waiter; it never ran.
+    Full,
+    /// The same fill failed a moment ago.
+    Failed,
+}
+
+/// What is to be done once a fill has failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Then {
+    /// Try once more, elsewhere.
+    Again,
+    /// Tell all of them.
+    Tell(Vec<Waiter>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waits {
+    who: Waiter,
+    deadline: Ms,
+    /// The copy must be no older.
+    since: Ms,
+}
+
+#[derive(Clone, Debug)]
+struct Fill {
+    /// Whom it was asked of, and whether that is the archive, where no ring passes.
+    of: Option<(NodeId, bool)>,
+    again: bool,
+    waiters: Vec<Waits>,
+}
+
+/// The fills of one node. Bounded by the settings' `fills` and `waiters`.
+#[derive(Clone, Debug, Default)]
+pub struct Shield {
+    fills: IndexMap<FillKey, Fill>,
+    failed: IndexMap<FillKey, Ms>,
+}
+
+/// Somebody who asks for a part that is not held.
+#[derive(Clone, Copy, Debug)]
+pub struct Asks<'a> {
+    /// Who waits.
+    pub waiter: Waiter,
+    /// Until when.
+    pub deadline: Ms,
+    /// When the copy must have been given out at the earliest: after a purge only copies made since will do.
+    pub since: Ms,
+    /// The nodes that it has passed.
+    pub trail: &'a Trail,
+    /// It wants what is held or under way and no fill of its own.
+    pub held_only: bool,
+}
+
+impl Shield {
+    /// Somebody asks for what is not held here.
+    pub fn ask(&mut self, now: Ms, key: FillKey, asks: Asks<'_>, set: &Settings) -> Came {
+        let waits = Waits { who: asks.waiter, deadline: asks.deadline, since: asks.since };
+        if let Some(fill) = self.fills.get_mut(&key) {
+            let rings = match &fill.of {
+                // Who waits for what waits for it would wait for ever.
+                Some((of, archive)) => asks.trail.holds(of) || (asks.held_only && !archive),
+                None => asks.held_only,
+            };
+            return match (rings, fill.waiters.len() < set.waiters) {
+                (true, _) => Came::Lacks,
+                (false, false) => Came::Full,
+                (false, true) => {
+                    fill.waiters.push(waits);
+                    Came::Joined
+                }
+            };
+        }
+        if asks.held_only {
+            return Came::Lacks;
+        }
+        if self.failed.get(&key).is_some_and(|until| now < *until) {
+            return Came::Failed;
+        }
+        if self.fills.len() >= set.fills {
+            return Came::Full;
+        }
+        self.fills.insert(key, Fill { of: None, again: false, waiters: vec![waits] });
+        Came::Begin
+    }
+
+    /// The fill of a key was asked of a node.
+    pub fn asked(&mut self, key: FillKey, of: &NodeId, archive: bool) {
+        if let Some(fill) = self.fills.get_mut(&key) {
+            fill.of = Some((of.clone(), archive));
+        }
+    }
+
+    /// A fill is whole, with a copy that was given out at that time: those whom it serves, and those for whom it is too
+    /// old, who ask again.
+    pub fn done(&mut self, key: FillKey, born: Ms) -> (Vec<Waiter>, Vec<Waiter>) {
+        self.failed.swap_remove(&key);
+        let waiters = self.fills.swap_remove(&key).map(|f| f.waiters).unwrap_or_default();
+        let (served, old): (Vec<Waits>, Vec<Waits>) = waiters.into_iter().partition(|w| w.since <= born);
+        let who = |all: Vec<Waits>| all.into_iter().map(|w| w.who).collect();
+        (who(served), who(old))
+    }
+
+    /// A fill has failed: once more by the node itself if `may` (somewhere else is left, and time), then all are told.
+    pub fn failed(&mut self, now: Ms, key: FillKey, may: bool, set: &Settings) -> Then {
+        let Some(fill) = self.fills.get_mut(&key) else { return Then::Tell(Vec::new()) };
+        if may && !fill.again && fill.waiters.iter().any(|w| w.deadline > now) {
+            (fill.again, fill.of) = (true, None);
+            return Then::Again;
+        }
+        let told = fill.waiters.iter().map(|w| w.who).collect();
+        self.failed.insert(key, now + set.failed);
+        if self.failed.len() > set.fills {
+            self.failed.shift_remove_index(0);
+        }
+        self.fills.swap_remove(&key);
+        Then::Tell(told)
+    }
+
+    /// A fill goes on elsewhere without counting as failed: it was refused as a loop, or the other has nothing.
+    pub fn turned(&mut self, key: FillKey) {
+        if let Some(fill) = self.fills.get_mut(&key) {
+            fill.of = None;
+        }
+    }
+
+    /// Those whose time is up: they are told and no longer wait; the fill runs on.
+    pub fn overdue(&mut self, now: Ms) -> Vec<Waiter> {
+        let mut late = Vec::new();
+        for fill in self.fills.values_mut() {
+            fill.waiters.retain(|w| {
+                let keeps = w.deadline > now;
+                if !keeps {
+                    late.push(w.who);
+                }
+                keeps
+            });
+        }
+        self.failed.retain(|_, until| *until > now);
+        late
+    }
+
+    /// Somebody no longer waits.
+    pub fn left(&mut self, key: FillKey, waiter: Waiter) {
+        if let Some(fill) = self.fills.get_mut(&key) {
+            fill.waiters.retain(|w| w.who != waiter);
+        }
+    }
+
+    /// An object was purged: that its fill failed before tells nothing any more.
+    pub fn purged(&mut self, object: u64) {
+        self.failed.retain(|key, _| key.object != object);
+    }
+
+    /// The node has crashed: nothing of it is under way, and those who waited learn it by their connections.
+    pub fn clear(&mut self) {
+        self.fills.clear();
+        self.failed.clear();
+    }
+
+    /// Fills under way.
+    pub fn len(&self) -> usize {
+        self.fills.len()
+    }
+
+    /// True if nothing is under way.
+    pub fn is_empty(&self) -> bool {
+        self.fills.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KEY: FillKey = FillKey { object: 7, part: 0 };
+
+    fn set() -> Settings {
+        Settings { fills: 3, waiters: 3, failed: 100.0, ..Settings::default() }
+    }
+
+    fn asks(waiter: u64, trail: &Trail) -> Asks<'_> {
+        Asks { waiter: Waiter(waiter), deadline: 1000.0, since: 0.0, trail, held_only: false }
+    }
+
+    fn ask(s: &mut Shield, now: Ms, waiter: u64) -> Came {
+        s.ask(now, KEY, asks(waiter, &Trail::default()), &set())
+    }
+
+    #[test]
+    fn one_fill_for_all_who_ask_and_a_bound_on_those_who_wait() {
+        let mut s = Shield::default();
+        assert_eq!(ask(&mut s, 0.0, 1), Came::Begin);
+        assert_eq!(ask(&mut s, 1.0, 2), Came::Joined);
+        assert_eq!(ask(&mut s, 1.0, 3), Came::Joined);
+        assert_eq!(ask(&mut s, 1.0, 4), Came::Full);
+        assert_eq!(s.done(KEY, 1.0), (vec![Waiter(1), Waiter(2), Waiter(3)], vec![]));
+        assert!(s.is_empty());
+        for part in 0..3 {
+            let key = FillKey { part, ..KEY };
+            assert_eq!(s.ask(2.0, key, asks(9, &Trail::default()), &set()), Came::Begin);
+        }
+        let key = FillKey { part: 3, ..KEY };
+        assert_eq!(s.ask(2.0, key, asks(9, &Trail::default()), &set()), Came::Full);
+    }
+
+    #[test]
+    fn a_failed_fill_is_tried_once_more_by_the_node_and_then_told_to_all_and_remembered_for_a_moment() {
+        let mut s = Shield::default();
+        ask(&mut s, 0.0, 1);
+        ask(&mut s, 0.0, 2);
+        assert_eq!(s.failed(10.0, KEY, true, &set()), Then::Again);
+        assert_eq!(ask(&mut s, 11.0, 3), Came::Joined, "still the one");
+        assert_eq!(s.failed(20.0, KEY, true, &set()), Then::Tell(vec![Waiter(1), Waiter(2), Waiter(3)]));
+        assert_eq!(ask(&mut s, 30.0, 4), Came::Failed);
+        s.purged(7);
+        assert_eq!(ask(&mut s, 31.0, 4), Came::Begin, "what failed before a purge tells nothing after it");
+        s.failed(32.0, KEY, false, &set());
+        assert_eq!(ask(&mut s, 133.0, 5), Came::Begin, "not for long");
+    }
+
+    #[test]
+    fn a_copy_older_than_a_purge_serves_only_those_who_did_not_know_of_it() {
+        let mut s = Shield::default();
+        ask(&mut s, 0.0, 1);
+        let trail = Trail::default();
+        let knows = Asks { since: 5.0, ..asks(2, &trail) };
+        assert_eq!(s.ask(6.0, KEY, knows, &set()), Came::Joined, "it may yet be new enough");
+        assert_eq!(s.done(KEY, 4.0), (vec![Waiter(1)], vec![Waiter(2)]));
+        assert_eq!(s.ask(7.0, KEY, knows, &set()), Came::Begin);
+        assert_eq!(s.done(KEY, 5.0), (vec![Waiter(2)], vec![]));
+    }
+
+    #[test]
+    fn two_homes_that_wait_for_each_other_do_not() {
+        let (n, trail) = (NodeId::new("n"), Trail::default());
+        let through_n = trail.through(&n).expect("a trail");
+        let mut s = Shield::default();
+        ask(&mut s, 0.0, 1);
+        s.asked(KEY, &n, false);
+        assert_eq!(
+            s.ask(1.0, KEY, asks(2, &through_n), &set()),
+            Came::Lacks,
+            "the fill waits for n, and n asks"
+        );
+        let held = Asks { held_only: true, ..asks(3, &trail) };
+        assert_eq!(s.ask(1.0, KEY, held, &set()), Came::Lacks);
+        s.turned(KEY);
+        s.asked(KEY, &NodeId::new("archive"), true);
+        let held = Asks { held_only: true, ..asks(3, &through_n) };
+        assert_eq!(s.ask(2.0, KEY, held, &set()), Came::Joined, "the archive waits for nobody");
+    }
+
+    #[test]
+    fn waiters_have_deadlines_of_their_own_and_the_fill_runs_on() {
+        let mut s = Shield::default();
+        let trail = Trail::default();
+        s.ask(0.0, KEY, Asks { deadline: 50.0, ..asks(1, &trail) }, &set());
+        ask(&mut s, 0.0, 2);
+        assert_eq!(s.overdue(60.0), vec![Waiter(1)]);
+        s.left(KEY, Waiter(2));
+        assert_eq!(s.len(), 1);
+        assert_eq!(s.failed(61.0, KEY, true, &set()), Then::Tell(vec![]), "nobody waits, so not again");
+    }
+}
