--- a/src/rules.rs
+++ b/src/rules.rs
@@ -479,8 +479,8 @@
         spread.find(|i| load(i) <= bound).or(Some(home))
     }
 
-    /// The source for a miss at an edge cache: the object's home among all listed parents, or among those that
-    /// the plan gives the cache for it, else the next in hash order, else the origin if it may.
+    /// The source for a miss at an edge cache: the object's home among all listed parents, or among those
+    /// that the plan gives the cache for it, else the next in hash order, else the origin if it may.
     fn pick_source(&self, at: usize, weight: f64, edge: Option<usize>) -> Option<usize> {
         let object = self.open[at].req.object.0;
         let ready = |i: &usize| self.usable(*i) && !self.open[at].blames(*i) && self.has_room(*i, weight);
