--- a/src/rules.rs
+++ b/src/rules.rs
@@ -812,7 +812,9 @@
         let usual = self.mean_time(class) * NEW_OF_MEAN;
         let fills = self.fills_out(None);
         let near = self.up[Role::Edge as usize].iter().filter_map(|i| self.servers[*i].gate.slow.get());
-        let quickest = near.fold(f64::INFINITY, f64::min);
+        let mut near: Vec<f64> = near.collect();
+        near.sort_unstable_by(f64::total_cmp);
+        let middle = near.get(near.len() / 2).copied();
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
             (End::Served, Note::Hit) if edge => {
@@ -831,8 +833,8 @@
                 }
                 // Most fills are for objects not known yet; those are held against their class.
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
-                // What the cache is slower by with hits than its zone's quickest is not the link's.
-                let slow = slow(o.source_wait).unwrap_or(new) - gate.slow.get().map_or(0.0, |s| s - quickest);
+                // What the cache is slower by with hits than its zone's middle one is not the link's.
+                let slow = slow(o.source_wait).unwrap_or(new) - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
                 self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
