--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,9 +3,13 @@
 #![warn(missing_docs)]
 
 mod node;
+pub mod plan;
 mod settings;
 pub mod value;
+pub mod yaml;
 
 pub use node::{parse, read, Environment, Limits, Member, News, NodeConfig, Place, Reload, Seq, Transport};
+pub use plan::{own_settings, Hierarchy, OwnSettings};
 pub use settings::{settings, Names};
 pub use value::BadInput;
+pub use yaml::BadFile;
--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -151,6 +151,23 @@
     Steps(usize),
 }
 
+impl Refusal {
+    /// The node that it is about, if about one.
+    pub fn node(&self) -> Option<&NodeId> {
+        match self {
+            Self::Node { node, .. } | Self::Unreached(node) | Self::Alone { node, .. } => Some(node),
+            Self::Capacity { node, .. } => Some(node),
+            Self::Cycle { nodes, .. } => nodes.first(),
+            Self::Archive(_)
+            | Self::Size(_)
+            | Self::Version { .. }
+            | Self::Busy(_)
+            | Self::Nothing
+            | Self::Steps(_) => None,
+        }
+    }
+}
+
 fn ring(nodes: &[NodeId]) -> String {
     let mut text: Vec<&str> = nodes.iter().take(NAMED).map(|n| &*n.0).collect();
     if nodes.len() > NAMED {
--- a/crates/hierarchy/src/reshape.rs
+++ b/crates/hierarchy/src/reshape.rs
@@ -379,15 +379,19 @@
             return;
         }
         let (Some(c), Some(plan)) = (&mut self.change, &self.plan) else { return };
-        for m in c.come.iter_mut().chain(&mut c.go).filter(|m| m.node == *source) {
+        // A node may come for one cache, leave another, and be an old source of a third.
+        let has = |p: &Plan| p.node(asker).is_some_and(|n| n.sources.contains(source));
+        let (old, new) = (has(plan), has(&c.next));
+        if let Some(m) = c.come.iter_mut().find(|m| m.node == *source).filter(|_| new && !old) {
             (m.asked, m.last) = (true, now);
-        }
-        if let Some(m) = c.come.iter_mut().find(|m| m.node == *source) {
             match how {
                 How::Answered => m.proofs += 1,
                 How::Refused | How::Failed | How::Looped => m.bad += 1,
             }
         }
+        if let Some(m) = c.go.iter_mut().find(|m| m.node == *source).filter(|_| old && !new) {
+            (m.asked, m.last) = (true, now);
+        }
         if c.state == State::Retiring && !c.go.is_empty() {
             // What a leaver gave up and another now gave.
             let first = plan.sources(asker, object).next();
--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -50,7 +50,7 @@
 
 #[derive(Clone, Debug)]
 struct Fill {
-    /// Whom it was asked of, and whether that is the archive, where no ring passes.
+    /// Whom it was asked of, and whether that one waits for nobody: the archive, or one asked only for what it holds.
     of: Option<(NodeId, bool)>,
     again: bool,
     waiters: Vec<Waits>,
@@ -84,8 +84,9 @@
         let waits = Waits { who: asks.waiter, deadline: asks.deadline, since: asks.since };
         if let Some(fill) = self.fills.get_mut(&key) {
             let rings = match &fill.of {
-                // Who waits for what waits for it would wait for ever.
-                Some((of, archive)) => asks.trail.holds(of) || (asks.held_only && !archive),
+                // Who waits for what waits for it would wait for ever. What settles by itself may be waited for by anyone: an old
+                // home that asks the new one while that asks it what it holds must not both go to the archive.
+                Some((of, settles)) => !settles && (asks.held_only || asks.trail.holds(of)),
                 None => asks.held_only,
             };
             return match (rings, fill.waiters.len() < set.waiters) {
@@ -110,10 +111,10 @@
         Came::Begin
     }
 
-    /// The fill of a key was asked of a node.
-    pub fn asked(&mut self, key: FillKey, of: &NodeId, archive: bool) {
+    /// The fill of a key was asked of a node. `settles`: that waits for nobody, as the archive, or as one asked only for what it holds.
+    pub fn asked(&mut self, key: FillKey, of: &NodeId, settles: bool) {
         if let Some(fill) = self.fills.get_mut(&key) {
-            fill.of = Some((of.clone(), archive));
+            fill.of = Some((of.clone(), settles));
         }
     }
 
@@ -143,6 +144,19 @@
         Then::Tell(told)
     }
 
+    /// A fill ends without a copy and without counting as failed: those who waited.
+    pub fn ended(&mut self, key: FillKey) -> Vec<Waiter> {
+        self.fills
+            .swap_remove(&key)
+            .map(|f| f.waiters.into_iter().map(|w| w.who).collect())
+            .unwrap_or_default()
+    }
+
+    /// True if a fill of that part is under way.
+    pub fn under_way(&self, key: FillKey) -> bool {
+        self.fills.contains_key(&key)
+    }
+
     /// A fill goes on elsewhere without counting as failed: it was refused as a loop, or the other has nothing.
     pub fn turned(&mut self, key: FillKey) {
         if let Some(fill) = self.fills.get_mut(&key) {
@@ -271,6 +285,12 @@
         );
         let held = Asks { held_only: true, ..asks(3, &trail) };
         assert_eq!(s.ask(1.0, KEY, held, &set()), Came::Lacks);
+        s.asked(KEY, &n, true);
+        assert_eq!(
+            s.ask(1.0, KEY, asks(4, &through_n), &set()),
+            Came::Joined,
+            "n was asked only for what it holds"
+        );
         s.turned(KEY);
         s.asked(KEY, &NodeId::new("archive"), true);
         let held = Asks { held_only: true, ..asks(3, &through_n) };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -834,7 +834,8 @@
                 // Most fills are for objects not known yet; those are held against their class.
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
-                let slow = slow(o.source_wait).unwrap_or(new) - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
+                let slow = slow(o.source_wait).unwrap_or(new)
+                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
                 self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
