basaltgw-lab: experiments from YAML, tables and charts; the tree reshaped in simulated time

Change: crates/lab with list, run, report, demo; experiments are YAML held against a schema, with runs to compare and what must hold. What it found in crates/hierarchy is mended: hubs that lost an object's home went to the archive one by one (the next in order stands in now); a home asked only the version before (now four, as long as their copies are worth a question); a home that started anew forgot who stood in for it; a change taken back after a leaver had given up everything never ended; a step of few answers never ended.

--- a/crates/hierarchy/src/cache.rs
+++ b/crates/hierarchy/src/cache.rs
@@ -4,6 +4,8 @@
 use indexmap::IndexMap;
 use std::sync::Arc;
 
+/// Versions whose homes are still asked for what they hold.
+const MOST_BEFORE: usize = 4;
 /// Objects that a node remembers to have handed over.
 const MOST_HANDED: usize = 4_096;
 
@@ -23,8 +25,10 @@
 pub struct CacheSide {
     me: NodeId,
     plan: Option<Arc<Plan>>,
-    /// The version before, and until when its homes are asked.
-    before: Option<(Arc<Plan>, Ms)>,
+    /// The versions before, the last one first, and until when their homes are asked.
+    before: Vec<(Arc<Plan>, Ms)>,
+    /// Until then it has not long been there, and others have stood in for it.
+    anew: Ms,
     /// Objects of which a new home has taken over the fills.
     handed: IndexMap<u64, NodeId>,
 }
@@ -32,7 +36,7 @@
 impl CacheSide {
     /// A cache without a plan.
     pub fn new(me: NodeId) -> Self {
-        Self { me, plan: None, before: None, handed: IndexMap::new() }
+        Self { me, plan: None, before: Vec::new(), anew: f64::NEG_INFINITY, handed: IndexMap::new() }
     }
 
     /// The plan in use.
@@ -47,14 +51,19 @@
         }
         // What was handed over is home there by now, or will be asked for under the new plan.
         self.handed.clear();
-        self.before = self.plan.replace(plan).map(|p| (p, now + set.handover));
+        if let Some(old) = self.plan.replace(plan) {
+            self.before.insert(0, (old, now + set.handover));
+        }
+        self.before.retain(|(_, until)| now < *until);
+        self.before.truncate(MOST_BEFORE);
         true
     }
 
-    /// It has crashed and lost what it had in memory.
-    pub fn forget(&mut self) {
+    /// It has started anew, without what it had in memory; who stood in for it meanwhile is asked first for what it holds.
+    pub fn started(&mut self, now: Ms, set: &Settings) {
+        self.anew = now + set.handover;
         self.handed.clear();
-        self.before = None;
+        self.before.clear();
     }
 
     /// A fill comes in: the trail that goes on from here, or why it is refused.
@@ -81,25 +90,36 @@
         if let Some(to) = self.handed.get(&object).filter(open) {
             return ask(to, false);
         }
-        let home = plan.home(object);
         match plan.node(&self.me).map(|n| n.tier) {
-            Some(Tier(1)) if home == Some(&self.me) => {
-                // Its home of the version before may hold it, or be about to.
-                let before = self.before.as_ref().filter(|(_, until)| now < *until);
-                let was =
-                    before.and_then(|(p, _)| p.home(object)).filter(|was| **was != self.me).filter(open);
-                match was {
-                    Some(was) => ask(was, true),
-                    None => Some(plan.archive()).filter(open).and_then(|a| ask(a, false)),
-                }
-            }
-            // A hub that is not the home, or one that the plan no longer names.
+            // Hubs, and those that the plan no longer names.
             Some(Tier(1)) | None => {
-                home.filter(open).or_else(|| Some(plan.archive()).filter(open)).and_then(|to| ask(to, false))
+                for home in plan.homes(object) {
+                    if *home == self.me {
+                        return self.as_home(now, object, &open, plan);
+                    }
+                    // Whom it has lost, the next in order stands in for: all hubs meet there, and not at the archive.
+                    if open(&home) {
+                        return ask(home, false);
+                    }
+                }
+                Some(plan.archive()).filter(open).and_then(|a| ask(a, false))
             }
             Some(_) => plan.sources(&self.me, object).find(open).and_then(|to| ask(to, false)),
         }
     }
+
+    /// As an object's home: first the homes of versions before, which may hold it or be about to; then the archive.
+    fn as_home(&self, now: Ms, object: u64, open: &impl Fn(&&NodeId) -> bool, plan: &Plan) -> Option<Next> {
+        let before = self.before.iter().filter(|(_, until)| now < *until);
+        let before = before.filter_map(|(p, _)| p.home(object));
+        let stood_in = plan.homes(object).nth(1).filter(|_| now < self.anew);
+        let was = before.chain(stood_in).find(|was| **was != self.me && open(was));
+        if let Some(was) = was {
+            return Some(Next { to: was.clone(), held_only: true, archive: false });
+        }
+        let archive = Some(plan.archive()).filter(open)?;
+        Some(Next { to: archive.clone(), held_only: false, archive: true })
+    }
 }
 
 #[cfg(test)]
@@ -142,12 +162,12 @@
                 let expected = if hub == home { "archive".to_string() } else { home.clone() };
                 assert_eq!(next(&side(hub, &[&p]), object, &[hub], &[]), Some((expected, false)));
             }
-            // The home is dead: then the archive, rather than nothing.
-            let other = if home == "h1" { "h2" } else { "h1" };
-            assert_eq!(
-                next(&side(other, &[&p]), object, &[other], &[&home]),
-                Some(("archive".into(), false))
-            );
+            // The home is dead: the second in order stands in for it, and there the third meets it.
+            let order: Vec<&str> = p.homes(object).map(|n| &*n.0).collect();
+            let of = |me: usize, tried: &[&str]| next(&side(order[me], &[&p]), object, &[order[me]], tried);
+            assert_eq!(of(1, &order[..1]), Some(("archive".into(), false)));
+            assert_eq!(of(2, &order[..1]), Some((order[1].to_string(), false)));
+            assert_eq!(of(2, &order[..2]), Some(("archive".into(), false)));
         }
     }
 
@@ -168,6 +188,15 @@
         h1.hand_over(object, &NodeId::new("h3"));
         assert_eq!(next(&h1, object, &["d2", "h1"], &[]), Some(("h3".into(), false)));
         assert_eq!(next(&h1, object, &["d2", "h1"], &["h3"]), Some(("archive".into(), false)), "h3 is lost");
+        let newer = plan(3, &["h1", "h2", "h3", "h4"]);
+        if newer.home(object) == Some(&NodeId::new("h3")) {
+            let h3 = side("h3", &[&old, &new, &newer]);
+            assert_eq!(
+                next(&h3, object, &["d1", "h3"], &[]),
+                Some(("h1".into(), true)),
+                "also two versions on"
+            );
+        }
         assert_eq!(
             next(&h1, object, &["h3", "h1"], &[]),
             Some(("archive".into(), false)),
@@ -177,6 +206,18 @@
         assert!(late.archive, "the old home is not asked for ever");
     }
 
+    #[test]
+    fn a_home_that_has_just_started_asks_who_stood_in_for_it() {
+        let p = plan(1, &["h1", "h2", "h3"]);
+        let order: Vec<&str> = p.homes(7).map(|n| &*n.0).collect();
+        let mut home = side(order[0], &[&p]);
+        assert_eq!(next(&home, 7, &[order[0]], &[]), Some(("archive".into(), false)));
+        home.started(5.0, &Settings::default());
+        assert_eq!(next(&home, 7, &[order[0]], &[]), Some((order[1].to_string(), true)));
+        assert_eq!(next(&home, 7, &[order[0]], &[order[1]]), Some(("archive".into(), false)));
+        assert!(home.next(1.0e9, 7, &Trail::default(), &[]).expect("somebody").archive, "not for ever");
+    }
+
     #[test]
     fn versions_are_taken_in_order_only() {
         let (old, new) = (plan(1, &["h1"]), plan(2, &["h1", "h2"]));
--- a/crates/hierarchy/src/reshape.rs
+++ b/crates/hierarchy/src/reshape.rs
@@ -128,22 +128,22 @@
     since: Ms,
     proofs: u32,
     bad: u32,
-    asked: bool,
     last: Ms,
 }
 
 impl Moving {
     fn new(node: NodeId, step: usize, now: Ms) -> Self {
-        Self { node, step, since: now, proofs: 0, bad: 0, asked: false, last: now }
+        Self { node, step, since: now, proofs: 0, bad: 0, last: now }
     }
 
     fn go(&mut self, step: usize, now: Ms) {
-        (self.step, self.since, self.proofs, self.bad, self.asked) = (step, now, 0, 0, false);
+        (self.step, self.since, self.proofs, self.bad) = (step, now, 0, 0);
     }
 
-    /// This step has shown enough: so many answers, or that nothing here is touched by it.
+    /// This step has shown enough: so many answers, or for some time nothing but answers, however few (with none at all, nothing
+    /// here is touched by it).
     fn shown(&self, now: Ms, set: &Settings) -> bool {
-        self.proofs >= set.proofs || (!self.asked && now - self.since >= set.idle)
+        self.proofs >= set.proofs || (self.bad == 0 && now - self.since >= set.idle)
     }
 }
 
@@ -311,6 +311,11 @@
             // Taken back once more: forward again, as far as this step goes.
             back.clear();
         }
+        let (mut come, go) = (turned(c.go), turned(c.come));
+        // Who had given up everything begins again with its first share, if it is there.
+        for m in come.iter_mut().filter(|m| m.step == NONE && self.up(&m.node)) {
+            m.step = FIRST;
+        }
         self.plan = Some(c.next);
         self.loops.clear();
         self.change = Some(Change {
@@ -318,8 +323,8 @@
             then: back,
             passed: Vec::new(),
             state: State::Warming,
-            come: turned(c.go),
-            go: turned(c.come),
+            come,
+            go,
             back: !c.back,
         });
         self.enter(State::Warming, "taken back: leavers take their shares again".into(), acts);
@@ -383,14 +388,14 @@
         let has = |p: &Plan| p.node(asker).is_some_and(|n| n.sources.contains(source));
         let (old, new) = (has(plan), has(&c.next));
         if let Some(m) = c.come.iter_mut().find(|m| m.node == *source).filter(|_| new && !old) {
-            (m.asked, m.last) = (true, now);
+            m.last = now;
             match how {
                 How::Answered => m.proofs += 1,
                 How::Refused | How::Failed | How::Looped => m.bad += 1,
             }
         }
         if let Some(m) = c.go.iter_mut().find(|m| m.node == *source).filter(|_| old && !new) {
-            (m.asked, m.last) = (true, now);
+            m.last = now;
         }
         if c.state == State::Retiring && !c.go.is_empty() {
             // What a leaver gave up and another now gave.
@@ -399,7 +404,6 @@
                 first == Some(&m.node) && !within_share(object, address(&m.node.0), SHARES[m.step])
             };
             if let Some(m) = c.go.iter_mut().find(given_up).filter(|m| m.node != *source) {
-                m.asked = true;
                 match how {
                     How::Answered => m.proofs += 1,
                     How::Refused | How::Failed | How::Looped => m.bad += 1,
@@ -687,11 +691,11 @@
         rig.tell(Event::Listed(NodeId::new("d3"), true, None));
         rig.tell(Event::Offer(more()));
         assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
-        // Asked, but not answered enough: it stays whatever time passes.
-        rig.ended("d3", 1, How::Answered);
+        // Not answered: it stays whatever time passes.
+        rig.ended("d3", 1, How::Failed);
         rig.wait(60_000.0);
         assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
-        (0..2).for_each(|o| rig.ended("d3", o, How::Answered));
+        (0..3).for_each(|o| rig.ended("d3", o, How::Answered));
         assert_eq!(rig.share("e1", "d3"), 1.0 / 8.0);
         (0..4).for_each(|o| rig.ended("d3", o, How::Failed));
         assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0, "a step back");
@@ -786,6 +790,19 @@
         assert_eq!(rig.reshape.under_way(), Some((Version(3), State::Warming, false)), "{:?}", rig.refused);
     }
 
+    #[test]
+    fn one_taken_back_at_the_very_end_gets_its_leaver_back() {
+        let mut rig = Rig::new(tree(1, &["h1"], &["d1", "d2", "d3"], &["e1", "e2"]));
+        rig.tell(Event::Offer(few(2)));
+        rig.traffic(0..400);
+        assert_eq!((rig.share("e1", "d3"), rig.reshape.under_way().is_some()), (0.0, true));
+        rig.tell(Event::TakeBack);
+        assert_eq!(rig.share("e1", "d3"), 1.0 / 16.0);
+        rig.traffic(0..2_000);
+        rig.wait(5_000.0);
+        assert_eq!((rig.share("e1", "d3"), rig.reshape.under_way()), (1.0, None));
+    }
+
     #[test]
     fn a_change_in_several_steps_is_taken_back_step_by_step() {
         let pair = |version, a: &[&str], b: &[&str]| {
--- a/crates/hierarchy/src/settings.rs
+++ b/crates/hierarchy/src/settings.rs
@@ -22,7 +22,8 @@
     pub setbacks: u32,
     /// The rest after a step taken back.
     pub rest: Ms,
-    /// A step in which nothing at all was asked ends after this: nobody here is touched by it.
+    /// A step in which all that was asked was answered, however little, ends after this. Longer than requests wait, so that what
+    /// hangs is known by then.
     pub idle: Ms,
     /// A leaver is gone when nothing was asked of it for so long.
     pub quiet: Ms,
@@ -30,7 +31,8 @@
     pub loops: u32,
     /// For nodes that have just started.
     pub cold: Cold,
-    /// How long a cache asks an object's home of the version before: longer than anyone is behind.
+    /// How long a cache asks an object's homes of versions before: longer than anyone is behind, and as long as what they hold is
+    /// worth a question.
     pub handover: Ms,
     /// Fills under way at a node.
     pub fills: usize,
@@ -51,7 +53,7 @@
             quiet: 2_000.0,
             loops: 2,
             cold: Cold { share: 0.1, span: 20_000.0 },
-            handover: 30_000.0,
+            handover: 120_000.0,
             fills: 4_096,
             waiters: 256,
             failed: 250.0,
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,239 @@
+//! An experiment's file: fleet, load, script, the runs to compare, and what must hold.
+
+use basaltgw_config::yaml::{schema, BadFile, Document};
+use basaltgw_model::sim::Setup;
+use basaltgw_model::spec::{FleetSpec, LoadSpec, Moment, PlanShape, What};
+use serde::Deserialize;
+use std::path::Path;
+
+/// How a run differs from what the file describes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Variant {
+    /// As described.
+    Described,
+    /// The same seed, load and troubles without any change of the tree.
+    Still,
+    /// Every change at once: no shares, no old homes asked.
+    AtOnce,
+    /// Nodes do not heed trails.
+    Blind,
+}
+
+impl Variant {
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Described => "described",
+            Self::Still => "still",
+            Self::AtOnce => "at_once",
+            Self::Blind => "blind",
+        }
+    }
+}
+
+/// Something that must hold.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Must {
+    /// Of which run; the described one if not said.
+    #[serde(default = "described")]
+    pub run: Variant,
+    /// Which figure.
+    pub figure: String,
+    /// Exactly this.
+    pub is: Option<f64>,
+    /// No less than this.
+    pub at_least: Option<f64>,
+    /// No more than this.
+    pub at_most: Option<f64>,
+    /// The bounds are multiples of the same figure of this run.
+    pub times_of: Option<Variant>,
+}
+
+fn described() -> Variant {
+    Variant::Described
+}
+
+/// The size of a run as a multiple of the file's.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scale {
+    /// Zones, and districts in proportion.
+    pub times: usize,
+    /// Only in full runs.
+    #[serde(default)]
+    pub full: bool,
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Its name.
+    pub name: String,
+    /// What it is for, in a sentence.
+    pub about: String,
+    /// Seed where none is given.
+    pub seed: u64,
+    /// How long requests come in.
+    pub length_ms: f64,
+    /// The fleet.
+    pub fleet: FleetSpec,
+    /// What is asked.
+    pub load: LoadSpec,
+    /// Plans; the first is in use at the start.
+    #[serde(default)]
+    pub plans: Vec<PlanShape>,
+    /// What happens.
+    #[serde(default)]
+    pub script: Vec<Moment>,
+    /// Runs to compare.
+    pub runs: Vec<Variant>,
+    /// Sizes; the file's own if none is named.
+    #[serde(default)]
+    pub scales: Vec<Scale>,
+    /// What must hold, at each size.
+    pub must: Vec<Must>,
+}
+
+const SCHEMA: &str = include_str!("../experiments/schema.json");
+
+/// The experiments that the program brings along, by name.
+pub const OWN: [(&str, &str); 2] = [
+    ("reshape-simulated", include_str!("../experiments/reshape-simulated.yaml")),
+    ("reshape-at-scale", include_str!("../experiments/reshape-at-scale.yaml")),
+];
+
+impl Experiment {
+    /// Reads one of the program's own by name, or a file by its path.
+    pub fn find(name: &str) -> Result<(Self, String), BadFile> {
+        let validator = schema(SCHEMA);
+        let (document, text) = match OWN.iter().find(|(own, _)| *own == name) {
+            Some((_, text)) => {
+                (Document::parse(&format!("{name}.yaml"), text, &validator)?, (*text).to_string())
+            }
+            None => {
+                let document = Document::read(Path::new(name), &validator)?;
+                let text = std::fs::read_to_string(name).unwrap_or_default();
+                (document, text)
+            }
+        };
+        let experiment: Self = document.typed()?;
+        for (i, m) in experiment.must.iter().enumerate() {
+            let runs = [Some(m.run), m.times_of];
+            if let Some(missing) = runs.into_iter().flatten().find(|r| !experiment.runs.contains(r)) {
+                let what = format!("the run {} is not among the experiment's runs", missing.name());
+                return Err(document.fault(&format!("/must/{i}"), what));
+            }
+            if [m.is, m.at_least, m.at_most].iter().all(Option::is_none) {
+                return Err(document.fault(&format!("/must/{i}"), "expected `is`, `at_least` or `at_most`"));
+            }
+        }
+        for (i, m) in experiment.script.iter().enumerate() {
+            if let Some(plan) = m.plan.as_ref().filter(|p| !experiment.plans.iter().any(|s| s.name == **p)) {
+                return Err(document.fault(&format!("/script/{i}/plan"), format!("unknown plan {plan:?}")));
+            }
+            let known = basaltgw_model::fleet::nodes(&experiment.fleet);
+            for (key, name) in [("node", &m.node), ("to", &m.to)] {
+                if let Some(name) = name.as_ref().filter(|n| !known.iter().any(|k| k.name == **n)) {
+                    return Err(
+                        document.fault(&format!("/script/{i}/{key}"), format!("unknown node {name:?}"))
+                    );
+                }
+            }
+        }
+        Ok((experiment, text))
+    }
+
+    /// A run of it.
+    pub fn setup(&self, variant: Variant, times: usize, seed: u64) -> Setup {
+        let mut fleet = self.fleet.clone();
+        fleet.zones *= times;
+        let grown = |of: usize, spare: usize| (of - spare) * times + spare;
+        let (districts, spares) = (fleet.districts, fleet.spare_districts);
+        fleet.districts = grown(districts, spares);
+        // Spares come last: their numbers move up with the size.
+        let number = |d: usize| if d >= districts - spares { d + fleet.districts - districts } else { d };
+        let plans = self.plans.iter().map(|p| PlanShape {
+            districts: (0..times)
+                .flat_map(|k| {
+                    p.districts
+                        .iter()
+                        .filter(|d| **d < districts - spares)
+                        .map(move |d| d + k * (districts - spares))
+                })
+                .chain(p.districts.iter().filter(|d| **d >= districts - spares).map(|d| number(*d)))
+                .collect(),
+            ..p.clone()
+        });
+        let plans = plans.collect();
+        let mut script = self.script.clone();
+        for m in &mut script {
+            for name in [&mut m.node, &mut m.to].into_iter().flatten() {
+                if let Some(d) = name.strip_prefix("district-").and_then(|d| d.parse::<usize>().ok()) {
+                    *name = format!("district-{}", number(d));
+                }
+            }
+        }
+        if variant == Variant::Still {
+            let changes = [What::Plan, What::TakeBack, What::Start, What::Drain, What::Stop];
+            script.retain(|m| !changes.contains(&m.what));
+        }
+        let cold = basaltgw_hierarchy::Cold {
+            share: fleet.rules.cold_parent.share,
+            span: fleet.rules.cold_parent.span_ms,
+        };
+        Setup {
+            fleet,
+            load: self.load.clone(),
+            script,
+            plans,
+            tree: basaltgw_hierarchy::Settings { cold, proofs: 4, idle: 2_000.0, ..Default::default() },
+            length_ms: self.length_ms,
+            staged: variant != Variant::AtOnce,
+            trails: variant != Variant::Blind,
+            seed,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_programs_own_are_sound_and_faults_are_named() {
+        for (name, text) in OWN {
+            let (experiment, _) = Experiment::find(name).expect("an experiment");
+            assert_eq!(experiment.name, name);
+            let path = std::env::temp_dir().join(format!("basaltgw-lab-{}-{name}.yaml", std::process::id()));
+            let mut wrong = |from: &str, to: &str| {
+                assert!(text.contains(from), "{from}");
+                std::fs::write(&path, text.replacen(from, to, 1)).expect("a file");
+                Experiment::find(&path.display().to_string()).expect_err("a fault").to_string()
+            };
+            assert!(wrong("what: plan", "what: plam").contains("script["));
+            assert!(wrong("node: hub-", "node: hob-").contains("unknown node"));
+            assert!(wrong("figure: loops_carried", "figur: loops_carried").contains("must["));
+            let text = wrong("zones:", "zonse:");
+            assert!(text.contains("fleet: ") && text.contains("zon"), "{text}");
+            let _ = std::fs::remove_file(&path);
+        }
+    }
+
+    #[test]
+    fn a_larger_run_has_more_zones_and_districts_and_the_same_spares() {
+        let (e, _) = Experiment::find("reshape-at-scale").expect("an experiment");
+        let (one, ten) = (e.setup(Variant::Described, 1, 1), e.setup(Variant::Described, 10, 1));
+        assert_eq!(ten.fleet.zones, one.fleet.zones * 10);
+        assert_eq!(ten.fleet.spare_districts, one.fleet.spare_districts);
+        let nodes = basaltgw_model::fleet::nodes(&ten.fleet);
+        for p in &ten.plans {
+            basaltgw_hierarchy::Plan::check(basaltgw_model::sim::plan(p, 1, &nodes)).expect("a plan");
+        }
+        for name in ten.script.iter().filter_map(|m| m.node.as_ref()) {
+            assert!(nodes.iter().any(|n| n.name == *name), "{name}");
+        }
+    }
+}
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -75,6 +75,11 @@
         old.into_iter().for_each(|key| self.drop(key));
     }
 
+    /// The parts it holds, in no order.
+    pub fn keys(&self) -> impl Iterator<Item = FillKey> + '_ {
+        self.copies.keys().copied()
+    }
+
     /// How many copies it holds.
     pub fn len(&self) -> usize {
         self.copies.len()
