--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -219,6 +219,12 @@
 }
 
 impl NodeConfig {
+    /// The cold rule's figures for parents, by which a reshape goes.
+    pub fn cold(&self) -> basaltgw_hierarchy::Cold {
+        let rule = self.settings.cold_parent;
+        basaltgw_hierarchy::Cold { share: rule.share, span: rule.span }
+    }
+
     /// Reads the configuration again for a router that runs with this one.
     pub fn reload(&self, env: &Environment) -> Result<Reload, BadInput> {
         let new = read(env)?;
--- a/crates/hierarchy/src/reshape.rs
+++ b/crates/hierarchy/src/reshape.rs
@@ -335,6 +335,9 @@
 
     fn listed(&mut self, now: Ms, node: NodeId, up: bool, started: Option<Ms>, acts: &mut Vec<Act>) {
         let before = self.listed.insert(node.clone(), (up, started));
+        if before.is_none() && up && self.plan.as_ref().is_some_and(|p| p.node(&node).is_some()) {
+            acts.push(Act::Use(self.table()));
+        }
         let Some(c) = &mut self.change else {
             // Nodes that no plan names and that are gone need not be known.
             if !up && self.plan.as_ref().is_none_or(|p| p.node(&node).is_none()) {
@@ -500,7 +503,8 @@
         let next = self.change.as_ref().map_or(plan, |c| &c.next);
         let mut same: HashMap<Vec<(NodeId, u64)>, Arc<Vec<Share>>> = HashMap::new();
         for asker in leaves(plan).chain(leaves(next)) {
-            if table.of.contains_key(asker) {
+            // Caches that the list does not name here are others' to ask.
+            if table.of.contains_key(asker) || !self.listed.contains_key(asker) {
                 continue;
             }
             let of =
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -208,7 +208,7 @@
             let (experiment, _) = Experiment::find(name).expect("an experiment");
             assert_eq!(experiment.name, name);
             let path = std::env::temp_dir().join(format!("basaltgw-lab-{}-{name}.yaml", std::process::id()));
-            let mut wrong = |from: &str, to: &str| {
+            let wrong = |from: &str, to: &str| {
                 assert!(text.contains(from), "{from}");
                 std::fs::write(&path, text.replacen(from, to, 1)).expect("a file");
                 Experiment::find(&path.display().to_string()).expect_err("a fault").to_string()
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -1,6 +1,7 @@
 //! What a router took in, sent and answered.
 
 use crate::clients::Reply;
+use crate::tree::TreeCounters;
 use basaltgw::api::End;
 use std::fmt;
 
@@ -77,6 +78,8 @@
     pub held: u64,
     /// The most so far.
     pub held_most: u64,
+    /// What came of plans of the tree.
+    pub tree: TreeCounters,
     /// Batches given to the module.
     pub batches: u64,
     /// The longest a batch took, in milliseconds.
@@ -150,6 +153,7 @@
             self.log_lost, self.reloads, self.reloads_refused
         )?;
         write!(f, "held={} held_most={} ", self.held, self.held_most)?;
+        write!(f, "{} ", self.tree)?;
         write!(f, "batches={} batch_longest_ms={:.2}", self.batches, self.batch_longest)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,14 +16,16 @@
 pub mod owner;
 pub mod resp;
 pub mod shutdown;
+pub mod tree;
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use basaltgw_config::{News, NodeConfig};
+use basaltgw_config::{Hierarchy, News, NodeConfig, OwnSettings};
 use counters::Counters;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -49,6 +51,8 @@
     LogLost,
     /// The configuration was read again; false if it could not be used.
     Reloaded(bool),
+    /// The project's own file was read again.
+    Plan(Box<Hierarchy>),
     /// The process was asked to end.
     End,
     /// The counters were asked for.
@@ -80,8 +84,17 @@
     pub held_limit: usize,
 }
 
+/// The project's own settings, and the file from which they are read again.
+#[derive(Clone, Debug, Default)]
+pub struct Own {
+    /// The file, if one was given.
+    pub file: Option<PathBuf>,
+    /// What it says.
+    pub settings: OwnSettings,
+}
+
 /// Runs a router until it is asked to end; gives its counters.
-pub fn serve(mut config: NodeConfig) -> io::Result<Counters> {
+pub fn serve(mut config: NodeConfig, own: Own) -> io::Result<Counters> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
     let signals = shutdown::listen()?;
     let (queue, from_clients) = async_channel::bounded(limits::QUEUE);
@@ -100,7 +113,7 @@
     let clients = config.limits.sockets.saturating_sub(servers + limits::OWN_DESCRIPTORS).max(1);
     let caches =
         caches::Caches::new(Shared { queue: answers, ..shared.clone() }, servers as usize, config.transport);
-    let owner = owner::Owner::new(&config, &shared, caches);
+    let owner = owner::Owner::new(&config, &own.settings, &shared, caches);
     let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let executor = Rc::clone(&shared.executor);
@@ -109,7 +122,7 @@
     let follow = changelog::follow(config.changelog, moved, config.known_seq, names, urgent.clone());
     executor.spawn(follow).detach();
     config.known = Vec::new();
-    executor.spawn(shutdown::watch(signals, urgent, config, moves)).detach();
+    executor.spawn(shutdown::watch(signals, urgent, (config, own.file), moves)).detach();
     Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -12,13 +12,14 @@
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
 use crate::resp::Malformed;
 use crate::shutdown::Ending;
+use crate::tree::Tree;
 use crate::{Input, Inputs, Shared};
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
 use basaltgw::api::*;
 use basaltgw::rules::Router;
-use basaltgw_config::{Member, Names, News, NodeConfig, Place};
+use basaltgw_config::{Member, Names, News, NodeConfig, OwnSettings, Place};
 use futures_lite::future;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -127,6 +128,8 @@
     timers_ever: u64,
     /// What came of the module's own actions; told in the next batch.
     pending: VecDeque<Event>,
+    /// The plan of the tree, where there is one.
+    tree: Tree,
     ending: Ending,
     tidied: Ms,
     counters: Counters,
@@ -146,7 +149,7 @@
 
 impl Owner {
     /// An owner with a fresh module that has heard what is known.
-    pub fn new(config: &NodeConfig, shared: &Shared, caches: Caches) -> Self {
+    pub fn new(config: &NodeConfig, own: &OwnSettings, shared: &Shared, caches: Caches) -> Self {
         let mut owner = Self {
             router: Router::new(config.settings.clone(), config.seed),
             names: config.names.clone(),
@@ -167,11 +170,16 @@
             timers: BinaryHeap::new(),
             timers_ever: 0,
             pending: VecDeque::new(),
+            tree: Tree::new(own.hierarchy.as_ref()),
             ending: Ending::default(),
             tidied: 0.0,
             counters: Counters::default(),
         };
         config.known.iter().for_each(|news| owner.news(news.clone()));
+        if let Some(hierarchy) = &own.hierarchy {
+            let events = owner.tree.offer(owner.now, hierarchy);
+            owner.tell_all(events);
+        }
         owner
     }
 
@@ -241,6 +249,8 @@
         if self.now >= self.tidied + TIDY_MS {
             self.tidied = self.now;
             self.caches.tidy(self.now);
+            let events = self.tree.tick(self.now);
+            self.tell_all(events);
             // Nothing was written on them, so they count as never up.
             for at in self.caches.unproved(self.now) {
                 self.input(Input::CacheDown(at, Down::NeverUp));
@@ -310,6 +320,10 @@
             Input::LogLost => self.counters.log_lost += 1,
             Input::Reloaded(true) => self.counters.reloads += 1,
             Input::Reloaded(false) => self.counters.reloads_refused += 1,
+            Input::Plan(hierarchy) => {
+                let events = self.tree.offer(self.now, &hierarchy);
+                self.tell_all(events);
+            }
             Input::End => {
                 log::info!("asked to end");
                 self.ending.ask(self.now);
@@ -317,6 +331,7 @@
             Input::Count => {
                 self.count();
                 log::info!("{}", self.counters);
+                self.tree.describe().iter().for_each(|line| log::info!("{line}"));
             }
         }
     }
@@ -326,6 +341,7 @@
         self.counters.clients_now = self.clients.len() as u64;
         self.counters.servers_now = self.servers.len() as u64;
         self.counters.held = self.meter.held() as u64;
+        self.counters.tree = self.tree.counters.clone();
     }
 
     // ---- News ----
@@ -350,7 +366,7 @@
 
     fn list(&mut self, whole: bool, members: Vec<Member>) {
         self.list_in = true;
-        let mut leaving = Vec::new();
+        let (mut leaving, mut left_out) = (Vec::new(), Vec::new());
         if whole {
             let told = |id: &ServerId| members.iter().any(|m| m.entry.id == *id);
             leaving.extend(self.servers.keys().filter(|id| !told(id)).cloned());
@@ -358,6 +374,7 @@
                 self.caches.moved(id, None);
                 self.servers.remove(id);
             }
+            left_out.clone_from(&leaving);
         }
         for member in &members {
             let id = &member.entry.id;
@@ -372,8 +389,10 @@
                 self.servers.insert(id.clone(), member.place());
             }
         }
+        let planned = self.tree.listed(self.now, &members, &left_out);
         let mode = if whole { ListMode::Whole } else { ListMode::Changes };
         self.tell(Event::Servers(mode, members.into_iter().map(|m| m.entry).collect()));
+        self.tell_all(planned);
         self.recall(|_, a| {
             leaving.contains(&a.server) || a.source.as_ref().is_some_and(|s| leaving.contains(s))
         });
@@ -669,6 +688,13 @@
         let Some(open) = self.requests.get(&no) else { return };
         let Some(attempt) = open.attempts.get(n.0) else { return };
         self.counters.ended(end);
+        let planned = match &attempt.source {
+            Some(source) => {
+                let pair = (&attempt.server, source);
+                self.tree.ended(self.now, pair, open.request.object, (end, telling.note))
+            }
+            None => Vec::new(),
+        };
         let event = Event::Outcome(Outcome {
             request: name(no),
             attempt: n,
@@ -680,6 +706,7 @@
             source_wait: telling.waited,
             load: telling.load,
         });
+        self.pending.extend(planned);
         if later {
             self.pending.push_back(event);
         } else {
@@ -695,6 +722,10 @@
         self.timers.push(Reverse((micros(at), self.timers_ever, what)));
     }
 
+    fn tell_all(&mut self, events: Vec<Event>) {
+        events.into_iter().for_each(|event| self.tell(event));
+    }
+
     /// Tells the module an event and does what it wants done.
     fn tell(&mut self, event: Event) {
         let mut acts = Vec::new();
@@ -762,7 +793,7 @@
         };
         let (out, written) = outbox(&shared.meter, &Rc::default());
         let caches = Caches::new(shared.clone(), 100, config.transport);
-        let mut owner = Owner::new(&config, &shared, caches);
+        let mut owner = Owner::new(&config, &OwnSettings::default(), &shared, caches);
         owner.batch(&mut vec![Input::ClientOpen(CLIENT, out)]);
         (owner, written)
     }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -5,10 +5,11 @@
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
-use basaltgw_config::{Environment, NodeConfig};
+use basaltgw_config::{own_settings, Environment, NodeConfig};
 use futures_lite::StreamExt;
 use std::io;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// Listens for signals from now on; before this, each of them would kill the process.
 pub fn listen() -> io::Result<Signals> {
@@ -19,13 +20,13 @@
 pub async fn watch(
     mut signals: Signals,
     urgent: Sender<Input>,
-    running: NodeConfig,
+    (running, own): (NodeConfig, Option<PathBuf>),
     changelog: Sender<SocketAddr>,
 ) {
     while let Some(signal) = signals.next().await {
         let input = match signal {
             Ok(Signal::Usr1) => Input::Count,
-            Ok(Signal::Hup) => Input::Reloaded(reload(&running, &changelog).await),
+            Ok(Signal::Hup) => Input::Reloaded(reload(&running, own.as_deref(), &urgent, &changelog).await),
             Ok(_) => Input::End,
             Err(e) => {
                 log::warn!("a signal was not read: {e}");
@@ -38,10 +39,28 @@
     }
 }
 
-/// Reads the configuration again and has the change log followed where it now is. False if it can't be used: then all stays.
-async fn reload(running: &NodeConfig, changelog: &Sender<SocketAddr>) -> bool {
+/// Reads the configuration and the project's own file again, has the change log followed where it now is, and offers the plan. False
+/// if either can't be used: then all stays.
+async fn reload(
+    running: &NodeConfig,
+    own: Option<&Path>,
+    urgent: &Sender<Input>,
+    changelog: &Sender<SocketAddr>,
+) -> bool {
+    let own = match own.map(|file| own_settings(file, running.cold())).transpose() {
+        Ok(own) => own,
+        Err(e) => {
+            log::error!("reload: {e}; the running settings stay");
+            return false;
+        }
+    };
     match running.reload(&Environment::take()) {
         Ok(new) => {
+            if let Some(hierarchy) = own.and_then(|o| o.hierarchy) {
+                if urgent.send(Input::Plan(Box::new(hierarchy))).await.is_err() {
+                    return false;
+                }
+            }
             for key in &new.fixed {
                 log::warn!("reload: {key} can't change in a running router");
             }
