--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -190,7 +190,7 @@
 pub(crate) type Ix = usize;
 
 /// A checked plan.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Plan {
     version: Version,
     nodes: Vec<NodeSpec>,
@@ -203,6 +203,12 @@
     archive: Ix,
 }
 
+impl fmt::Debug for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Plan({}, {} nodes)", self.version, self.nodes.len())
+    }
+}
+
 impl Plan {
     /// Checks what is written down: all but what depends on other versions.
     pub fn check(spec: PlanSpec) -> Result<Self, Refusal> {
--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -40,9 +40,11 @@
     Tell(Vec<Waiter>),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Waits {
     who: Waiter,
+    /// The node that asks, if it is one.
+    asker: Option<NodeId>,
     deadline: Ms,
     /// The copy must be no older.
     since: Ms,
@@ -66,6 +68,8 @@
 /// Somebody who asks for a part that is not held.
 #[derive(Clone, Copy, Debug)]
 pub struct Asks<'a> {
+    /// The node that is asked: this one.
+    pub me: &'a NodeId,
     /// Who waits.
     pub waiter: Waiter,
     /// Until when.
@@ -81,12 +85,18 @@
 impl Shield {
     /// Somebody asks for what is not held here.
     pub fn ask(&mut self, now: Ms, key: FillKey, asks: Asks<'_>, set: &Settings) -> Came {
-        let waits = Waits { who: asks.waiter, deadline: asks.deadline, since: asks.since };
+        let asker = asks.trail.last().cloned();
+        let waits = Waits { who: asks.waiter, asker, deadline: asks.deadline, since: asks.since };
         if let Some(fill) = self.fills.get_mut(&key) {
             let rings = match &fill.of {
                 // Who waits for what waits for it would wait for ever. What settles by itself may be waited for by anyone: an old
                 // home that asks the new one while that asks it what it holds must not both go to the archive.
-                Some((of, settles)) => !settles && (asks.held_only || asks.trail.holds(of)),
+                Some((_, true)) => false,
+                Some(_) if asks.held_only => true,
+                // Two that ask each other at the same time: one of them refuses, the same one whoever comes first, or both would
+                // go to the archive.
+                Some((of, false)) if asks.trail.last() == Some(of) => asks.me < of,
+                Some((of, false)) => asks.trail.holds(of),
                 None => asks.held_only,
             };
             return match (rings, fill.waiters.len() < set.waiters) {
@@ -180,6 +190,11 @@
         late
     }
 
+    /// Nodes that wait for the fill of a part: it must not be asked of them.
+    pub fn waiting(&self, key: FillKey) -> impl Iterator<Item = &NodeId> + '_ {
+        self.fills.get(&key).into_iter().flat_map(|f| f.waiters.iter().filter_map(|w| w.asker.as_ref()))
+    }
+
     /// Somebody no longer waits.
     pub fn left(&mut self, key: FillKey, waiter: Waiter) {
         if let Some(fill) = self.fills.get_mut(&key) {
@@ -220,7 +235,9 @@
     }
 
     fn asks(waiter: u64, trail: &Trail) -> Asks<'_> {
-        Asks { waiter: Waiter(waiter), deadline: 1000.0, since: 0.0, trail, held_only: false }
+        static ME: std::sync::OnceLock<NodeId> = std::sync::OnceLock::new();
+        let me = ME.get_or_init(|| NodeId::new("m"));
+        Asks { me, waiter: Waiter(waiter), deadline: 1000.0, since: 0.0, trail, held_only: false }
     }
 
     fn ask(s: &mut Shield, now: Ms, waiter: u64) -> Came {
@@ -297,6 +314,21 @@
         assert_eq!(s.ask(2.0, KEY, held, &set()), Came::Joined, "the archive waits for nobody");
     }
 
+    #[test]
+    fn of_two_that_ask_each_other_at_once_one_refuses_and_the_other_waits() {
+        for (other, expected) in [("a", Came::Joined), ("z", Came::Lacks)] {
+            let other = NodeId::new(other);
+            let trail =
+                Trail::default().through(&NodeId::new("d")).and_then(|t| t.through(&other)).expect("a trail");
+            let mut s = Shield::default();
+            ask(&mut s, 0.0, 1);
+            s.asked(KEY, &other, false);
+            assert_eq!(s.ask(1.0, KEY, asks(2, &trail), &set()), expected);
+            let waits: Vec<_> = s.waiting(KEY).cloned().collect();
+            assert_eq!(waits, if expected == Came::Joined { vec![other] } else { vec![] });
+        }
+    }
+
     #[test]
     fn waiters_have_deadlines_of_their_own_and_the_fill_runs_on() {
         let mut s = Shield::default();
--- a/crates/hierarchy/src/trail.rs
+++ b/crates/hierarchy/src/trail.rs
@@ -46,6 +46,11 @@
         self.0.contains(node)
     }
 
+    /// The node that it passed last: the one that asks.
+    pub fn last(&self) -> Option<&NodeId> {
+        self.0.last()
+    }
+
     /// The nodes, first to last.
     pub fn nodes(&self) -> &[NodeId] {
         &self.0
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -679,8 +679,9 @@
         // Nobody waits for it.
         // A copy that is fresh will do, or every cache would have the archive asked.
         let since = ask.since;
-        let asks =
-            Asks { waiter: Waiter(0), deadline: f64::INFINITY, since, trail: &trail, held_only: false };
+        let me = self.nodes[at.0].info.id.clone();
+        let (waiter, deadline) = (Waiter(0), f64::INFINITY);
+        let asks = Asks { me: &me, waiter, deadline, since, trail: &trail, held_only: false };
         let spec = self.fill_spec(no, since);
         if self.nodes[at.0].shield.ask(self.now, key, asks, &self.set) == Came::Begin {
             let through = self.nodes[at.0].side.passes(&trail).unwrap_or_default();
@@ -717,7 +718,9 @@
             let end = if of_router { End::Error } else { End::Full };
             return self.word(no, end, Note::NoFillPlace);
         }
-        let asks = Asks { waiter: Waiter(no), deadline: ask.deadline, since, trail: &ask.trail, held_only };
+        let me = self.nodes[at.0].info.id.clone();
+        let asks =
+            Asks { me: &me, waiter: Waiter(no), deadline: ask.deadline, since, trail: &ask.trail, held_only };
         let asker = match ask.asker {
             Asker::Router(_) => None,
             Asker::Node(node, _) => Some(self.nodes[node.0].info.id.clone()),
@@ -764,12 +767,15 @@
         let mut offered = 0;
         let heeded = if self.heeds_trails { &trail } else { &unseen };
         let id = |ix: NodeIx| &self.nodes[ix.0].info.id;
+        // Who waits for this fill must not be asked for it.
+        let waiting = n.shield.waiting(key).filter(|_| self.heeds_trails);
+        let asked: Vec<NodeId> = tried.iter().chain(waiting).cloned().collect();
         let wrong = n.wrong.filter(|(_, until)| now < *until).map(|(to, _)| (to, false));
         let next = match named {
             Some(source) => Some((source, spec.held_only)),
             None => wrong.filter(|(to, _)| !tried.contains(id(*to))).or_else(|| match n.side.plan() {
                 Some(_) => {
-                    let next = n.side.next(now, key.object, heeded, &tried)?;
+                    let next = n.side.next(now, key.object, heeded, &asked)?;
                     // Its plan names somebody whom the fill has passed: a loop that is seen before it is sent.
                     let blind = n.side.next(now, key.object, &unseen, &tried);
                     offered = u64::from(self.heeds_trails && blind.is_some_and(|b| trail.holds(&b.to)));
