--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -301,23 +301,30 @@
             self.sources.iter().flatten().for_each(|s| asked[*s] = true);
             asked
         };
-        let bounded = self.nodes.iter().any(|n| n.capacity.is_finite());
+        let name = |i: Ix| self.nodes[i].id.clone();
+        for (node, of) in self.sources.iter().enumerate() {
+            if let [only] = of[..] {
+                if only != self.archive {
+                    return Err(Refusal::Alone { lost: name(only), node: name(node) });
+                }
+            }
+        }
+        if self.nodes.iter().all(|n| n.capacity.is_infinite()) {
+            return Ok(());
+        }
         let losses = (0..self.nodes.len()).filter(|i| asked[*i] && *i != self.archive);
         for lost in std::iter::once(None).chain(losses.map(Some)) {
-            let name = |i: Option<Ix>| i.map_or_else(|| NodeId::new("nothing"), |i| self.nodes[i].id.clone());
-            let mut load: Vec<f64> =
-                if bounded { self.nodes.iter().map(|n| n.demand).collect() } else { Vec::new() };
+            let mut load: Vec<f64> = self.nodes.iter().map(|n| n.demand).collect();
             for i in order.iter().copied().filter(|i| Some(*i) != lost && *i != self.archive) {
                 let left = || self.sources[i].iter().copied().filter(|s| Some(*s) != lost);
-                if left().next().is_none() {
-                    return Err(Refusal::Alone { lost: name(lost), node: self.nodes[i].id.clone() });
-                }
-                if !bounded {
-                    continue;
-                }
                 if load[i] > self.nodes[i].capacity {
-                    let (node, needs, has) = (self.nodes[i].id.clone(), load[i], self.nodes[i].capacity);
-                    return Err(Refusal::Capacity { lost: name(lost), node, needs, has });
+                    let lost = lost.map_or_else(|| NodeId::new("nothing"), name);
+                    return Err(Refusal::Capacity {
+                        lost,
+                        node: name(i),
+                        needs: load[i],
+                        has: self.nodes[i].capacity,
+                    });
                 }
                 // The archive is asked by a node only if it has nobody else.
                 let others: f64 = left().filter(|s| *s != self.archive).map(|s| self.nodes[s].weight).sum();
