A reload takes the reshape's settings over, and says so when the file has no plan any more

Need: changed reshape settings were read and then ignored without a word, and so was a file whose plan was taken out. Change: the settings hold from the reload on; a missing plan is logged and the one in use stays.

--- a/crates/hierarchy/src/reshape.rs
+++ b/crates/hierarchy/src/reshape.rs
@@ -180,6 +180,11 @@
         Self { set, plan: None, change: None, highest: None, listed: HashMap::new(), loops: IndexMap::new() }
     }
 
+    /// How reshapes go from now on; a step under way is judged by it too.
+    pub fn set(&mut self, set: Settings) {
+        self.set = set;
+    }
+
     /// The plan in use.
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -56,6 +56,9 @@
     };
     match running.reload(&Environment::take()) {
         Ok(new) => {
+            if own.as_ref().is_some_and(|o| o.hierarchy.is_none()) {
+                log::warn!("reload: no plan in the file; the one in use stays, only a new start is without");
+            }
             if let Some(hierarchy) = own.and_then(|o| o.hierarchy) {
                 if urgent.send(Input::Plan(Box::new(hierarchy))).await.is_err() {
                     return false;
--- a/crates/node/src/tree.rs
+++ b/crates/node/src/tree.rs
@@ -79,6 +79,7 @@
     /// A plan came in, at the start or by a reload. The one in use while another is under way means that this is taken back.
     pub fn offer(&mut self, now: Ms, own: &Hierarchy) -> Vec<Event> {
         let reshape = self.reshape.get_or_insert_with(|| Reshape::new(own.settings));
+        reshape.set(own.settings);
         let plan: &PlanSpec = &own.plan;
         let in_use = reshape.came_from().is_some_and(|p| p.spec() == *plan);
         self.counters.offered += 1;
