A gate's slowness is forgotten by time where answers are few, so a free link is used again

Cause: Gate::answer moved the mean slowness by SLOW_SHARE for each answer, whatever the time between them. Ten answers are a second's news in a router of three, and ten to twenty seconds' in one of 273 whose gate lets through less than one a second; until then each slow mean cuts the limit again, which lets fewer answers come. Each zone's routers do so together, hence a link that is free and not used.

Change: an answer moves the mean by SLOW_SHARE or by what the time since the last one takes off, whichever is more; the time is GATE_FEW_MS, in which that mean was already held to move. At six answers a second and more nothing changes.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,7 +83,8 @@
 const GATE_FLOOR: f64 = 6.0;
 const GATE_LEVEL_MS: Ms = 1000.0;
 const GATE_ANSWERS: u32 = 3;
-/// Where mean slowness takes over this time to move, it calls full what is slow by this power of the limit.
+/// Mean slowness moves within this time however few the answers; where they alone would take longer, it calls
+/// full what is slow by this power of the limit.
 const GATE_FEW_MS: Ms = 1500.0;
 const GATE_FEW: f64 = 0.75;
 const GATE_LEAST_LEVEL: f64 = 0.1;
@@ -122,7 +123,9 @@
 
     /// Takes in how slow an answer was, as a logarithm, while so much was out.
     fn answer(&mut self, now: Ms, slow: f64, limit: f64, out: f64) {
-        self.slow.add(slow, SLOW_SHARE);
+        // Where answers are few, one moves the mean by as much as the time since the last takes off.
+        self.slow.add(slow, SLOW_SHARE.max(1.0 - ((self.heard - now) / GATE_FEW_MS).exp()));
+        self.heard = now;
         self.pace.add(now, SLOW_SHARE);
         let few = out < GATE_FLOOR && self.pace.rate(now) * GATE_FEW_MS < 1.0;
         let limit = if few { GATE_FEW * limit.ln() } else { limit.ln() };
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,8 @@
     /// Answers since it was cut.
     pub answers: u32,
     pub slow: Average,
+    /// When it last took an answer in.
+    pub heard: Ms,
     /// How quickly answers came lately.
     pub pace: DecayingRate,
     /// How many were out on average lately: the time that attempts took, by the time they took it in.
@@ -212,7 +214,7 @@
         let (level, pace, routers) =
             (DecayingRate::new(now, tau), DecayingRate::new(now, tau), routers as f64);
         let (limit, cut) = (f64::INFINITY, f64::NEG_INFINITY);
-        Self { limit, cut, answers: 0, slow: Average::default(), pace, level, routers }
+        Self { limit, cut, answers: 0, slow: Average::default(), heard: now, pace, level, routers }
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -427,6 +427,46 @@
     assert_eq!(looks_after_slow_fills(1), 0, "one fill at a time cannot fill a link that nobody else uses");
 }
 
+/// Asks every so often for something that no cache holds and has each fill take so long; counts the looks, of which
+/// each finds its copy.
+fn looks_while_fills_take(d: &mut Driver, asks: std::ops::Range<usize>, every: Ms, delay: Ms) -> usize {
+    let (mut looks, mut out) = (0, std::collections::VecDeque::new());
+    for n in asks {
+        if let Some(f) = fetch(&d.ask(n, SAFE, n as u64 % 60)) {
+            if f.fill_from == f.server {
+                looks += 1;
+                d.outcome(n, 0, &f.server, End::Served, Note::Hit, 400.0);
+            } else {
+                out.push_back((d.now + delay, n, f.server));
+            }
+        }
+        d.wait(every);
+        while out.front().is_some_and(|(due, ..)| *due <= d.now) {
+            let (_, n, server) = out.pop_front().expect("just seen");
+            d.outcome(n, 0, &server, End::Served, Note::FilledBySource, delay);
+        }
+    }
+    d.wait(delay);
+    for (_, n, server) in out {
+        d.outcome(n, 0, &server, End::Served, Note::FilledBySource, delay);
+    }
+    looks
+}
+
+/// What a router with little traffic met on a full link is old news seconds later, though hardly any answer has come
+/// since (stripbib-reader, zone+mass): the link's gate opens with the first answers that are quick again.
+#[test]
+fn a_link_that_is_free_again_is_soon_used_by_a_router_with_little_traffic() {
+    let mut s = settings();
+    s.zone_routers = 20;
+    let mut d = Driver::new(s, fleet());
+    assert_eq!(looks_while_fills_take(&mut d, 0..300, 400.0, 400.0), 0, "nothing is full yet");
+    let full = looks_while_fills_take(&mut d, 1000..1060, 2000.0, 4000.0);
+    assert!(full > 10, "{full} looks while the link is full");
+    let after = looks_while_fills_take(&mut d, 2000..2040, 400.0, 400.0);
+    assert!(after < 5, "{after} looks of 40 after the link was free again");
+}
+
 /// A cache that loses one answer and gives the next is not silent (norte-recogida-later, big-1); one that gives
 /// none any more is.
 #[test]
