--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -200,6 +200,17 @@
     }
 }
 
+/// How an attempt was given up.
+#[derive(Debug)]
+pub enum GivenUp {
+    /// No byte of it was written: it never ran.
+    Never,
+    /// It is out until this is written, or its connection is closed.
+    Behind(Rc<Parcel>),
+    /// Its connection is closed already.
+    Closed,
+}
+
 /// A connection as the owner holds it. Dropped, it is closed once what is in its outbox is written.
 struct Conn {
     server: ServerId,
@@ -398,20 +409,32 @@
         key
     }
 
-    /// Gives an attempt up. True if no byte of it was written, so that it never ran.
-    pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> bool {
+    /// Gives an attempt up. The attempt never ran if no byte of it was written; else the server has it until the `abort` that
+    /// this puts in line is written.
+    pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> GivenUp {
         let taken_back = parcel.take_back();
-        let Some(conn) = self.conns.get_mut(&at) else { return taken_back };
-        conn.open.remove(id);
-        if !taken_back {
-            if conn.aborted.len() >= ABORTED_KEPT {
-                conn.aborted.clear();
-                conn.retired = true;
+        let mut conn = self.conns.get_mut(&at);
+        conn.iter_mut().for_each(|conn| drop(conn.open.remove(id)));
+        match conn {
+            _ if taken_back => GivenUp::Never,
+            None => GivenUp::Closed,
+            Some(conn) => {
+                if conn.aborted.len() >= ABORTED_KEPT {
+                    conn.aborted.clear();
+                    conn.retired = true;
+                }
+                conn.aborted.insert(id.clone());
+                GivenUp::Behind(conn.out.put(encode(&[b"abort", id.0.as_bytes()])))
             }
-            conn.aborted.insert(id.clone());
-            conn.out.put(encode(&[b"abort", id.0.as_bytes()]));
         }
-        taken_back
+    }
+
+    /// Ends a connection; what is open on it is over once its socket is closed, which its task tells.
+    pub fn end(&mut self, at: ConnId) {
+        if let Some(conn) = self.conns.get_mut(&at) {
+            conn.retired = true;
+            conn.out.close();
+        }
     }
 
     /// A connection is over; gives what was open on it.
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -104,6 +104,13 @@
         self.stage.get()
     }
 
+    /// As if its last byte were written.
+    #[cfg(test)]
+    pub fn write(&self) {
+        self.stage.set(Stage::Written);
+        self.bytes.take();
+    }
+
     /// Takes it back if no byte of it is written.
     pub fn take_back(&self) -> bool {
         let waits = self.stage.get() == Stage::Waiting;
@@ -152,6 +159,11 @@
         }
     }
 
+    /// Takes nothing more; what is in line is still written.
+    pub fn close(&self) {
+        self.queue.close();
+    }
+
     /// Bytes that wait here.
     pub fn unsent(&self) -> usize {
         self.own.held()
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of the module: the table of requests and attempts, the timers, and the batches.
 
-use crate::caches::{Answer, Ask, AttemptKey, Caches, ConnId, Down, RequestNo};
+use crate::caches::{Answer, Ask, AttemptKey, Caches, ConnId, Down, GivenUp, RequestNo};
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag, WireId};
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -10,7 +10,6 @@
     ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST, UNREADABLE_MOST,
 };
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
-use crate::resp::Malformed;
 use crate::shutdown::Ending;
 use crate::tree::Tree;
 use crate::{Input, Inputs, Shared};
@@ -41,6 +40,14 @@
     way: Option<(ConnId, Rc<Parcel>)>,
 }
 
+/// An attempt that was given up, and is out until its abort is written or its connection is over.
+struct Leaving {
+    key: AttemptKey,
+    end: End,
+    on: ConnId,
+    abort: Rc<Parcel>,
+}
+
 /// A request whose answer is owed, or whose attempts are not all over.
 struct Open {
     client: ClientId,
@@ -128,6 +135,8 @@
     timers_ever: u64,
     /// What came of the module's own actions; told in the next batch.
     pending: VecDeque<Event>,
+    /// Attempts that were given up and are out still.
+    leaving: Vec<Leaving>,
     /// The plan of the tree, where there is one.
     tree: Tree,
     ending: Ending,
@@ -170,6 +179,7 @@
             timers: BinaryHeap::new(),
             timers_ever: 0,
             pending: VecDeque::new(),
+            leaving: Vec::new(),
             tree: Tree::new(own.hierarchy.as_ref()),
             ending: Ending::default(),
             tidied: 0.0,
@@ -192,7 +202,7 @@
             // Something to do: an input, a timer, or what the last batch left.
             let due = self.timers.peek().map(|Reverse((due, ..))| *due as f64 / 1000.0);
             let rest = due.map_or(TIDY_MS, |due| (due - self.clock.now()).min(TIDY_MS));
-            if self.pending.is_empty() && rest > 0.0 {
+            if self.pending.is_empty() && self.leaving.is_empty() && rest > 0.0 {
                 let wake = async {
                     Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
                     None
@@ -206,6 +216,8 @@
             if rest > 0.0 {
                 Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
             }
+            // What the last batch put in line is written before what this one adds, also where a batch takes a tick.
+            future::yield_now().await;
             // Each kind has its share of a batch, so that no flood holds up the others.
             for queue in [&from.urgent, &from.servers, &from.clients] {
                 inputs.extend(std::iter::from_fn(|| queue.try_recv().ok()).take(QUEUE));
@@ -230,6 +242,7 @@
             inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
+        self.depart(|leaving| leaving.abort.stage() == Stage::Written);
         left_over.into_iter().for_each(|event| self.tell(event));
         others.into_iter().for_each(|input| self.input(input));
         let now = micros(self.now);
@@ -306,6 +319,7 @@
                     Down::Ended(Over::Unreadable(_)) => self.counters.conns_unreadable += 1,
                     Down::Ended(Over::Unfinished) => self.counters.conns_unfinished += 1,
                 }
+                self.depart(|leaving| leaving.on == at);
                 for (no, n) in self.caches.down(at) {
                     let end = match (down, self.stage(no, n)) {
                         (Down::NeverUp, _) => End::NoConnection,
@@ -406,11 +420,9 @@
             let attempts = open.attempts.iter().enumerate().filter(|(_, a)| waits(a) && overtaken(open, a));
             keys.extend(attempts.map(|(n, _)| (*no, AttemptNo(n))));
         }
-        for key in keys {
-            if self.give_up(key) {
-                self.end(key, End::NotSent, UNTOLD, false);
-            }
-        }
+        keys.into_iter().for_each(|key| self.give_up(key, End::Cancelled, End::NotSent));
+        // Decided again at once.
+        std::mem::take(&mut self.pending).into_iter().for_each(|event| self.tell(event));
     }
 
     // ---- Clients ----
@@ -633,23 +645,34 @@
         attempt.way.as_ref().map(|(_, parcel)| parcel.stage())
     }
 
-    /// Gives an attempt up at its server. True if it never was sent.
-    fn give_up(&mut self, (no, n): AttemptKey) -> bool {
-        let Some(open) = self.requests.get(&no) else { return false };
-        let way = open.attempts.get(n.0).and_then(|a| a.way.as_ref());
-        way.is_some_and(|(conn, parcel)| self.caches.give_up(*conn, &open.request.id, parcel))
+    /// Gives an attempt up at its server. It ends so, in a later batch, or as `never` if it was not sent. What is on its way is out
+    /// until its abort is written: on another connection the request's next attempt could overtake that, and two would be out.
+    fn give_up(&mut self, (no, n): AttemptKey, end: End, never: End) {
+        let Some(open) = self.requests.get(&no) else { return };
+        let Some((conn, parcel)) = open.attempts.get(n.0).and_then(|a| a.way.as_ref()) else { return };
+        if self.leaving.iter().any(|l| l.key == (no, n)) {
+            return;
+        }
+        match self.caches.give_up(*conn, &open.request.id, parcel) {
+            GivenUp::Never => self.end((no, n), never, UNTOLD, true),
+            GivenUp::Closed => self.end((no, n), end, UNTOLD, true),
+            GivenUp::Behind(abort) => self.leaving.push(Leaving { key: (no, n), end, on: *conn, abort }),
+        }
+    }
+
+    /// What was given up and has left its server is over.
+    fn depart(&mut self, gone: impl Fn(&Leaving) -> bool) {
+        let all = std::mem::take(&mut self.leaving).into_iter();
+        let (over, leaving): (Vec<_>, Vec<_>) = all.partition(gone);
+        self.leaving = leaving;
+        over.into_iter().for_each(|l| self.end(l.key, l.end, UNTOLD, false));
     }
 
     fn time_out(&mut self, no: RequestNo, n: AttemptNo) {
         let attempt = self.requests.get(&no).and_then(|o| o.attempts.get(n.0));
         let Some((conn, _)) = attempt.and_then(|a| a.way.as_ref()) else { return };
-        let coming_up = self.caches.coming_up(*conn);
-        let end = match self.give_up((no, n)) {
-            true if coming_up => End::NoConnection,
-            true => End::NotSent,
-            false => End::Late,
-        };
-        self.end((no, n), end, UNTOLD, false);
+        let never = if self.caches.coming_up(*conn) { End::NoConnection } else { End::NotSent };
+        self.give_up((no, n), End::Late, never);
     }
 
     fn outcome(&mut self, at: ConnId, answer: Answer) {
@@ -659,9 +682,12 @@
             return;
         };
         if end == End::Served && !answer.copy && !self.is_write(key.0) {
-            // A read's answer without its copy's tag is spoilt, and so is the connection.
-            self.end(key, End::Broken, UNTOLD, false);
-            return self.input(Input::CacheDown(at, Down::Ended(Over::Unreadable(Malformed::SENSELESS))));
+            // A read's answer without its copy's tag is spoilt, and so is the connection. What else is open on it is out until its
+            // socket is closed.
+            self.counters.conns_unreadable += 1;
+            self.caches.end(at);
+            self.recall(|_, a| a.way.as_ref().is_some_and(|(conn, _)| *conn == at));
+            return self.end(key, End::Broken, UNTOLD, false);
         }
         if end == End::Served {
             let reply = if answer.same { Reply::Same } else { Reply::Served(answer.body.bytes()) };
@@ -734,10 +760,9 @@
             match act {
                 Action::Fetch(fetch) => self.begin(fetch),
                 Action::Cancel(request, n) => {
-                    let Some(no) = number(&request) else { continue };
-                    let never = self.give_up((no, n));
-                    let end = if never { End::NotSent } else { End::Cancelled };
-                    self.end((no, n), end, UNTOLD, true);
+                    number(&request)
+                        .into_iter()
+                        .for_each(|no| self.give_up((no, n), End::Cancelled, End::NotSent));
                 }
                 Action::Refuse(request, stay_away) => {
                     number(&request).into_iter().for_each(|no| self.answer(no, Reply::Refused(stay_away)));
@@ -798,6 +823,51 @@
         (owner, written)
     }
 
+    /// The first attempt of request 1 has been written whole.
+    fn written(owner: &mut Owner) -> AttemptKey {
+        let first = request(owner, 1);
+        owner.batch(&mut vec![first]);
+        let (conn, parcel) = owner.requests[&RequestNo(1)].attempts[0].way.as_ref().expect("on its way");
+        parcel.write();
+        let up = Input::CacheUp(*conn);
+        owner.batch(&mut vec![up]);
+        (RequestNo(1), AttemptNo(0))
+    }
+
+    #[test]
+    fn what_was_given_up_is_out_until_its_abort_is_written() {
+        for end in [End::Cancelled, End::Late] {
+            let (mut owner, _written) = owner();
+            let key = written(&mut owner);
+            owner.give_up(key, end, End::NotSent);
+            owner.give_up(key, End::Late, End::NotSent);
+            for _ in 0..3 {
+                owner.batch(&mut Vec::new());
+                let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
+                assert_eq!(out, [true], "no other may go out while the server may still have it");
+            }
+            let [Leaving { abort, .. }] = &owner.leaving[..] else { panic!("one that leaves") };
+            abort.write();
+            owner.batch(&mut Vec::new());
+            let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
+            assert!(
+                !out[0] && out.len() == 2 && owner.leaving.is_empty(),
+                "over, and decided again: {out:?}"
+            );
+        }
+    }
+
+    #[test]
+    fn what_was_given_up_is_over_with_its_connection() {
+        let (mut owner, _written) = owner();
+        let key = written(&mut owner);
+        owner.give_up(key, End::Cancelled, End::NotSent);
+        let (conn, _) = owner.requests[&key.0].attempts[0].way.as_ref().expect("still out");
+        let down = Input::CacheDown(*conn, Down::Ended(Over::Ended));
+        owner.batch(&mut vec![down]);
+        assert!(!attempts(&owner, 1)[0].1 && owner.leaving.is_empty());
+    }
+
     fn request(owner: &Owner, tag: u64) -> Input {
         let request = Do {
             id: WireId(Arc::from(format!("{tag:016x}"))),
