--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -414,7 +414,9 @@
     pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> GivenUp {
         let taken_back = parcel.take_back();
         let mut conn = self.conns.get_mut(&at);
-        conn.iter_mut().for_each(|conn| drop(conn.open.remove(id)));
+        if let Some(conn) = &mut conn {
+            conn.open.remove(id);
+        }
         match conn {
             _ if taken_back => GivenUp::Never,
             None => GivenUp::Closed,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,13 @@
 const TRIAL_WINS: u32 = 3;
 
 // Load.
+/// Weight of an answer in a cache's lag; what one moves the cut of its size by, beyond this lag over its zone's middle one;
+/// the least share left of its size; and the change that moves objects.
+const LAG_SHARE: f64 = 0.2;
+const CUT_STEP: f64 = 0.3;
+const CUT_SLACK: f64 = 0.25;
+const CUT_MOST: f64 = 0.05;
+const CUT_GRAIN: f64 = 0.1;
 /// A cache with over this multiple of its zone's mean work, and one request more, out passes parts on.
 const SPILL: f64 = 1.25;
 /// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full.
@@ -321,6 +328,7 @@
                 server.started = entry.started;
                 (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
+                (server.lag, server.cut) = (Average::default(), 0.0);
                 (server.answered, server.mute) = (self.now, 0.0);
             }
             server.entry = entry;
@@ -330,12 +338,19 @@
             let fits = |s: &Server| s.entry.role == role && s.entry.listed == Listed::Up && near(s);
             let all = self.servers.values().enumerate().filter(|(_, s)| fits(s));
             self.up[role as usize] = all.map(|(i, _)| i).collect();
-            let one = |i: &usize| (*i, self.servers[*i].hash, self.servers[*i].entry.weight);
-            self.order[role as usize] = Candidates::new(self.up[role as usize].iter().map(one));
+            self.place(role);
         }
         self.plan_sources();
     }
 
+    /// Puts the servers of a role in hash order, by what is now held to be their size.
+    fn place(&mut self, role: Role) {
+        let up = &self.up[role as usize];
+        up.iter().for_each(|i| self.servers[*i].stands = self.servers[*i].cut);
+        let one = |i: &usize| (*i, self.servers[*i].hash, self.servers[*i].size());
+        self.order[role as usize] = Candidates::new(up.iter().map(one));
+    }
+
     /// What the plan comes to for the edge caches that are up; those with the same sources share it.
     fn plan_sources(&mut self) {
         self.planned.clear();
@@ -468,7 +483,7 @@
             self.servers[*i].gate.lets(self.now, self.servers[*i].out as f64, ease)
                 && self.has_room(*i, weight)
         });
-        let size = |i: &usize| self.servers[*i].entry.weight;
+        let size = |i: &usize| self.servers[*i].size();
         let load = |i: &usize| self.servers[*i].work / size(i);
         let all = order.iter().map(size).sum::<f64>();
         let mean = order.iter().map(|i| self.servers[*i].work).sum::<f64>() / all;
@@ -806,6 +821,18 @@
             }
         }
         let edge = self.servers[server].entry.role == Role::Edge;
+        let took = self.slowness(&self.open[at], o.delay - o.source_wait);
+        let (behind, here) = (source.map_or(0.0, |i| self.excess(i)), self.excess(server));
+        match (o.end, o.note, source) {
+            (End::Served, Note::Hit, _) if edge => self.resize(server, took, true),
+            (End::Served, Note::FilledBySource | Note::FilledByOrigin, Some(i)) if edge => {
+                self.resize(server, took - behind, true);
+                self.resize(i, took - here, true);
+            }
+            (_, Note::SourceRefused | Note::SourceFailed, Some(i)) => self.resize(i, f64::INFINITY, false),
+            (End::Late, ..) => self.find_lag(server, source, took),
+            _ => {}
+        }
         if !edge && self.open[at].rank == Rank::None {
             return;
         }
@@ -838,7 +865,8 @@
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
                 let slow = slow(o.source_wait).unwrap_or(new)
-                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
+                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0))
+                    - behind;
                 self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
@@ -848,6 +876,40 @@
         }
     }
 
+    /// The logarithm of how slow it is that a request takes so long.
+    fn slowness(&self, open: &Open, took: Ms) -> f64 {
+        let own = self.own_time(&open.req).unwrap_or(self.mean_time(open.class) * NEW_OF_MEAN);
+        (took.max(1.0) / own.max(1.0)).ln()
+    }
+
+    /// What a server of a role usually lags by: the middle cache; of sources, which are few, the quickest.
+    fn usual_lag(&self, role: Role) -> Option<f64> {
+        let all = &self.up[role as usize];
+        let mut lags: Vec<f64> = all.iter().filter_map(|i| self.servers[*i].lag.get()).collect();
+        lags.sort_unstable_by(f64::total_cmp);
+        lags.get(if role == Role::Edge { lags.len() / 2 } else { 0 }).copied()
+    }
+
+    /// By how much a server lags behind what is usual for its role.
+    fn excess(&self, i: usize) -> f64 {
+        let s = &self.servers[i];
+        s.lag.get().zip(self.usual_lag(s.entry.role)).map_or(0.0, |(lag, usual)| (lag - usual).max(0.0))
+    }
+
+    /// Holds how slow an answer was against the size that the list gives a server.
+    fn resize(&mut self, i: usize, slow: f64, served: bool) {
+        let role = self.servers[i].entry.role;
+        let usual = self.usual_lag(role).unwrap_or(slow);
+        let s = &mut self.servers[i];
+        if served {
+            s.lag.add(slow, LAG_SHARE);
+        }
+        s.cut = (s.cut + CUT_STEP * (usual + CUT_SLACK - slow).clamp(-1.0, 1.0)).clamp(CUT_MOST.ln(), 0.0);
+        if (s.cut - s.stands).abs() > CUT_GRAIN {
+            self.place(role);
+        }
+    }
+
     // ---- Health ----
 
     /// Holds an outcome against the server it speaks of: the source where the note names it, else the
@@ -942,6 +1004,7 @@
         }
         let now = self.now;
         self.each(|o| now >= o.end, acts, Self::give_up);
+        self.find_slow();
         self.find_silent(acts);
     }
 
@@ -963,6 +1026,31 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + self.own_time(&open.req).unwrap_or(0.0)
     }
 
+    /// What is out for long tells of its cache before it has come: each time it is twice as long as it was when it last told.
+    fn find_slow(&mut self) {
+        let mut told = Vec::new();
+        for (at, open) in self.open.values().enumerate().filter(|(_, o)| !o.done) {
+            for (n, t) in open.tries.iter().enumerate().filter(|(_, t)| !t.over) {
+                let slow = self.slowness(open, self.now - t.sent);
+                if self.servers[t.server].entry.role == Role::Edge && slow > t.slow + 2f64.ln() {
+                    told.push((at, n, slow));
+                }
+            }
+        }
+        for (at, n, slow) in told {
+            let t = &mut self.open[at].tries[n];
+            t.slow = slow;
+            let (server, source) = (t.server, t.source);
+            self.find_lag(server, source, slow);
+        }
+    }
+
+    /// What is late is held against the cache or its source, whichever lags more.
+    fn find_lag(&mut self, server: usize, source: Option<usize>, slow: f64) {
+        let source = source.filter(|i| self.excess(*i) > self.excess(server));
+        self.resize(source.unwrap_or(server), slow, false);
+    }
+
     /// An overdue attempt is held, once in each such time, against the cache if that has answered nothing
     /// since, else against its source if that has not; so many in a row are silence, and what waits there is
     /// moved. A single one may be an answer that was lost. Harms where a pause passes for silence.
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,10 @@
     /// Its share of refused connections, decayed.
     pub refused: f64,
     pub gate: Gate,
+    /// How slow its answers were lately, as a logarithm; and by which its listed size is cut for it, by which it stands in the order.
+    pub lag: Average,
+    pub cut: f64,
+    pub stands: f64,
     /// Its last answer of any kind, and the evidence of silence since.
     pub answered: Ms,
     pub mute: f64,
@@ -113,6 +117,8 @@
     pub fault: Option<usize>,
     /// How often it has been found overdue.
     pub overdue: u32,
+    /// How slow it was when it last told of its cache, as a logarithm.
+    pub slow: f64,
     pub over: bool,
 }
 
@@ -136,6 +142,7 @@
             held_only,
             fault: Some(server),
             overdue: 0,
+            slow: 1.0,
             over: false,
         }
     }
@@ -219,6 +226,11 @@
 }
 
 impl Server {
+    /// Its size in relation to the others, as listed and cut.
+    pub fn size(&self) -> f64 {
+        self.entry.weight * self.stands.exp()
+    }
+
     /// A server that the list has just named.
     pub fn new(entry: ServerEntry, hash: u64, now: Ms, tau: Ms, gate: Gate) -> Self {
         Self {
@@ -230,6 +242,9 @@
             vanished: false,
             refused: 0.0,
             gate,
+            lag: Average::default(),
+            cut: 0.0,
+            stands: 0.0,
             answered: now,
             mute: 0.0,
             out: 0,
