--- a/crates/node/src/caches.rs
+++ b/crates/node/src/caches.rs
@@ -205,8 +205,8 @@
 pub enum GivenUp {
     /// No byte of it was written: it never ran.
     Never,
-    /// It is out until this is written, or its connection is closed.
-    Behind(Rc<Parcel>),
+    /// It is out until the server answers under this tag, or its connection is closed.
+    Behind(WireId),
     /// Its connection is closed already.
     Closed,
 }
@@ -409,8 +409,8 @@
         key
     }
 
-    /// Gives an attempt up. The attempt never ran if no byte of it was written; else the server has it until the `abort` that
-    /// this puts in line is written.
+    /// Gives an attempt up. The attempt never ran if no byte of it was written; else the server has it until it has read the `abort`
+    /// that this puts in line, and an `alive` behind that tells when.
     pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> GivenUp {
         let taken_back = parcel.take_back();
         let mut conn = self.conns.get_mut(&at);
@@ -426,7 +426,11 @@
                     conn.retired = true;
                 }
                 conn.aborted.insert(id.clone());
-                GivenUp::Behind(conn.out.put(encode(&[b"abort", id.0.as_bytes()])))
+                conn.out.put(encode(&[b"abort", id.0.as_bytes()]));
+                self.count += 1;
+                let tag = WireId(Arc::from(self.count.to_string()));
+                conn.out.put(encode(&[b"alive", tag.0.as_bytes()]));
+                GivenUp::Behind(tag)
             }
         }
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -28,6 +28,8 @@
 
 /// How often connections are tidied, and the longest that the owner sleeps.
 const TIDY_MS: Ms = 100.0;
+/// A server that has not shown for so long that it knows of an attempt given up is silent, and no more is waited for.
+const LEAVING_MS: Ms = 400.0;
 
 /// An attempt that was asked for.
 struct Attempt {
@@ -40,12 +42,13 @@
     way: Option<(ConnId, Rc<Parcel>)>,
 }
 
-/// An attempt that was given up, and is out until its abort is written or its connection is over.
+/// An attempt that was given up, and is out until its server has shown that it knows, or its connection is over.
 struct Leaving {
     key: AttemptKey,
     end: End,
     on: ConnId,
-    abort: Rc<Parcel>,
+    tag: WireId,
+    since: Ms,
 }
 
 /// A request whose answer is owed, or whose attempts are not all over.
@@ -202,7 +205,7 @@
             // Something to do: an input, a timer, or what the last batch left.
             let due = self.timers.peek().map(|Reverse((due, ..))| *due as f64 / 1000.0);
             let rest = due.map_or(TIDY_MS, |due| (due - self.clock.now()).min(TIDY_MS));
-            if self.pending.is_empty() && self.leaving.is_empty() && rest > 0.0 {
+            if self.pending.is_empty() && rest > 0.0 {
                 let wake = async {
                     Timer::after(Duration::from_secs_f64(rest / 1000.0)).await;
                     None
@@ -242,7 +245,8 @@
             inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
-        self.depart(|leaving| leaving.abort.stage() == Stage::Written);
+        let silent = self.now - LEAVING_MS;
+        self.depart(|leaving| leaving.since < silent);
         left_over.into_iter().for_each(|event| self.tell(event));
         others.into_iter().for_each(|input| self.input(input));
         let now = micros(self.now);
@@ -656,7 +660,9 @@
         match self.caches.give_up(*conn, &open.request.id, parcel) {
             GivenUp::Never => self.end((no, n), never, UNTOLD, true),
             GivenUp::Closed => self.end((no, n), end, UNTOLD, true),
-            GivenUp::Behind(abort) => self.leaving.push(Leaving { key: (no, n), end, on: *conn, abort }),
+            GivenUp::Behind(tag) => {
+                self.leaving.push(Leaving { key: (no, n), end, on: *conn, tag, since: self.now })
+            }
         }
     }
 
@@ -677,8 +683,14 @@
 
     fn outcome(&mut self, at: ConnId, answer: Answer) {
         let key = self.caches.answered(self.now, at, &answer.id);
+        if answer.end.is_none() {
+            for l in self.leaving.iter().filter(|l| l.tag == answer.id) {
+                log::info!("TR yes {} after {:.2}", answer.id.0, self.clock.now() - l.since);
+            }
+            return self.depart(|leaving| leaving.tag == answer.id);
+        }
         let (Some(key), Some(end)) = (key, answer.end) else {
-            self.counters.late_answers += u64::from(answer.end.is_some());
+            self.counters.late_answers += 1;
             return;
         };
         if end == End::Served && !answer.copy && !self.is_write(key.0) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -647,7 +647,7 @@
         let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
         let (key, now) = (self.keys, self.now);
-        let max_age = self.max_age(&self.open[at]);
+        let max_age = self.max_age(&self.open[at], source.is_none());
         let class = &self.set.classes[self.open[at].class];
         let open = &self.open[at];
         let looked = open.tries.iter().all(|t| t.source.is_none());
@@ -694,15 +694,18 @@
         self.set.purge_settles.max(self.set.purge_grace) + PURGE_EXTRA_MS
     }
 
-    /// The age limit: the class's fresh time, and while a purge may be unsettled no copy older than it.
-    fn max_age(&self, open: &Open) -> Option<Ms> {
+    /// The age limit: the class's fresh time, for a look its grace as well, and while a purge may be unsettled no copy
+    /// older than it.
+    fn max_age(&self, open: &Open, look: bool) -> Option<Ms> {
         let names = [(Some(open.req.object), None), (None, Some(open.req.group))];
         let purged =
             names.iter().filter_map(|n| self.purged.get(n)).copied().fold(f64::NEG_INFINITY, f64::max);
+        let class = &self.set.classes[open.class];
+        // An old copy earns less than a fresh one, and more than a refusal.
+        let fresh = if look { class.fresh + class.grace } else { class.fresh };
         if self.now > purged + self.purge_life() {
-            return None;
+            return Some(fresh).filter(|f| *f > class.fresh);
         }
-        let fresh = self.set.classes[open.class].fresh;
         let age = (self.now - purged - AGE_MARGIN_MS).max(AGE_LEAST_MS);
         Some(if fresh > 0.0 { age.min(fresh) } else { age })
     }
@@ -865,8 +868,7 @@
                 let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
                 let slow = slow(o.source_wait).unwrap_or(new)
-                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0))
-                    - behind;
+                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
                 self.link.answer(self.now, slow, SLOW_LINK, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
