--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -157,6 +157,12 @@
         },
         pace_kb_per_s: family.number("pace-kb-per-s", 0.0)?,
         must_subscribe: s.text("discovery", "automatic")? == "subscribe",
+        sizes: match s.text("weight-kind", "silent")? {
+            "nominal" => Sizes::Listed,
+            "rough" => Sizes::Rough,
+            "silent" | "live" => Sizes::Untold,
+            other => return Err(BadInput::new("settings.weight-kind", format!("unknown {other:?}"))),
+        },
         weights_move: s.text("weight-kind", "silent")? == "live",
         tick: s.number("granularity", 0.0)?,
     };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,7 +107,8 @@
 /// Time constant of the rates carried, from which capacity is inferred.
 const CARRIED_TAU_MS: Ms = 10_000.0;
 /// Share of what the peers carry that a cold server is taken to be able to carry when warm.
-const COLD_SAFETY: f64 = 0.5;
+const COLD_SAFETY: f64 = 0.7;
+const COLD_SAFETY_ROUGH: f64 = 0.4;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
 const COLD_AMPLE: f64 = 4.0;
 /// A purge is heeded for this much longer than it takes to settle: a slow fill that began before it may leave
@@ -459,7 +460,13 @@
         let entry = &self.servers[i].entry;
         let cold = self.age_if_cold(&self.servers[i]).filter(|_| entry.role != Role::Origin);
         let (Some(age), rule) = (cold, self.set.cold(entry.role)) else { return true };
-        let capacity = COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)] * entry.weight;
+        // Listed sizes are in answers at full pace; where they are not told, what warm ones carried stands in.
+        let each = match self.set.sizes {
+            Sizes::Listed => COLD_SAFETY / self.servers[i].gate.routers,
+            Sizes::Rough => COLD_SAFETY_ROUGH / self.servers[i].gate.routers,
+            Sizes::Untold => COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)],
+        };
+        let capacity = each * entry.weight;
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let rate = rule.multiple * share * capacity;
         let (budget, s) = (rate * rule.window, &self.servers[i]);
--- a/src/window.rs
+++ b/src/window.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// A moving average that starts with its first sample.
+/// A moving average; of its first samples it is the plain mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Average {
     value: Option<f64>,
@@ -72,8 +72,9 @@
 impl Average {
     /// Takes a sample in with that weight.
     pub fn add(&mut self, sample: f64, share: f64) {
-        self.value = Some(self.value.map_or(sample, |v| v + share * (sample - v)));
         self.samples = self.samples.saturating_add(1);
+        let share = share.max(1.0 / f64::from(self.samples));
+        self.value = Some(self.value.map_or(sample, |v| v + share * (sample - v)));
     }
 
     /// The average, if there was a sample.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,6 +62,7 @@
         lateral: Lateral::None,
         pace_kb_per_s: 8000.0,
         must_subscribe: false,
+        sizes: Sizes::Untold,
         weights_move: false,
         tick: 2.0,
     }
