Given-up attempts are out until the cache knows; learnt sizes cut slow caches and parents

Owner::give_up told the module Cancelled or Late when the abort was only in line, and a batch that takes a tick ran the next one before any connection could write. Ruled out: retries, second routers, attempts that were refused or timed out, stalled connections (answers came on both).

Each answer, and each attempt out for long, now moves its server's size in the hash by how slow it is beside its zone's middle cache (a fill: beside the quickest source). Cuts wear off in 20 s. Cold servers' budget comes from the listed size, shared by the routers, no longer from what each carried (nothing, where a zone was lost in the first second). A look takes a copy in its grace.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -157,10 +157,9 @@
         },
         pace_kb_per_s: family.number("pace-kb-per-s", 0.0)?,
         must_subscribe: s.text("discovery", "automatic")? == "subscribe",
-        sizes: match s.text("weight-kind", "silent")? {
-            "nominal" => Sizes::Listed,
-            "rough" => Sizes::Rough,
-            "silent" | "live" => Sizes::Untold,
+        rough_sizes: match s.text("weight-kind", "silent")? {
+            "nominal" => false,
+            "rough" | "silent" | "live" => true,
             other => return Err(BadInput::new("settings.weight-kind", format!("unknown {other:?}"))),
         },
         weights_move: s.text("weight-kind", "silent")? == "live",
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -155,7 +155,7 @@
         lateral: Lateral::None,
         pace_kb_per_s: fleet.net.pace_kb_per_ms * 1000.0,
         must_subscribe: false,
-        sizes: Sizes::Untold,
+        rough_sizes: true,
         weights_move: false,
         tick: 2.0,
     }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -44,6 +44,9 @@
 pub const UNDONE_MOST: u32 = 96;
 /// So many requests that could not be understood end a client's connection.
 pub const UNREADABLE_MOST: u32 = 16;
+/// A server answers the question behind an `abort` within a round trip; one that has not after this is silent, and what was given up
+/// there is held to be over: it may have answered nothing else either, and the client waits.
+pub const LEAVING_MS: Ms = 400.0;
 /// Servers hold one descriptor in so many; what is left is clients'. Those in service hold a third themselves.
 pub const SERVER_SHARE: u64 = 3;
 /// Connections that wait to be accepted. Where they don't fit, a client tries again only after a second.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,7 +6,7 @@
 use crate::counters::Counters;
 use crate::inbox::Over;
 use crate::limits::{
-    CLIENT_IDLE_MS, HELD_SHARE, OPEN_PER_CLIENT, QUEUE, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE,
+    CLIENT_IDLE_MS, HELD_SHARE, LEAVING_MS, OPEN_PER_CLIENT, QUEUE, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE,
     ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST, UNREADABLE_MOST,
 };
 use crate::outbox::{Counted, Meter, Outbox, Parcel, Stage};
@@ -28,8 +28,6 @@
 
 /// How often connections are tidied, and the longest that the owner sleeps.
 const TIDY_MS: Ms = 100.0;
-/// A server that has not shown for so long that it knows of an attempt given up is silent, and no more is waited for.
-const LEAVING_MS: Ms = 400.0;
 
 /// An attempt that was asked for.
 struct Attempt {
@@ -682,15 +680,13 @@
     }
 
     fn outcome(&mut self, at: ConnId, answer: Answer) {
-        let key = self.caches.answered(self.now, at, &answer.id);
-        if answer.end.is_none() {
-            for l in self.leaving.iter().filter(|l| l.tag == answer.id) {
-                log::info!("TR yes {} after {:.2}", answer.id.0, self.clock.now() - l.since);
-            }
-            return self.depart(|leaving| leaving.tag == answer.id);
+        // A server that knows of what was given up has answered no request by that.
+        if self.leaving.iter().any(|l| l.on == at && l.tag == answer.id) {
+            return self.depart(|l| l.tag == answer.id);
         }
+        let key = self.caches.answered(self.now, at, &answer.id);
         let (Some(key), Some(end)) = (key, answer.end) else {
-            self.counters.late_answers += 1;
+            self.counters.late_answers += u64::from(answer.end.is_some());
             return;
         };
         if end == End::Served && !answer.copy && !self.is_write(key.0) {
@@ -847,7 +843,7 @@
     }
 
     #[test]
-    fn what_was_given_up_is_out_until_its_abort_is_written() {
+    fn what_was_given_up_is_out_until_its_server_knows() {
         for end in [End::Cancelled, End::Late] {
             let (mut owner, _written) = owner();
             let key = written(&mut owner);
@@ -858,9 +854,10 @@
                 let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
                 assert_eq!(out, [true], "no other may go out while the server may still have it");
             }
-            let [Leaving { abort, .. }] = &owner.leaving[..] else { panic!("one that leaves") };
-            abort.write();
-            owner.batch(&mut Vec::new());
+            let [Leaving { on, tag, .. }] = &owner.leaving[..] else { panic!("one that leaves") };
+            let (on, words) = (*on, vec![tag.0.as_bytes().to_vec(), b"yes".to_vec()]);
+            let yes = Answer::read(words, &[]).expect("an answer");
+            owner.batch(&mut vec![Input::Cache(on, yes)]);
             let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
             assert!(
                 !out[0] && out.len() == 2 && owner.leaving.is_empty(),
--- a/src/api.rs
+++ b/src/api.rs
@@ -109,17 +109,6 @@
     Any,
 }
 
-/// Whether the list's weights tell how many answers at full pace a server gives at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sizes {
-    /// They do.
-    Listed,
-    /// They do, give or take.
-    Rough,
-    /// They don't.
-    Untold,
-}
-
 /// What the site allows and requires; handed over at start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -165,8 +154,8 @@
     pub pace_kb_per_s: f64,
     /// The server list has to be asked for.
     pub must_subscribe: bool,
-    /// Whether the list's weights are sizes.
-    pub sizes: Sizes,
+    /// The list's weights, sizes in answers at full pace, are so only give or take (or not told: then one).
+    pub rough_sizes: bool,
     /// The list's weights follow the servers' load and change from list to list.
     pub weights_move: bool,
     /// The least interval between two batches of events.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,6 +65,8 @@
 const CUT_SLACK: f64 = 0.25;
 const CUT_MOST: f64 = 0.05;
 const CUT_GRAIN: f64 = 0.1;
+/// Within this time a cut wears off.
+const CUT_TAU_MS: Ms = 20_000.0;
 /// A cache with over this multiple of its zone's mean work, and one request more, out passes parts on.
 const SPILL: f64 = 1.25;
 /// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full.
@@ -104,11 +106,9 @@
 const SMALL_EASE: f64 = 1.5;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
-/// Time constant of the rates carried, from which capacity is inferred.
-const CARRIED_TAU_MS: Ms = 10_000.0;
-/// Share of what the peers carry that a cold server is taken to be able to carry when warm.
-const COLD_SAFETY: f64 = 0.7;
-const COLD_SAFETY_ROUGH: f64 = 0.4;
+/// Share of a cold server's budget, by its listed size, that all routers together use; less where sizes are rough.
+const COLD_SHARE: f64 = 1.2;
+const COLD_SHARE_ROUGH: f64 = 0.8;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
 const COLD_AMPLE: f64 = 4.0;
 /// A purge is heeded for this much longer than it takes to settle: a slow fill that began before it may leave
@@ -213,8 +213,6 @@
     link: Gate,
     /// When an object, or a group, was purged.
     purged: IndexMap<(Option<ObjectId>, Option<GroupId>), Ms>,
-    /// The most that warm caches, and parents, carried on average for a unit of weight.
-    carried: [f64; 2],
     keys: u64,
     seed: u64,
     lines: usize,
@@ -246,7 +244,6 @@
             beyond: Average::default(),
             link: Gate::new(0.0, GATE_LEVEL_MS, set.zone_routers),
             purged: IndexMap::new(),
-            carried: [0.0; 2],
             keys: 0,
             lines: 0,
             seed,
@@ -321,7 +318,7 @@
             entry.weight = if steady { entry.weight } else { 1.0 };
             let routers = if entry.role == Role::Edge { self.set.zone_routers } else { self.set.routers };
             let gate = Gate::new(self.now, GATE_LEVEL_MS, routers);
-            let new = || Server::new(entry.clone(), address(&entry.id.0), self.now, CARRIED_TAU_MS, gate);
+            let new = || Server::new(entry.clone(), address(&entry.id.0), self.now, gate);
             let held = |i| self.open.values().flat_map(|o| &o.tries).any(|t| t.names(i));
             let server = place(&mut self.servers, &entry.id, new, held);
             if entry.started > server.entry.started {
@@ -454,19 +451,14 @@
     }
 
     /// True if a server may get this much more now. Only one that started lately has a budget: its share
-    /// of the most that warm servers like it carried for this router (all routers reckon alike, so their
-    /// shares add up).
+    /// of what its listed size allows (all routers reckon alike, so their shares add up).
     fn has_room(&self, i: usize, weight: f64) -> bool {
         let entry = &self.servers[i].entry;
         let cold = self.age_if_cold(&self.servers[i]).filter(|_| entry.role != Role::Origin);
         let (Some(age), rule) = (cold, self.set.cold(entry.role)) else { return true };
-        // Listed sizes are in answers at full pace; where they are not told, what warm ones carried stands in.
-        let each = match self.set.sizes {
-            Sizes::Listed => COLD_SAFETY / self.servers[i].gate.routers,
-            Sizes::Rough => COLD_SAFETY_ROUGH / self.servers[i].gate.routers,
-            Sizes::Untold => COLD_SAFETY * self.carried[usize::from(entry.role == Role::Parent)],
-        };
-        let capacity = each * entry.weight;
+        // Listed sizes are in answers at full pace.
+        let part = if self.set.rough_sizes { COLD_SHARE_ROUGH } else { COLD_SHARE };
+        let capacity = part * entry.weight / self.servers[i].gate.routers;
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let rate = rule.multiple * share * capacity;
         let (budget, s) = (rate * rule.window, &self.servers[i]);
@@ -729,7 +721,7 @@
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
         source.into_iter().for_each(|i| self.servers[i].out = self.servers[i].out.saturating_sub(1));
-        self.learn(at, server, source, weight, key, &o);
+        self.learn(at, source, key, &o);
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
         if !proved {
@@ -765,12 +757,11 @@
     }
 
     /// Takes in what an outcome tells of latencies, sending times and what a server carries.
-    fn learn(&mut self, at: usize, server: usize, source: Option<usize>, weight: f64, key: u64, o: &Outcome) {
+    fn learn(&mut self, at: usize, source: Option<usize>, key: u64, o: &Outcome) {
         let open = &self.open[at];
         let (class, req) = (open.class, &open.req);
         let filled = matches!(o.note, Note::FilledBySource | Note::FilledByOrigin);
         if o.end == End::Served {
-            self.servers[server].carried.add(self.now, weight);
             let beyond = (o.delay - self.own_time(req).unwrap_or(0.0)).max(0.0);
             let (mean, deviation) = &mut self.delay[class];
             deviation.add((beyond - mean.get().unwrap_or(0.0)).abs(), AVERAGE_SHARE);
@@ -782,7 +773,6 @@
                 self.sending[class].add(known.least, AVERAGE_SHARE);
             }
         }
-        let own = self.own_time(req).unwrap_or(weight);
         if filled && req.part == Part(0) && open.rank != Rank::None {
             self.missed.file(req.object.0);
         }
@@ -790,13 +780,9 @@
             let layer = usize::from(o.note == Note::FilledByOrigin);
             self.latency[layer].add(o.source_wait, AVERAGE_SHARE);
         }
-        if let Some(source) = source {
-            if filled {
-                self.servers[source].carried.add(self.now, own);
-            } else if o.end == End::Served {
-                // No fill came to the source, so it weighs nothing there.
-                self.servers[source].sent.take_back(key);
-            }
+        if let Some(source) = source.filter(|_| !filled && o.end == End::Served) {
+            // No fill came to the source, so it weighs nothing there.
+            self.servers[source].sent.take_back(key);
         }
     }
 
@@ -914,9 +900,6 @@
             s.lag.add(slow, LAG_SHARE);
         }
         s.cut = (s.cut + CUT_STEP * (usual + CUT_SLACK - slow).clamp(-1.0, 1.0)).clamp(CUT_MOST.ln(), 0.0);
-        if (s.cut - s.stands).abs() > CUT_GRAIN {
-            self.place(role);
-        }
     }
 
     // ---- Health ----
@@ -998,14 +981,6 @@
         if self.now >= self.next_period {
             self.next_period = self.now + PERIOD_MS;
             self.adapt();
-            for (role, most) in [Role::Edge, Role::Parent].into_iter().zip(0..) {
-                let warm: Vec<usize> =
-                    self.up[role as usize].iter().copied().filter(|i| self.warm(i)).collect();
-                let rate =
-                    |i: &usize| self.servers[*i].carried.rate(self.now) / self.servers[*i].entry.weight;
-                let mean = warm.iter().map(rate).sum::<f64>() / warm.len().max(1) as f64;
-                self.carried[most] = mean.max(self.carried[most]);
-            }
             let keep = self.now - self.purge_life();
             self.purged.retain(|_, at| *at >= keep);
             let since = self.now - self.set.cold_edge.span.max(self.set.cold_parent.span);
@@ -1013,6 +988,14 @@
         }
         let now = self.now;
         self.each(|o| now >= o.end, acts, Self::give_up);
+        // Where nothing is sent nothing is heard, so a cut wears off by itself.
+        self.servers.values_mut().for_each(|s| s.cut *= (-SWEEP_MS / CUT_TAU_MS).exp());
+        for role in [Role::Edge, Role::Parent] {
+            let moved = |i: &usize| (self.servers[*i].cut - self.servers[*i].stands).abs() > CUT_GRAIN;
+            if self.up[role as usize].iter().any(moved) {
+                self.place(role);
+            }
+        }
         self.find_slow();
         self.find_silent(acts);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,9 +68,8 @@
     /// Attempts out and their work.
     pub out: usize,
     pub work: f64,
-    /// What was sent to it lately (a parent: fills too), and what it carried.
+    /// What was sent to it lately (a parent: fills too).
     pub sent: SlidingSum,
-    pub carried: DecayingRate,
 }
 
 /// The server of that name; a new one takes the place of one that has gone and that nothing holds any more, so that a table
@@ -232,7 +231,7 @@
     }
 
     /// A server that the list has just named.
-    pub fn new(entry: ServerEntry, hash: u64, now: Ms, tau: Ms, gate: Gate) -> Self {
+    pub fn new(entry: ServerEntry, hash: u64, now: Ms, gate: Gate) -> Self {
         Self {
             started: entry.started,
             entry,
@@ -250,7 +249,6 @@
             out: 0,
             work: 0.0,
             sent: SlidingSum::default(),
-            carried: DecayingRate::new(now, tau),
         }
     }
 }
@@ -264,7 +262,7 @@
         let id = ServerId(name.into());
         let (zone, role) = (ZoneId(0), Role::Edge);
         let entry = ServerEntry { id: id.clone(), zone, role, cell: 0, listed, weight: 1.0, started: None };
-        let new = || Server::new(entry.clone(), 0, 0.0, 1.0, Gate::new(0.0, 1.0, 1));
+        let new = || Server::new(entry.clone(), 0, 0.0, Gate::new(0.0, 1.0, 1));
         place(table, &id, new, |i| Some(i) == held).entry = entry.clone();
         table.get_index_of(&id).expect("its place")
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,7 +62,7 @@
         lateral: Lateral::None,
         pace_kb_per_s: 8000.0,
         must_subscribe: false,
-        sizes: Sizes::Untold,
+        rough_sizes: true,
         weights_move: false,
         tick: 2.0,
     }
--- /dev/null
+++ b/tests/moved.rs
@@ -0,0 +1,144 @@
+//! Deployments without load reports: what a router learns of sizes from its own few answers.
+
+mod common;
+use basaltgw::api::*;
+use common::*;
+
+fn reporting_nothing() -> Settings {
+    Settings { direct: false, zone_routers: 20, lateral: Lateral::Zone, ..settings() }
+}
+
+/// Where an object is sent that was not asked for before, and from where it would be filled.
+fn look(d: &mut Driver, n: usize, object: u64) -> Fetch {
+    let acts = d.ask(n, SAFE, object);
+    let f = fetch(&acts).unwrap_or_else(|| panic!("no fetch: {acts:?}"));
+    d.tell(Event::ClientLeft(rid(n)));
+    d.outcome(n, 0, &f.server, End::Cancelled, Note::Untold, 0.0);
+    f
+}
+
+/// Of a hundred objects, how many go to a server, or have it as their source.
+fn homes(d: &mut Driver, from: usize, name: &str) -> usize {
+    (0..100).filter(|o| [id(name)].contains(&look(d, from + o, 5000 + *o as u64).server)).count()
+}
+
+fn sources(d: &mut Driver, from: usize, name: &str) -> usize {
+    (0..100).filter(|o| look(d, from + o, 5000 + *o as u64).fill_from == id(name)).count()
+}
+
+/// A cache that takes eight times as long as the zone's others for the same objects (an overloaded or ageing one,
+/// till-content big-1) gives up objects, the others' stay, and it gets them back once it is quick again.
+#[test]
+fn a_slow_cache_gives_up_objects_and_gets_them_back() {
+    let mut d = Driver::new(reporting_nothing(), fleet());
+    let before = homes(&mut d, 0, "edge-0");
+    for n in 0..200 {
+        let f = fetch(&d.ask(10_000 + n, SAFE, n as u64)).expect("a fetch");
+        let took = if f.server == id("edge-0") { 800.0 } else { 100.0 };
+        d.outcome(10_000 + n, 0, &f.server, End::Served, Note::Hit, took);
+        d.wait(20.0);
+    }
+    let (after, other) = (homes(&mut d, 20_000, "edge-0"), homes(&mut d, 20_100, "edge-1"));
+    assert!(before >= 15 && after * 3 < before, "{before} objects before, {after} after");
+    assert!(other >= 20, "the next in order have them: {other}");
+    // Nothing more is sent to it; the cut wears off.
+    d.wait(100_000.0);
+    let again = homes(&mut d, 30_000, "edge-0");
+    assert!(again + 3 >= before, "and back, all but a few: {again} of {before}");
+}
+
+/// The same of a parent whose fills are slow while other parents' are not; the caches they go through keep theirs.
+#[test]
+fn a_slow_parent_gives_up_objects_and_the_caches_are_not_blamed() {
+    let mut d = Driver::new(reporting_nothing(), fleet());
+    let (before, cache) = (sources(&mut d, 0, "parent-0"), homes(&mut d, 100, "edge-0"));
+    for n in 0..120 {
+        let f = fetch(&d.ask(1000 + n, SAFE, n as u64)).expect("a fetch");
+        let took = if f.fill_from == id("parent-0") { 900.0 } else { 120.0 };
+        d.outcome(1000 + n, 0, &f.server, End::Served, Note::FilledBySource, took);
+        d.wait(20.0);
+    }
+    let after = sources(&mut d, 2000, "parent-0");
+    assert!(before >= 30 && after * 3 < before, "{before} before, {after} after");
+    assert!(homes(&mut d, 3000, "edge-0") + 10 > cache, "every cache had slow fills alike");
+}
+
+/// What is out for long tells before it is over, so that no deadline has to pass first.
+#[test]
+fn what_is_out_for_long_tells_of_its_cache() {
+    let mut d = Driver::new(reporting_nothing(), fleet());
+    for n in 0..80 {
+        let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
+        d.outcome(n, 0, &f.server, End::Served, Note::Hit, 20.0);
+    }
+    let before = homes(&mut d, 1000, "edge-0");
+    let mut stuck = Vec::new();
+    for n in 2000..2100 {
+        let f = fetch(&d.ask(n, SAFE, n as u64)).expect("a fetch");
+        if f.server == id("edge-0") && stuck.len() < 6 {
+            stuck.push(n);
+        } else {
+            d.outcome(n, 0, &f.server, End::Served, Note::Hit, 20.0);
+        }
+    }
+    d.wait(340.0);
+    let told: Vec<_> = d.log.iter().filter(|(_, a)| matches!(a, Action::Report(_))).collect();
+    assert!(stuck.len() >= 2 && told.is_empty(), "nothing is silent before 350 ms: {stuck:?} {told:?}");
+    for n in stuck {
+        d.tell(Event::ClientLeft(rid(n)));
+        d.end(n, 0, &id("edge-0"), End::Cancelled, Note::Untold);
+    }
+    let after = homes(&mut d, 3000, "edge-0");
+    assert!(after * 2 < before, "{before} objects before, {after} after");
+}
+
+/// A fill that is not let through becomes a look, and the look takes a copy that is in its grace: it earns more than
+/// a refusal. After a purge it is as young as the purge asks.
+#[test]
+fn a_look_takes_a_copy_in_its_grace() {
+    let mut set = reporting_nothing();
+    set.classes[SMALL.0].grace = 20_000.0;
+    let mut d = Driver::new(set, fleet());
+    let f = fetch(&d.ask(0, SMALL, 1)).expect("a fetch");
+    assert_eq!(f.max_age, None, "a fill brings a fresh one");
+    d.tell(Event::Servers(ListMode::Changes, gone(&["parent-0", "parent-1", "origin"])));
+    let f = fetch(&d.ask(1, SMALL, 1)).expect("a look");
+    assert_eq!((f.max_age, f.fill_from == f.server), (Some(28_000.0), true));
+    d.tell(Event::Purged(GroupId(1), Some(ObjectId(1)), 0.0));
+    d.wait(500.0);
+    let f = fetch(&d.ask(2, SMALL, 1)).expect("a look");
+    assert!(f.max_age.is_some_and(|age| age <= 500.0), "{:?}", f.max_age);
+}
+
+fn gone(names: &[&str]) -> Vec<ServerEntry> {
+    let role = |name: &str| if name == "origin" { Role::Origin } else { Role::Parent };
+    names.iter().map(|n| ServerEntry { listed: Listed::Gone, ..entry(n, role(n)) }).collect()
+}
+
+/// A cold cache's budget is shared by the zone's routers, whatever its peers carried before: twenty routers together
+/// stay under what brings it down (a cache of size 4 at a fifth: 0.8 answers at a time, twice that for a second).
+#[test]
+fn twenty_routers_share_a_cold_caches_budget() {
+    let mut sent = 0.0;
+    for seed in 0..20 {
+        let sized = |mut e: ServerEntry| {
+            e.weight = 4.0;
+            e
+        };
+        let mut d = Driver::new(reporting_nothing(), fleet().into_iter().map(sized).collect());
+        d.router = basaltgw::rules::Router::new(reporting_nothing(), seed);
+        let started = Some(d.now);
+        let mut all: Vec<ServerEntry> = fleet().into_iter().map(sized).collect();
+        all[0].started = started;
+        d.tell(Event::Servers(ListMode::Whole, all));
+        for n in 0..50 {
+            let acts = d.ask(n, SAFE, n as u64);
+            let Some(f) = fetch(&acts) else { continue };
+            sent += if f.server == id("edge-0") { 100.0 } else { 0.0 };
+            d.outcome(n, 0, &f.server, End::Served, Note::Hit, 100.0);
+            d.wait(20.0);
+        }
+    }
+    let limit = 4.0 * 0.2 * 2.0 * 1000.0;
+    assert!(sent > 0.0 && sent <= limit, "{sent} of {limit}");
+}
