What a router has learnt goes over to its next start: a checked file, off by default

At its end a router leaves, by server, how much its size is cut, its lag, whether it was out and its cold start; by class the sending time; all purges. At a start it takes over what is of the same process. Gates, delays, L1 and L2, shadow lists and split start afresh (src/rules/carry.rs says why). Cut off, altered, of another version, too old: a warning, nothing used. Settings: negative times and rates, lists of a wrong length and unknown words now name their key.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod learnt;
 mod node;
 pub mod plan;
 mod settings;
@@ -9,7 +10,7 @@
 pub mod yaml;
 
 pub use node::{parse, read, Environment, Limits, Member, News, NodeConfig, Place, Reload, Seq, Transport};
-pub use plan::{own_settings, Hierarchy, OwnSettings};
+pub use plan::{own_settings, Carry, Hierarchy, OwnSettings};
 pub use settings::{settings, Names};
 pub use value::BadInput;
 pub use yaml::BadFile;
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -6,7 +6,7 @@
 use basaltgw_hierarchy::{Cold, NodeId, NodeSpec, PlanSpec, Settings, Table, Tier, Version};
 use jsonschema::Validator;
 use serde::Deserialize;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, OnceLock};
 
 /// What the project's own file says. All of it may be absent.
@@ -14,6 +14,17 @@
 pub struct OwnSettings {
     /// The tree.
     pub hierarchy: Option<Hierarchy>,
+    /// What is carried over from one life to the next.
+    pub carry: Option<Carry>,
+}
+
+/// Where a router leaves what it has learnt when it ends, and finds it when it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Carry {
+    /// The file.
+    pub file: PathBuf,
+    /// What was left longer ago is not used, in milliseconds.
+    pub oldest: f64,
 }
 
 /// The tree of caches.
@@ -28,8 +39,18 @@
 #[derive(Deserialize)]
 struct File {
     hierarchy: Option<HierarchyFile>,
+    carry: Option<CarryFile>,
+}
+
+#[derive(Deserialize)]
+struct CarryFile {
+    file: PathBuf,
+    oldest_s: Option<f64>,
 }
 
+/// What was learnt of servers says little after ten minutes.
+const OLDEST_S: f64 = 600.0;
+
 #[derive(Deserialize)]
 struct HierarchyFile {
     plan: PlanFile,
@@ -83,8 +104,11 @@
 }
 
 fn own(document: &Document, cold: Cold) -> Result<OwnSettings, BadFile> {
-    let File { hierarchy } = document.typed()?;
-    let Some(HierarchyFile { plan, reshape }) = hierarchy else { return Ok(OwnSettings::default()) };
+    let File { hierarchy, carry } = document.typed()?;
+    let carry = carry.map(|c| Carry { file: c.file, oldest: 1000.0 * c.oldest_s.unwrap_or(OLDEST_S) });
+    let Some(HierarchyFile { plan, reshape }) = hierarchy else {
+        return Ok(OwnSettings { hierarchy: None, carry });
+    };
     let usual = Settings::default();
     let settings = Settings {
         behind: reshape.behind.unwrap_or(usual.behind),
@@ -116,7 +140,7 @@
         let at = at.map_or_else(|| "/hierarchy/plan".to_string(), |i| format!("/hierarchy/plan/nodes/{i}"));
         return Err(document.fault(&at, refusal.to_string()));
     }
-    Ok(OwnSettings { hierarchy: Some(Hierarchy { plan, settings }) })
+    Ok(OwnSettings { hierarchy: Some(Hierarchy { plan, settings }), carry })
 }
 
 /// A reshape's table as the module takes it.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -49,21 +49,25 @@
     names.iter().position(|n| n == name)
 }
 
-fn class(v: &Value, k: usize, family: &Keys<'_>) -> Result<Class, BadInput> {
+/// The class at place `k` of `many`.
+fn class(v: &Value, (k, many): (usize, usize), family: &Keys<'_>) -> Result<Class, BadInput> {
     let s = Keys(v, "settings.services[].");
     let of_class = |key: &str| -> Result<Value, BadInput> {
-        Ok(family.list(key)?.get(k).cloned().unwrap_or(Value::Null))
+        Ok(family.list_of(key, many)?.get(k).cloned().unwrap_or(Value::Null))
     };
     let time_of_class = |key: &str| -> Result<f64, BadInput> {
         let v = of_class(key)?;
-        Ok(or_null(&v, || number(&v, &family.at(key)))?.unwrap_or(0.0))
+        let time = or_null(&v, || number(&v, &family.at(key)))?.unwrap_or(0.0);
+        let fits = time.is_finite() && time >= 0.0;
+        let what = || BadInput::new(&family.at(key), format!("expected 0 or more, found {time}"));
+        fits.then_some(time).ok_or_else(what)
     };
     let through = of_class("goes-through")?;
     Ok(Class {
         name: s.text("name", "")?.to_string(),
-        aim: s.number("slo", 0.0)?,
-        aim_stretch: s.number("aim-stretch", 0.0)?,
-        deadline: s.number("deadline", 0.0)?,
+        aim: s.amount("slo", 0.0)?,
+        aim_stretch: s.amount("aim-stretch", 0.0)?,
+        deadline: s.amount("deadline", 0.0)?,
         effect: match s.text("idempotency", "non_idempotent")? {
             "read_like" => Effect::Safe,
             "idempotency_key" => Effect::Keyed,
@@ -80,9 +84,9 @@
                 return Err(BadInput::new("settings.services[].key-scope", format!("unknown {other:?}")))
             }
         },
-        key_window: s.number("window", 0.0)?,
-        worth: s.number("worth", 1.0)?,
-        late_worth: s.number("late-worth", 0.0)?,
+        key_window: s.amount("window", 0.0)?,
+        worth: s.amount("worth", 1.0)?,
+        late_worth: s.amount("late-worth", 0.0)?,
         fresh: time_of_class("lifetime-by-class")?,
         grace: time_of_class("class-grace")?,
         uncacheable: or_null(&through, || boolean(&through, &family.at("goes-through")))?.unwrap_or(false),
@@ -99,8 +103,11 @@
     let limits = Keys(&v["limits"], "settings.limits.");
     let contract = Keys(&v["contract"], "settings.contract.");
     let services = s.list("services")?;
-    let classes: Vec<Class> =
-        services.iter().enumerate().map(|(k, v)| class(v, k, &family)).collect::<Result<_, _>>()?;
+    let classes: Vec<Class> = services
+        .iter()
+        .enumerate()
+        .map(|(k, v)| class(v, (k, services.len()), &family))
+        .collect::<Result<_, _>>()?;
     let zones = s.names("areas")?;
     let kind = |key: &str| -> Result<Option<usize>, BadInput> {
         let n = family.number(key, -1.0)?;
@@ -115,11 +122,11 @@
     };
     let zone = names.zone(s.text("my-zone", "")?).unwrap_or(ZoneId(0));
     let routers = s.whole("peers-total", 1)? as usize;
-    let by_zone = family.list("count-by-zone")?.get(zone.0);
+    let by_zone = family.list_of("count-by-zone", names.zones.len())?.get(zone.0);
     let zone_routers = by_zone.map(|v| whole(v, "settings.family-info.count-by-zone")).transpose()?;
-    let hubs = family.list("zone-hub")?.iter();
+    let hubs = family.list_of("zone-hub", names.zones.len())?.iter();
     let hubs = hubs.map(|v| whole(v, "settings.family-info.zone-hub").map(|h| ZoneId(h as usize)));
-    let window = contract.number("fall", 0.0)?;
+    let window = contract.amount("fall", 0.0)?;
     let parsed = Settings {
         zone,
         zone_routers: zone_routers.map_or(routers, |n| n as usize).max(1),
@@ -127,25 +134,25 @@
         zone_hub: hubs.collect::<Result<_, _>>()?,
         classes,
         cold_edge: ColdRule {
-            share: contract.number("cold-share", 1.0)?,
-            span: contract.number("cold", 0.0)?,
-            multiple: contract.number("fall-multiple", 0.0)?,
+            share: contract.amount("cold-share", 1.0)?,
+            span: contract.amount("cold", 0.0)?,
+            multiple: contract.amount("fall-multiple", 0.0)?,
             window,
         },
         cold_parent: ColdRule {
-            share: family.number("parent-cold-from", 1.0)?,
-            span: family.number("upper-cold", 0.0)?,
-            multiple: family.number("parent-fall-multiple", 0.0)?,
+            share: family.amount("parent-cold-from", 1.0)?,
+            span: family.amount("upper-cold", 0.0)?,
+            multiple: family.amount("parent-fall-multiple", 0.0)?,
             window,
         },
-        drain_grace: contract.number("drain-grace", 0.0)?,
-        purge_grace: family.number("heed-within", 0.0)?,
-        purge_settles: family.number("purge-settles", 0.0)?,
+        drain_grace: contract.amount("drain-grace", 0.0)?,
+        purge_grace: family.amount("heed-within", 0.0)?,
+        purge_settles: family.amount("purge-settles", 0.0)?,
         second_copies: limits.boolean("parallel-tries", false)?,
         cancel: limits.boolean("cancel", false)?,
         probes: limits.boolean("probes", false)?,
         retry_after: limits.boolean("retry-after", false)?,
-        max_retry_after: limits.number("max-retry-after", 0.0)?,
+        max_retry_after: limits.amount("max-retry-after", 0.0)?,
         max_attempts: limits.whole("try-limit", 1)? as usize,
         direct: family.boolean("pass-through-ok", false)?,
         joins: family.boolean("collapses", false)?,
@@ -155,15 +162,19 @@
             "any" => Lateral::Any,
             other => return Err(BadInput::new("settings.family-info.lateral", format!("unknown {other:?}"))),
         },
-        pace_kb_per_s: family.number("pace-kb-per-s", 0.0)?,
-        must_subscribe: s.text("discovery", "automatic")? == "subscribe",
+        pace_kb_per_s: family.amount("pace-kb-per-s", 0.0)?,
+        must_subscribe: match s.text("discovery", "automatic")? {
+            "automatic" => false,
+            "subscribe" => true,
+            other => return Err(BadInput::new("settings.discovery", format!("unknown {other:?}"))),
+        },
         rough_sizes: match s.text("weight-kind", "silent")? {
             "nominal" => false,
             "rough" | "silent" | "live" => true,
             other => return Err(BadInput::new("settings.weight-kind", format!("unknown {other:?}"))),
         },
         weights_move: s.text("weight-kind", "silent")? == "live",
-        tick: s.number("granularity", 0.0)?,
+        tick: s.amount("granularity", 0.0)?,
     };
     Ok((names, parsed))
 }
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -75,6 +75,20 @@
     pub fn number(&self, key: &str, absent: f64) -> Result<f64, BadInput> {
         Ok(or_null(&self.0[key], || number(&self.0[key], &self.at(key)))?.unwrap_or(absent))
     }
+    /// A number of 0 or more: a time, a share, a multiple.
+    pub fn amount(&self, key: &str, absent: f64) -> Result<f64, BadInput> {
+        let n = self.number(key, absent)?;
+        let fits = n.is_finite() && n >= 0.0;
+        fits.then_some(n)
+            .ok_or_else(|| BadInput::new(&self.at(key), format!("expected 0 or more, found {n}")))
+    }
+    /// An array of one entry for each of so many, or none at all.
+    pub fn list_of(&self, key: &str, many: usize) -> Result<&'a [Value], BadInput> {
+        let list = self.list(key)?;
+        let fits = list.is_empty() || list.len() == many;
+        let what = || BadInput::new(&self.at(key), format!("expected {many} entries, found {}", list.len()));
+        fits.then_some(list).ok_or_else(what)
+    }
     /// A whole number.
     pub fn whole(&self, key: &str, absent: u64) -> Result<u64, BadInput> {
         Ok(or_null(&self.0[key], || whole(&self.0[key], &self.at(key)))?.unwrap_or(absent))
--- a/crates/config/tests/configuration.rs
+++ b/crates/config/tests/configuration.rs
@@ -118,3 +118,46 @@
     std::fs::remove_file(&file).expect("removed");
     assert!(message.contains("is not JSON"), "{message}");
 }
+
+/// Each setting that the module reads is checked: a bad one is named by its key, an absent one changes nothing.
+#[test]
+fn settings_that_make_no_sense_are_named_by_their_key() {
+    let good = || {
+        let mut config = whole();
+        config["settings"]["services"] = json!([{"name": "a", "slo": 100.0}, {"name": "b"}]);
+        config
+    };
+    let (typed, bare) = (|c: &Value| parse(c, &Environment::default()), good());
+    let settings = typed(&bare).expect("a good configuration").settings;
+    assert!(settings.rough_sizes && settings.classes[0].grace == 0.0);
+    for (pointer, value, says) in [
+        ("/settings/contract/fall", json!(-1.0), "settings.contract.fall: expected 0 or more, found -1"),
+        ("/settings/granularity", json!(-2), "settings.granularity"),
+        ("/settings/weight-kind", json!("heavy"), "settings.weight-kind: unknown \"heavy\""),
+        ("/settings/discovery", json!("by post"), "settings.discovery: unknown \"by post\""),
+        ("/settings/family-info/lateral", json!("all"), "settings.family-info.lateral"),
+        ("/settings/family-info/class-grace", json!([1.0]), "class-grace: expected 2 entries, found 1"),
+        (
+            "/settings/family-info/class-grace",
+            json!([0.0, -5.0]),
+            "class-grace: expected 0 or more, found -5",
+        ),
+        ("/settings/family-info/lifetime-by-class", json!(["x", 1.0]), "lifetime-by-class"),
+        (
+            "/settings/family-info/count-by-zone",
+            json!([1, 2, 3]),
+            "count-by-zone: expected 2 entries, found 3",
+        ),
+        ("/settings/services/0/slo", json!(-3.0), "settings.services[].slo: expected 0 or more"),
+    ] {
+        let mut config = good();
+        let (parent, key) = pointer.rsplit_once('/').expect("a pointer");
+        if let Some(object) = config.pointer_mut(parent) {
+            object[key] = value;
+        } else {
+            config["settings"][parent.rsplit_once('/').expect("a key").1] = json!({ key: value });
+        }
+        let fault = typed(&config).expect_err(pointer).to_string();
+        assert!(fault.contains(says), "{fault}");
+    }
+}
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -72,6 +72,8 @@
     pub reloads: u64,
     /// See `reloads`.
     pub reloads_refused: u64,
+    /// Servers of which what an earlier life has learnt was taken over.
+    pub carried: u64,
     /// Servers that are listed.
     pub servers_now: u64,
     /// Bytes that messages hold.
@@ -149,8 +151,8 @@
         write!(f, "servers_now={} lists={} purges={} ", self.servers_now, self.lists, self.purges)?;
         write!(
             f,
-            "log_lost={} reloads={} reloads_refused={} ",
-            self.log_lost, self.reloads, self.reloads_refused
+            "log_lost={} reloads={} reloads_refused={} carried={} ",
+            self.log_lost, self.reloads, self.reloads_refused, self.carried
         )?;
         write!(f, "held={} held_most={} ", self.held, self.held_most)?;
         write!(f, "{} ", self.tree)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,8 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use basaltgw_config::{Hierarchy, News, NodeConfig, OwnSettings};
+use basaltgw::rules::carry::Learnt;
+use basaltgw_config::{learnt, Carry, Hierarchy, News, NodeConfig, OwnSettings};
 use counters::Counters;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -114,7 +115,11 @@
     let clients = config.limits.sockets.saturating_sub(servers + limits::OWN_DESCRIPTORS).max(1);
     let caches =
         caches::Caches::new(Shared { queue: answers, ..shared.clone() }, servers as usize, config.transport);
-    let owner = owner::Owner::new(&config, &own.settings, &shared, caches);
+    let mut owner = owner::Owner::new(&config, &own.settings, &shared, caches);
+    if let Some(learnt) = own.settings.carry.as_ref().and_then(|c| learnt(c, shared.clock.now())) {
+        owner.adopt(learnt);
+    }
+    let clock = Rc::clone(&shared.clock);
     let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let executor = Rc::clone(&shared.executor);
@@ -123,8 +128,45 @@
     let follow = changelog::follow(config.changelog, moved, config.known_seq, names, urgent.clone());
     executor.spawn(follow).detach();
     config.known = Vec::new();
-    executor.spawn(shutdown::watch(signals, urgent, (config, own.file), moves)).detach();
-    Ok(async_io::block_on(executor.run(owner.run(inputs, listener))))
+    executor.spawn(shutdown::watch(signals, urgent, (config, own.file.clone()), moves)).detach();
+    let (counters, left) = async_io::block_on(executor.run(owner.run(inputs, listener)));
+    if let Some(carry) = &own.settings.carry {
+        match leave(&carry.file, &learnt::write(&left, clock.now())) {
+            Ok(()) => log::info!(
+                "left what was learnt of {} servers at {}",
+                left.servers.len(),
+                carry.file.display()
+            ),
+            Err(e) => log::warn!("what was learnt is not left: {}: {e}", carry.file.display()),
+        }
+    }
+    Ok(counters)
+}
+
+/// What an earlier life left; what can't be used is said and left out.
+fn learnt(carry: &Carry, now: basaltgw::api::Ms) -> Option<Learnt> {
+    let at = carry.file.display();
+    let read = || -> Result<Learnt, String> {
+        let size = std::fs::metadata(&carry.file).map_err(|e| e.to_string())?.len();
+        if size > learnt::LEARNT_MOST_BYTES {
+            return Err(format!("expected at most {} bytes, found {size}", learnt::LEARNT_MOST_BYTES));
+        }
+        let text = std::fs::read_to_string(&carry.file).map_err(|e| e.to_string())?;
+        learnt::read(&text, now, carry.oldest).map_err(|e| e.to_string())
+    };
+    if !carry.file.exists() {
+        log::info!("nothing was left at {at}");
+        return None;
+    }
+    read().map_err(|e| log::warn!("what was left at {at} is not used: {e}")).ok()
+}
+
+/// Writes it whole or not at all.
+fn leave(file: &std::path::Path, text: &str) -> io::Result<()> {
+    let mut new = file.to_path_buf().into_os_string();
+    new.push(".new");
+    std::fs::write(&new, text)?;
+    std::fs::rename(&new, file)
 }
 
 /// Listens; a process that is just ending may hold the address for a moment.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -17,6 +17,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use basaltgw::api::*;
+use basaltgw::rules::carry::Learnt;
 use basaltgw::rules::Router;
 use basaltgw_config::{Member, Names, News, NodeConfig, OwnSettings, Place};
 use futures_lite::future;
@@ -194,9 +195,17 @@
         owner
     }
 
-    /// Takes inputs in batches until the router has ended; gives its counters. `listener` accepts clients and is
+    /// Takes over what an earlier life has learnt.
+    pub fn adopt(&mut self, learnt: Learnt) {
+        let (servers, purges) = (learnt.servers.len(), learnt.purges.len());
+        let known = self.router.adopt(self.now, learnt);
+        self.counters.carried = known as u64;
+        log::info!("took over what was learnt of {known} of {servers} servers, and {purges} purges");
+    }
+
+    /// Takes inputs in batches until the router has ended; gives its counters and what was learnt. `listener` accepts clients and is
     /// dropped when none are taken any more.
-    pub async fn run(mut self, from: Inputs, listener: Task<()>) -> Counters {
+    pub async fn run(mut self, from: Inputs, listener: Task<()>) -> (Counters, Learnt) {
         let mut listener = Some(listener);
         let mut inputs = Vec::new();
         loop {
@@ -229,7 +238,7 @@
                 let open = self.clients.values().any(|c| !c.at_rest());
                 if self.ending.over(self.now, open) {
                     self.count();
-                    return self.counters;
+                    return (self.counters, self.router.learnt());
                 }
             }
         }
--- /dev/null
+++ b/crates/node/tests/carry.rs
@@ -0,0 +1,144 @@
+//! What a router has learnt is left at its end and taken over at its next start, in another deployment too.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::path::PathBuf;
+
+struct Files {
+    yaml: PathBuf,
+    learnt: PathBuf,
+}
+
+impl Files {
+    fn new(name: &str) -> Self {
+        let file = |end: &str| {
+            std::env::temp_dir().join(format!("basaltgw-carry-{}-{name}.{end}", std::process::id()))
+        };
+        let files = Self { yaml: file("yaml"), learnt: file("learnt") };
+        std::fs::write(&files.yaml, format!("carry: {{file: {}}}\n", files.learnt.display()))
+            .expect("a file");
+        files
+    }
+
+    fn start(&self, config: &Value) -> Router {
+        Router::start_as(config, &format!("exec \"$0\" serve --with {}", self.yaml.display()))
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = (std::fs::remove_file(&self.yaml), std::fs::remove_file(&self.learnt));
+    }
+}
+
+/// A zone with a slow cache and a quick one.
+struct Zone {
+    slow: Cache,
+    quick: Cache,
+    parent: Cache,
+    origin: Cache,
+    log: ChangeLog,
+}
+
+impl Zone {
+    fn new() -> Self {
+        Self {
+            slow: Cache::start(|s| Do::Later(150, content(s))),
+            quick: Cache::start(|s| Do::Later(5, content(s))),
+            parent: Cache::full(),
+            origin: Cache::full(),
+            log: ChangeLog::start(),
+        }
+    }
+
+    fn config(&self) -> Value {
+        let listed = [
+            Listed(EDGE, self.slow.address, "box"),
+            Listed(EDGE_2, self.quick.address, "box"),
+            Listed(PARENT, self.parent.address, "parent"),
+            Listed(ORIGIN, self.origin.address, "origin"),
+        ];
+        configuration(&listed, self.log.address)
+    }
+
+    /// A deployment of another build: nothing past the caches, rough sizes, other aims.
+    fn other(&self) -> Value {
+        let mut config = self.config();
+        config["settings"]["family-info"]["pass-through-ok"] = json!(false);
+        config["settings"]["family-info"]["lateral"] = json!("location");
+        config["settings"]["weight-kind"] = json!("rough");
+        config["settings"]["services"][0]["slo"] = json!(600.0);
+        config
+    }
+}
+
+/// Asks for objects one after another; how many of them the slow cache was asked for.
+fn at_the_slow_one(client: &mut Client, zone: &Zone, tags: std::ops::Range<u64>) -> usize {
+    let before = zone.slow.count();
+    for tag in tags {
+        client.ask(tag, "pages", 0x7000 + tag, "", b"");
+        assert_eq!(client.must().word, "200");
+    }
+    zone.slow.count() - before
+}
+
+#[test]
+fn the_first_requests_after_a_switch_spare_what_was_slow_before_it() {
+    let (zone, files) = (Zone::new(), Files::new("switch"));
+    let mut router = files.start(&zone.config());
+    assert!(router.said("nothing was left at"));
+    let mut client = router.client();
+    let unlearnt = at_the_slow_one(&mut client, &zone, 1..13);
+    at_the_slow_one(&mut client, &zone, 13..80);
+    router.signal("TERM");
+    drop(client);
+    assert!(router.ended().success());
+    assert!(router.said("left what was learnt of 4 servers"));
+    // The other deployment starts with it.
+    let router = files.start(&zone.other());
+    assert_eq!(router.counter("carried"), 4);
+    let mut client = router.client();
+    let carried = at_the_slow_one(&mut client, &zone, 1..13);
+    assert!(unlearnt >= 3 && carried * 2 < unlearnt, "{unlearnt} of 12 without, {carried} with it");
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn what_was_left_and_cannot_be_used_is_said_and_left_out() {
+    let (zone, files) = (Zone::new(), Files::new("bad"));
+    let mut router = files.start(&zone.config());
+    router.signal("TERM");
+    assert!(router.ended().success());
+    let whole = std::fs::read_to_string(&files.learnt).expect("what was left");
+    let cut = &whole[..whole.len() / 2];
+    for (text, says) in [
+        (cut.to_string(), "cut off"),
+        (whole.replacen(" 1 ", " 9 ", 1), "of version 9"),
+        (whole.replace("EDGE", "edge").replacen("servers", "savers", 1), "altered"),
+        (String::new(), "cut off in its first line"),
+    ] {
+        std::fs::write(&files.learnt, text).expect("a file");
+        let router = files.start(&zone.config());
+        assert!(router.said("is not used") && router.said(says), "{says}");
+        let mut client = router.client();
+        client.ask(1, "pages", 1, "", b"");
+        assert_eq!((client.must().word.as_str(), router.counter("carried")), ("200", 0));
+    }
+}
+
+#[test]
+fn a_server_that_has_started_anew_is_as_unknown_as_before() {
+    let (zone, files) = (Zone::new(), Files::new("anew"));
+    let mut router = files.start(&zone.config());
+    let mut client = router.client();
+    at_the_slow_one(&mut client, &zone, 1..40);
+    router.signal("TERM");
+    drop(client);
+    assert!(router.ended().success());
+    let mut config = zone.config();
+    config["known"]["results"][0]["fleet"]["members"][0]["up_since_ms"] = json!(unix_ms());
+    let router = files.start(&config);
+    assert_eq!(router.counter("carried"), 3);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,8 @@
 //! a bounded search. All else is an exception and says when it acts. The sections follow a request's
 //! life, from news to final answers.
 
+pub mod carry;
+
 use crate::api::*;
 use crate::hash::{address, mix, unit, within_share};
 use crate::shadow::ShadowList;
@@ -58,8 +60,8 @@
 const TRIAL_WINS: u32 = 3;
 
 // Load.
-/// Weight of an answer in a cache's lag; what one moves the cut of its size by, beyond this lag over its zone's middle one;
-/// the least share left of its size; and the change that moves objects.
+/// Weight of an answer in a server's lag; what one moves the cut of its size by, beyond this lag over what
+/// is usual for its role; the least share left of its size; and the change that moves objects.
 const LAG_SHARE: f64 = 0.2;
 const CUT_STEP: f64 = 0.3;
 const CUT_SLACK: f64 = 0.25;
@@ -106,7 +108,7 @@
 const SMALL_EASE: f64 = 1.5;
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
-/// Share of a cold server's budget, by its listed size, that all routers together use; less where sizes are rough.
+/// Share of a cold server's budget, by its listed size, that all routers use; less where sizes are rough.
 const COLD_SHARE: f64 = 1.2;
 const COLD_SHARE_ROUGH: f64 = 0.8;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
@@ -693,8 +695,8 @@
         self.set.purge_settles.max(self.set.purge_grace) + PURGE_EXTRA_MS
     }
 
-    /// The age limit: the class's fresh time, for a look its grace as well, and while a purge may be unsettled no copy
-    /// older than it.
+    /// The age limit: the class's fresh time, for a look its grace too, and while a purge may be unsettled no
+    /// copy older than it.
     fn max_age(&self, open: &Open, look: bool) -> Option<Ms> {
         let names = [(Some(open.req.object), None), (None, Some(open.req.group))];
         let purged =
@@ -882,7 +884,7 @@
         let all = &self.up[role as usize];
         let mut lags: Vec<f64> = all.iter().filter_map(|i| self.servers[*i].lag.get()).collect();
         lags.sort_unstable_by(f64::total_cmp);
-        lags.get(if role == Role::Edge { lags.len() / 2 } else { 0 }).copied()
+        lags.get(if role == Role::Edge { lags.len().saturating_sub(1) / 2 } else { 0 }).copied()
     }
 
     /// By how much a server lags behind what is usual for its role.
@@ -1018,7 +1020,7 @@
         usual.unwrap_or(self.set.classes[open.class].deadline) + self.own_time(&open.req).unwrap_or(0.0)
     }
 
-    /// What is out for long tells of its cache before it has come: each time it is twice as long as it was when it last told.
+    /// What is out for long tells of its cache before it is over, each time that it has doubled.
     fn find_slow(&mut self) {
         let mut told = Vec::new();
         for (at, open) in self.open.values().enumerate().filter(|(_, o)| !o.done) {
--- /dev/null
+++ b/src/rules/carry.rs
@@ -0,0 +1,89 @@
+//! What a router has learnt that still means the same in another deployment of the same servers, as plain values.
+//!
+//! Carried over: by server, how much its listed size is cut and how it lags beside its peers, that it was out, and when it
+//! started cold, all of the same process only; by class, what an answer takes to send; and every purge. Started afresh: gates
+//! (they hold for the routers and links of one deployment), delays and L1 and L2 (other aims, other hubs), the shadow lists and
+//! the split (other clients), shares of fills, and what is open.
+
+use super::{Health, Router, CUT_MOST};
+use crate::api::*;
+use crate::window::Average;
+
+/// What was learnt of a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LearntServer {
+    /// Which.
+    pub id: ServerId,
+    /// The start of the process of which it was learnt, as listed.
+    pub listed_start: Option<Ms>,
+    /// By how much its listed size is cut, as a logarithm.
+    pub cut: f64,
+    /// How slow its answers were, as a logarithm.
+    pub lag: Option<f64>,
+    /// It was taken out.
+    pub out: bool,
+    /// When it started, or came back as if it had.
+    pub cold_since: Option<Ms>,
+}
+
+/// What was learnt.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learnt {
+    /// By server.
+    pub servers: Vec<LearntServer>,
+    /// By class: its name, what its answers take to send, and of how many that is the mean.
+    pub sending: Vec<(String, Ms, u32)>,
+    /// What was purged, an object or a group, and when.
+    pub purges: Vec<(Option<ObjectId>, Option<GroupId>, Ms)>,
+}
+
+impl Router {
+    /// What this router has learnt.
+    pub fn learnt(&self) -> Learnt {
+        let listed = self.servers.values().filter(|s| s.entry.listed != Listed::Gone);
+        let server = |s: &super::Server| LearntServer {
+            id: s.entry.id.clone(),
+            listed_start: s.entry.started,
+            cut: s.cut,
+            lag: s.lag.get(),
+            out: s.health != Health::Good,
+            cold_since: s.started,
+        };
+        let sending = self.set.classes.iter().zip(&self.sending);
+        Learnt {
+            servers: listed.map(server).collect(),
+            sending: sending
+                .filter_map(|(c, a)| a.get().map(|mean| (c.name.clone(), mean, a.samples())))
+                .collect(),
+            purges: self.purged.iter().map(|((object, group), at)| (*object, *group, *at)).collect(),
+        }
+    }
+
+    /// Takes over what another life has learnt; gives how many of its servers are listed here as the same process. Nothing of
+    /// it makes a cold server warm or a purge undone.
+    pub fn adopt(&mut self, now: Ms, learnt: Learnt) -> usize {
+        let mut known = 0;
+        for of in learnt.servers {
+            let Some(s) = self.servers.get_mut(&of.id).filter(|s| s.entry.started == of.listed_start) else {
+                continue;
+            };
+            known += 1;
+            s.cut = of.cut.clamp(CUT_MOST.ln(), 0.0);
+            s.lag = of.lag.map_or(s.lag, |lag| Average::of(lag, 1));
+            if of.out {
+                s.health = Health::Out(now);
+            }
+            s.started = of.cold_since.into_iter().chain(s.started).reduce(f64::max);
+        }
+        for (name, mean, answers) in learnt.sending {
+            let class = self.set.classes.iter().position(|c| c.name == name);
+            class.into_iter().for_each(|c| self.sending[c] = Average::of(mean, answers));
+        }
+        for (object, group, at) in learnt.purges {
+            let known = self.purged.entry((object, group)).or_insert(at);
+            *known = known.max(at);
+        }
+        [Role::Edge, Role::Parent].into_iter().for_each(|role| self.place(role));
+        known
+    }
+}
--- a/src/window.rs
+++ b/src/window.rs
@@ -77,6 +77,16 @@
         self.value = Some(self.value.map_or(sample, |v| v + share * (sample - v)));
     }
 
+    /// One of so many samples.
+    pub fn of(mean: f64, samples: u32) -> Self {
+        Self { value: Some(mean).filter(|_| samples > 0), samples }
+    }
+
+    /// How many samples there were.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+
     /// The average, if there was a sample.
     pub fn get(&self) -> Option<f64> {
         self.value
--- a/tests/moved.rs
+++ b/tests/moved.rs
@@ -142,3 +142,43 @@
     let limit = 4.0 * 0.2 * 2.0 * 1000.0;
     assert!(sent > 0.0 && sent <= limit, "{sent} of {limit}");
 }
+
+/// What is carried over from another deployment: sizes and purges hold, a cold cache stays cold, one that has started
+/// anew is unknown, and gates, averages of delays and the split start afresh.
+#[test]
+fn what_was_learnt_is_taken_over_where_it_means_the_same() {
+    let mut old = Driver::new(settings(), fleet());
+    for n in 0..200 {
+        let f = fetch(&old.ask(n, SAFE, n as u64)).expect("a fetch");
+        let took = if f.server == id("edge-0") { 800.0 } else { 100.0 };
+        old.outcome(n, 0, &f.server, End::Served, Note::Hit, took);
+        old.wait(20.0);
+    }
+    old.restart("edge-2", Role::Edge);
+    old.tell(Event::Purged(GroupId(3), None, 0.0));
+    let (mut learnt, at) = (old.router.learnt(), old.now);
+    assert_eq!(learnt.purges, [(None, Some(GroupId(3)), at)]);
+    let start = |started| {
+        let mut all = fleet();
+        all[2].started = started;
+        let mut d = Driver::new(reporting_nothing(), all);
+        d.now = at;
+        d
+    };
+    let mut fresh = start(Some(at));
+    let usual = homes(&mut fresh, 0, "edge-0");
+    let mut d = start(Some(at));
+    // A cold start that another life had only inferred stays one.
+    learnt.servers[1].cold_since = Some(at);
+    assert_eq!(d.router.adopt(at, learnt.clone()), fleet().len());
+    assert!(homes(&mut d, 0, "edge-0") * 3 < usual, "its size is cut from the first request on");
+    assert!(
+        homes(&mut d, 100, "edge-1") + homes(&mut d, 200, "edge-2") <= 12,
+        "cold ones get their cold share"
+    );
+    let object = ObjectId(11);
+    let f =
+        fetch(&d.tell(Event::Request(Request { group: GroupId(3), ..request(999, SAFE, object.0, 4000.0) })));
+    assert!(f.is_some_and(|f| f.max_age.is_some_and(|age| age < 1000.0)), "the purge holds");
+    assert_eq!(start(Some(at + 1.0)).router.adopt(at, learnt), fleet().len() - 1, "a new process is unknown");
+}
