--- a/src/rules.rs
+++ b/src/rules.rs
@@ -71,7 +71,8 @@
 const CUT_TAU_MS: Ms = 20_000.0;
 /// A cache with over this multiple of its zone's mean work, and one request more, out passes parts on.
 const SPILL: f64 = 1.25;
-/// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full.
+/// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full; the
+/// link also at the least stretch of a class's aim, since what takes longer is late.
 const SLOW_CACHE: f64 = 3.0;
 const SLOW_LINK: f64 = 2.0;
 /// The chance that a request needs a fill before any was seen.
@@ -109,7 +110,7 @@
 /// Attempts for one request; the site's limit holds too.
 const MAX_ATTEMPTS: usize = 5;
 /// Share of a cold server's budget, by its listed size, that all routers use; less where sizes are rough.
-const COLD_SHARE: f64 = 1.2;
+const COLD_SHARE: f64 = 1.0;
 const COLD_SHARE_ROUGH: f64 = 0.8;
 /// Requests that all routers' shares for a window must cover before one may send more than its own.
 const COLD_AMPLE: f64 = 4.0;
@@ -864,7 +865,9 @@
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
                 let slow = slow(o.source_wait).unwrap_or(new)
                     - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
-                self.link.answer(self.now, slow, SLOW_LINK, fills);
+                let aims = self.set.classes.iter().filter(|c| !c.uncacheable && c.aim_stretch > 1.0);
+                let limit = aims.map(|c| c.aim_stretch).fold(SLOW_LINK, f64::min);
+                self.link.answer(self.now, slow, limit, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
             (End::Late, _) if sure => self.link.full(self.now, fills),
--- a/tests/moved.rs
+++ b/tests/moved.rs
@@ -182,3 +182,29 @@
     assert!(f.is_some_and(|f| f.max_age.is_some_and(|age| age < 1000.0)), "the purge holds");
     assert_eq!(start(Some(at + 1.0)).router.adopt(at, learnt), fleet().len() - 1, "a new process is unknown");
 }
+
+/// A fill that takes more than the aim's stretch times its own sending time is late, so the link counts as full at that:
+/// at 1.55 times the least where the aim is stretched by 1.6, not where by 2.
+#[test]
+fn the_link_is_full_where_its_fills_are_late() {
+    let looks = |stretch: f64| {
+        let mut set = reporting_nothing();
+        set.classes.iter_mut().for_each(|c| c.aim_stretch = stretch);
+        let mut d = Driver::new(set, fleet());
+        for n in 0..100 {
+            let f = fetch(&d.ask(n, SAFE, n as u64 % 50)).expect("a fetch");
+            d.outcome(n, 0, &f.server, End::Served, Note::Hit, 100.0);
+        }
+        let mut looks = 0;
+        for n in 100..400 {
+            let f = fetch(&d.ask(n, SAFE, n as u64 % 50)).expect("a fetch");
+            looks += usize::from(f.fill_from == f.server);
+            d.wait(20.0);
+            // 20 ms until the source's first byte, and 1.55 times what its bytes took as a hit (with few answers the limit is to the power 0.75).
+            d.outcome(n, 0, &f.server, End::Served, Note::FilledBySource, 175.0);
+        }
+        looks
+    };
+    assert_eq!(looks(2.0), 0);
+    assert!(looks(1.6) >= 30, "{}", looks(1.6));
+}
