--- a/crates/adapter/src/read.rs
+++ b/crates/adapter/src/read.rs
@@ -169,13 +169,13 @@
         }),
         "EXPIRED" => Event::ClientLeft(m.request()?),
         "TICK_DUE" => Event::Timer(m.integer(2, "cookie")?),
-        "PONG" => Event::Probed(m.server(2)?, m.end(3)? == End::Served, load(m.value(5))?),
         "VOIDED" => {
             let object = m.integer_or_0(4, "asset")?;
             let object = (object != 0).then_some(ObjectId(object));
             Event::Purged(GroupId(m.integer(2, "bucket")?), object, m.number_or_0(3, "age-span")?)
         }
-        "MEMO" => return Ok(None),
+        // No deployment has peers or lets caches be probed; nothing is sent that these would answer.
+        "MEMO" | "PONG" => return Ok(None),
         other => return Err(BadInput::new("[0]", format!("unknown event {other:?}"))),
     }))
 }
--- a/crates/adapter/src/write.rs
+++ b/crates/adapter/src/write.rs
@@ -26,7 +26,6 @@
         Action::Refuse(request, hold_off) => json!(["PUSH_BACK", i, *request.0, hold_off]),
         Action::Fail(request) => json!(["ERROR", i, *request.0]),
         Action::Timer(delay, token) => json!(["DEFER", i, delay, token]),
-        Action::Probe(server) => json!(["PROBE", i, *server.0]),
         Action::Subscribe => json!(["SUBSCRIBE", i, true]),
         Action::Report(text) => json!(["JOURNAL_LINE", i, text]),
     }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -150,7 +150,6 @@
         purge_settles: family.amount("purge-settles", 0.0)?,
         second_copies: limits.boolean("parallel-tries", false)?,
         cancel: limits.boolean("cancel", false)?,
-        probes: limits.boolean("probes", false)?,
         retry_after: limits.boolean("retry-after", false)?,
         max_retry_after: limits.amount("max-retry-after", 0.0)?,
         max_attempts: limits.whole("try-limit", 1)? as usize,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -788,10 +788,6 @@
                     number(&request).into_iter().for_each(|no| self.answer(no, Reply::Failed));
                 }
                 Action::Timer(after, token) => self.timer(self.now + after, Due::Module(token)),
-                // An `alive` would prove a connection only, which is no answer to the question.
-                Action::Probe(server) => {
-                    self.pending.push_back(Event::Probed(server, false, Load::default()));
-                }
                 // The change log is followed from the start.
                 Action::Subscribe => {}
                 Action::Report(text) => log::info!("{text}"),
--- a/src/api.rs
+++ b/src/api.rs
@@ -136,8 +136,6 @@
     pub second_copies: bool,
     /// Attempts may be called off.
     pub cancel: bool,
-    /// Servers may be probed.
-    pub probes: bool,
     /// Refusals carry a time to come back.
     pub retry_after: bool,
     /// The longest such time that clients heed.
@@ -383,8 +381,6 @@
     ClientLeft(RequestId),
     /// A timer has come due.
     Timer(u64),
-    /// A probe was answered (`true`) or not.
-    Probed(ServerId, bool, Load),
     /// Sources are planned by this table from now on; `None` for every listed parent.
     Sources(Option<Arc<SourceTable>>),
     /// An object, or without one a whole group, was purged so long ago.
@@ -440,8 +436,6 @@
     Fail(RequestId),
     /// Wake the router after this time with this token.
     Timer(Ms, u64),
-    /// Check a server.
-    Probe(ServerId),
     /// Ask for the server list from now on.
     Subscribe,
     /// A line for the operators.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -282,7 +282,7 @@
                 self.sweep(acts);
                 acts.push(Action::Timer(SWEEP_MS, SWEEP_TOKEN));
             }
-            Event::Timer(_) | Event::Probed(..) => {}
+            Event::Timer(_) => {}
             Event::Sources(table) => {
                 self.table = table;
                 self.plan_sources();
