--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -158,7 +158,8 @@
     let file = std::fs::read(path).map_err(|e| BadInput::new("GW_CONFIG", format!("{path}: {e}")))?;
     let value = serde_json::from_slice(&file)
         .map_err(|e| BadInput::new("GW_CONFIG", format!("{path} is not JSON: {e}")))?;
-    parse(&value, env)
+    // What a variable says is not the file's fault.
+    parse(&value, env).map_err(|e| if e.to_string().starts_with("field GW_") { e } else { e.in_file(path) })
 }
 
 /// The typed configuration.
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -8,22 +8,34 @@
 pub struct BadInput {
     field: String,
     what: String,
+    /// The file it was read from.
+    file: Option<String>,
 }
 
 impl BadInput {
     /// A fault in that field.
     pub fn new(field: &str, what: impl Into<String>) -> Self {
-        Self { field: field.into(), what: what.into() }
+        Self { field: field.into(), what: what.into(), file: None }
     }
 
     /// The same fault, seen from the value around it.
     pub fn within(self, outer: &str) -> Self {
-        Self { field: format!("{outer}.{}", self.field), what: self.what }
+        Self { field: format!("{outer}.{}", self.field), ..self }
+    }
+}
+
+impl BadInput {
+    /// The same fault, in that file.
+    pub fn in_file(self, file: &str) -> Self {
+        Self { file: Some(file.into()), ..self }
     }
 }
 
 impl fmt::Display for BadInput {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(file) = &self.file {
+            write!(f, "{file}: ")?;
+        }
         write!(f, "field {}: {}", self.field, self.what)
     }
 }
--- a/crates/node/tests/command_line.rs
+++ b/crates/node/tests/command_line.rs
@@ -57,6 +57,6 @@
     assert_eq!(text(&good.stdout), "n1: 1 events known, listens at 127.0.0.1:0\n");
     for out in [bad, serve] {
         assert!(!out.status.success());
-        assert!(text(&out.stderr).contains("field limits.sockets:"), "{}", text(&out.stderr));
+        assert!(text(&out.stderr).contains(".json: field limits.sockets:"), "{}", text(&out.stderr));
     }
 }
