A write never sent in time is refused again, not failed; one slowness for size, gate and link

Found on reading the change over. The owner tells it in the same batch again; the new test fails with it told later.

--- a/crates/config/src/learnt.rs
+++ b/crates/config/src/learnt.rs
@@ -34,7 +34,10 @@
         .collect();
     let sending: Vec<Value> =
         learnt.sending.iter().map(|(c, ms, n)| json!({"class": c, "ms": ms, "answers": n})).collect();
-    let purge = |(object, group, at): &(Option<ObjectId>, Option<GroupId>, Ms)| json!({"object": object.map(|o| o.0.to_string()), "group": group.map(|g| g.0), "age_ms": age(*at)});
+    let purge = |of: &(Option<ObjectId>, Option<GroupId>, Ms)| {
+        let (object, group) = (of.0.map(|o| o.0.to_string()), of.1.map(|g| g.0));
+        json!({"object": object, "group": group, "age_ms": age(of.2)})
+    };
     let purges: Vec<Value> = learnt.purges.iter().map(purge).collect();
     let rest =
         json!({"written_ms": now, "servers": servers, "sending": sending, "purges": purges}).to_string();
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -72,6 +72,8 @@
     pub reloads: u64,
     /// See `reloads`.
     pub reloads_refused: u64,
+    /// Attempts given up whose server did not show in time that it knows.
+    pub unheeded: u64,
     /// Servers of which what an earlier life has learnt was taken over.
     pub carried: u64,
     /// Servers that are listed.
@@ -151,8 +153,8 @@
         write!(f, "servers_now={} lists={} purges={} ", self.servers_now, self.lists, self.purges)?;
         write!(
             f,
-            "log_lost={} reloads={} reloads_refused={} carried={} ",
-            self.log_lost, self.reloads, self.reloads_refused, self.carried
+            "unheeded={} log_lost={} reloads={} reloads_refused={} carried={} ",
+            self.unheeded, self.log_lost, self.reloads, self.reloads_refused, self.carried
         )?;
         write!(f, "held={} held_most={} ", self.held, self.held_most)?;
         write!(f, "{} ", self.tree)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -128,7 +128,7 @@
     let follow = changelog::follow(config.changelog, moved, config.known_seq, names, urgent.clone());
     executor.spawn(follow).detach();
     config.known = Vec::new();
-    executor.spawn(shutdown::watch(signals, urgent, (config, own.file.clone()), moves)).detach();
+    executor.spawn(shutdown::watch(signals, urgent, (config, own.clone()), moves)).detach();
     let (counters, left) = async_io::block_on(executor.run(owner.run(inputs, listener)));
     if let Some(carry) = &own.settings.carry {
         match leave(&carry.file, &learnt::write(&left, clock.now())) {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -253,7 +253,7 @@
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
         let silent = self.now - LEAVING_MS;
-        self.depart(|leaving| leaving.since < silent);
+        self.counters.unheeded += self.depart(|leaving| leaving.since < silent);
         left_over.into_iter().for_each(|event| self.tell(event));
         others.into_iter().for_each(|input| self.input(input));
         let now = micros(self.now);
@@ -431,9 +431,7 @@
             let attempts = open.attempts.iter().enumerate().filter(|(_, a)| waits(a) && overtaken(open, a));
             keys.extend(attempts.map(|(n, _)| (*no, AttemptNo(n))));
         }
-        keys.into_iter().for_each(|key| self.give_up(key, End::Cancelled, End::NotSent));
-        // Decided again at once.
-        std::mem::take(&mut self.pending).into_iter().for_each(|event| self.tell(event));
+        keys.into_iter().for_each(|key| self.give_up(key, (End::Cancelled, End::NotSent), false));
     }
 
     // ---- Clients ----
@@ -658,40 +656,44 @@
 
     /// Gives an attempt up at its server. It ends so, in a later batch, or as `never` if it was not sent. What is on its way is out
     /// until its abort is written: on another connection the request's next attempt could overtake that, and two would be out.
-    fn give_up(&mut self, (no, n): AttemptKey, end: End, never: End) {
+    /// `later`: the module is told in the next batch, since it is its own action.
+    fn give_up(&mut self, (no, n): AttemptKey, (end, never): (End, End), later: bool) {
         let Some(open) = self.requests.get(&no) else { return };
         let Some((conn, parcel)) = open.attempts.get(n.0).and_then(|a| a.way.as_ref()) else { return };
         if self.leaving.iter().any(|l| l.key == (no, n)) {
             return;
         }
         match self.caches.give_up(*conn, &open.request.id, parcel) {
-            GivenUp::Never => self.end((no, n), never, UNTOLD, true),
-            GivenUp::Closed => self.end((no, n), end, UNTOLD, true),
+            GivenUp::Never => self.end((no, n), never, UNTOLD, later),
+            GivenUp::Closed => self.end((no, n), end, UNTOLD, later),
             GivenUp::Behind(tag) => {
                 self.leaving.push(Leaving { key: (no, n), end, on: *conn, tag, since: self.now })
             }
         }
     }
 
-    /// What was given up and has left its server is over.
-    fn depart(&mut self, gone: impl Fn(&Leaving) -> bool) {
+    /// What was given up and has left its server is over; gives how many that were.
+    fn depart(&mut self, gone: impl Fn(&Leaving) -> bool) -> u64 {
         let all = std::mem::take(&mut self.leaving).into_iter();
         let (over, leaving): (Vec<_>, Vec<_>) = all.partition(gone);
         self.leaving = leaving;
+        let many = over.len() as u64;
         over.into_iter().for_each(|l| self.end(l.key, l.end, UNTOLD, false));
+        many
     }
 
     fn time_out(&mut self, no: RequestNo, n: AttemptNo) {
         let attempt = self.requests.get(&no).and_then(|o| o.attempts.get(n.0));
         let Some((conn, _)) = attempt.and_then(|a| a.way.as_ref()) else { return };
         let never = if self.caches.coming_up(*conn) { End::NoConnection } else { End::NotSent };
-        self.give_up((no, n), End::Late, never);
+        self.give_up((no, n), (End::Late, never), false);
     }
 
     fn outcome(&mut self, at: ConnId, answer: Answer) {
         // A server that knows of what was given up has answered no request by that.
         if self.leaving.iter().any(|l| l.on == at && l.tag == answer.id) {
-            return self.depart(|l| l.tag == answer.id);
+            self.depart(|l| l.tag == answer.id);
+            return;
         }
         let key = self.caches.answered(self.now, at, &answer.id);
         let (Some(key), Some(end)) = (key, answer.end) else {
@@ -779,7 +781,7 @@
                 Action::Cancel(request, n) => {
                     number(&request)
                         .into_iter()
-                        .for_each(|no| self.give_up((no, n), End::Cancelled, End::NotSent));
+                        .for_each(|no| self.give_up((no, n), (End::Cancelled, End::NotSent), true));
                 }
                 Action::Refuse(request, stay_away) => {
                     number(&request).into_iter().for_each(|no| self.answer(no, Reply::Refused(stay_away)));
@@ -818,7 +820,8 @@
                 member("s-0000000a", 3, "box"), member("s-0000000b", 4, "box"), member("s-0000000c", 5, "origin")]}}]},
             "settings": {"areas": ["here"], "my-zone": "here", "kinds": ["box", "origin"],
                          "family-info": {"shield-kind": -1, "store-kind": 1, "purge-settles": 6000.0},
-                         "services": [{"name": "pages", "idempotency": "read_like", "deadline": 5000.0, "slo": 400.0}],
+                         "services": [{"name": "pages", "idempotency": "read_like", "deadline": 5000.0, "slo": 400.0},
+                                      {"name": "loan", "idempotency": "non_idempotent", "deadline": 5000.0, "slo": 400.0}],
                          "limits": {"try-limit": 8, "cancel": true}}
         });
         let config = parse(&config, &Environment::default()).expect("a configuration");
@@ -852,8 +855,8 @@
         for end in [End::Cancelled, End::Late] {
             let (mut owner, _written) = owner();
             let key = written(&mut owner);
-            owner.give_up(key, end, End::NotSent);
-            owner.give_up(key, End::Late, End::NotSent);
+            owner.give_up(key, (end, End::NotSent), true);
+            owner.give_up(key, (End::Late, End::NotSent), true);
             for _ in 0..3 {
                 owner.batch(&mut Vec::new());
                 let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
@@ -871,11 +874,40 @@
         }
     }
 
+    #[test]
+    fn what_was_given_up_is_over_after_a_time_at_a_server_that_says_nothing() {
+        let (mut owner, _written) = owner();
+        let key = written(&mut owner);
+        owner.give_up(key, (End::Cancelled, End::NotSent), true);
+        owner.leaving[0].since -= LEAVING_MS + 1.0;
+        owner.batch(&mut Vec::new());
+        assert!(!attempts(&owner, 1)[0].1 && owner.leaving.is_empty());
+        assert_eq!(owner.counters.unheeded, 1);
+    }
+
+    #[test]
+    fn a_write_of_which_nothing_was_sent_in_time_is_refused_and_not_failed() {
+        let (mut owner, _written) = owner();
+        let Input::Client(client, FromClient::Do(tag, mut write), at) = request(&owner, 1) else {
+            panic!("a request")
+        };
+        (write.class, write.body, write.left) = ("loan".into(), b"borrow".to_vec(), 60.0);
+        owner.batch(&mut vec![Input::Client(client, FromClient::Do(tag, write), at)]);
+        assert_eq!(attempts(&owner, 1).len(), 1, "it waits for a connection");
+        // One batch in which its attempt's time is out and the module's own sweep is due as well.
+        let over = owner.now + 200.0;
+        while owner.clock.now() < over {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        owner.batch(&mut Vec::new());
+        assert_eq!((owner.counters.refused, owner.counters.failed), (1, 0));
+    }
+
     #[test]
     fn what_was_given_up_is_over_with_its_connection() {
         let (mut owner, _written) = owner();
         let key = written(&mut owner);
-        owner.give_up(key, End::Cancelled, End::NotSent);
+        owner.give_up(key, (End::Cancelled, End::NotSent), true);
         let (conn, _) = owner.requests[&key.0].attempts[0].way.as_ref().expect("still out");
         let down = Input::CacheDown(*conn, Down::Ended(Over::Ended));
         owner.batch(&mut vec![down]);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,7 +1,7 @@
 //! The signals: the end of a router and when it is over, a new configuration, the counters.
 
 use crate::limits::{END_ACCEPT_MS, END_QUIET_MS};
-use crate::Input;
+use crate::{Input, Own};
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
@@ -9,7 +9,6 @@
 use futures_lite::StreamExt;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 
 /// Listens for signals from now on; before this, each of them would kill the process.
 pub fn listen() -> io::Result<Signals> {
@@ -20,13 +19,13 @@
 pub async fn watch(
     mut signals: Signals,
     urgent: Sender<Input>,
-    (running, own): (NodeConfig, Option<PathBuf>),
+    (running, mut own): (NodeConfig, Own),
     changelog: Sender<SocketAddr>,
 ) {
     while let Some(signal) = signals.next().await {
         let input = match signal {
             Ok(Signal::Usr1) => Input::Count,
-            Ok(Signal::Hup) => Input::Reloaded(reload(&running, own.as_deref(), &urgent, &changelog).await),
+            Ok(Signal::Hup) => Input::Reloaded(reload(&running, &mut own, &urgent, &changelog).await),
             Ok(_) => Input::End,
             Err(e) => {
                 log::warn!("a signal was not read: {e}");
@@ -43,12 +42,13 @@
 /// if either can't be used: then all stays.
 async fn reload(
     running: &NodeConfig,
-    own: Option<&Path>,
+    own: &mut Own,
     urgent: &Sender<Input>,
     changelog: &Sender<SocketAddr>,
 ) -> bool {
-    let own = match own.map(|file| own_settings(file, running.cold())).transpose() {
-        Ok(own) => own,
+    let read = own.file.as_deref().map(|file| own_settings(file, running.cold())).transpose();
+    let new_own = match read {
+        Ok(new) => new.unwrap_or_default(),
         Err(e) => {
             log::error!("reload: {e}; the running settings stay");
             return false;
@@ -56,10 +56,14 @@
     };
     match running.reload(&Environment::take()) {
         Ok(new) => {
-            if own.as_ref().is_some_and(|o| o.hierarchy.is_none()) {
+            if new_own.carry != own.settings.carry {
+                log::warn!("reload: carry can't change in a running router");
+            }
+            if own.settings.hierarchy.is_some() && new_own.hierarchy.is_none() {
                 log::warn!("reload: no plan in the file; the one in use stays, only a new start is without");
             }
-            if let Some(hierarchy) = own.and_then(|o| o.hierarchy) {
+            if let Some(hierarchy) = new_own.hierarchy {
+                own.settings.hierarchy = Some(hierarchy.clone());
                 if urgent.send(Input::Plan(Box::new(hierarchy))).await.is_err() {
                     return false;
                 }
--- a/crates/node/tests/carry.rs
+++ b/crates/node/tests/carry.rs
@@ -89,6 +89,10 @@
     let (zone, files) = (Zone::new(), Files::new("switch"));
     let mut router = files.start(&zone.config());
     assert!(router.said("nothing was left at"));
+    // A file that never had a plan is none that has lost it.
+    router.signal("HUP");
+    until("it is read again", || router.counter("reloads") == 1);
+    assert!(router.said("reload: the change log is at") && !router.said("no plan in the file"));
     let mut client = router.client();
     let unlearnt = at_the_slow_one(&mut client, &zone, 1..13);
     at_the_slow_one(&mut client, &zone, 13..80);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -178,6 +178,12 @@
     near.min_by(better).unwrap_or(split)
 }
 
+fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut all: Vec<f64> = values.collect();
+    all.sort_unstable_by(f64::total_cmp);
+    all
+}
+
 /// What is done to the open request at a place.
 type Step = fn(&mut Router, usize, &mut Vec<Action>);
 
@@ -836,13 +842,10 @@
             return;
         }
         let (class, sure) = (self.open[at].class, self.open[at].tries[o.attempt.0].fill >= 1.0);
-        let own = self.own_time(&self.open[at].req);
-        let slow = |wait: f64| own.map(|own| ((o.delay - wait).max(1.0) / own.max(1.0)).ln());
-        let usual = self.mean_time(class) * NEW_OF_MEAN;
+        let known = self.own_time(&self.open[at].req).is_some();
         let fills = self.fills_out(None);
-        let near = self.up[Role::Edge as usize].iter().filter_map(|i| self.servers[*i].gate.slow.get());
-        let mut near: Vec<f64> = near.collect();
-        near.sort_unstable_by(f64::total_cmp);
+        let near =
+            sorted(self.up[Role::Edge as usize].iter().filter_map(|i| self.servers[*i].gate.slow.get()));
         let middle = near.get(near.len() / 2).copied();
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
@@ -852,19 +855,16 @@
                 self.hits[class].add(o.delay.max(1.0).ln(), AVERAGE_SHARE);
                 let late =
                     self.hits[class].get().map(|h| h - (HIT_OF_AIM * self.set.classes[class].aim).ln());
-                if let Some(slow) = slow(0.0) {
-                    gate.answer(self.now, slow.max(late.unwrap_or(slow)), SLOW_CACHE, out);
+                if known {
+                    gate.answer(self.now, took.max(late.unwrap_or(took)), SLOW_CACHE, out);
                 }
             }
             (End::Served, Note::Hit | Note::FilledBySource | Note::FilledByOrigin) => {
                 if edge {
                     self.fills[class].add(1.0, AVERAGE_SHARE);
                 }
-                // Most fills are for objects not known yet; those are held against their class.
-                let new = ((o.delay - o.source_wait).max(1.0) / usual).ln();
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
-                let slow = slow(o.source_wait).unwrap_or(new)
-                    - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
+                let slow = took - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
                 let aims = self.set.classes.iter().filter(|c| !c.uncacheable && c.aim_stretch > 1.0);
                 let limit = aims.map(|c| c.aim_stretch).fold(SLOW_LINK, f64::min);
                 self.link.answer(self.now, slow, limit, fills);
@@ -876,7 +876,7 @@
         }
     }
 
-    /// The logarithm of how slow it is that a request takes so long.
+    /// The logarithm of how slow it is that a request takes so long, by its class where it is not known yet.
     fn slowness(&self, open: &Open, took: Ms) -> f64 {
         let own = self.own_time(&open.req).unwrap_or(self.mean_time(open.class) * NEW_OF_MEAN);
         (took.max(1.0) / own.max(1.0)).ln()
@@ -885,8 +885,7 @@
     /// What a server of a role usually lags by: the middle cache; of sources, which are few, the quickest.
     fn usual_lag(&self, role: Role) -> Option<f64> {
         let all = &self.up[role as usize];
-        let mut lags: Vec<f64> = all.iter().filter_map(|i| self.servers[*i].lag.get()).collect();
-        lags.sort_unstable_by(f64::total_cmp);
+        let lags = sorted(all.iter().filter_map(|i| self.servers[*i].lag.get()));
         lags.get(if role == Role::Edge { lags.len().saturating_sub(1) / 2 } else { 0 }).copied()
     }
 
