Interfaces of the fleet's packages: ids, storage, peers, roster, holds, placement, gather

Cause: the users ask that what a router holds for others is copied, that placement rules become tables, and that gathers may be answered in part; the parts are to be built side by side and must meet on plain values.

Change: seven packages with their public values only. `ids` has what several share (members with the life of their folder, groups and their quorum, the map of keepers); decisions say events and actions, storage and links what they carry. Holds go by a register each (CASPaxos) instead of a log in groups: no leader that others wait for, nothing to be sent for an idle hold, and a moved shard needs both groups' quorums by the same rule as a promise.

Nothing uses them yet, so the router is unchanged.

--- /dev/null
+++ b/crates/holds/src/lib.rs
@@ -0,0 +1,252 @@
+//! What routers hold for others, and how it is copied, decided without I/O: a register for each hold, changed by compare-and-swap Paxos (CASPaxos,
+//! Rystsov 2018) on the keepers that the table names, so that nobody leads, nobody waits for an election, and an idle hold costs nothing.
+//!
+//! A hold has an owner, an end and a bound, and only moves forward ([`Change`]). It is answered [`Verdict::Kept`] only when it is on the disks of
+//! enough keepers of every group of its shard; where that can't be had in time the verdict is [`Verdict::Unkept`], at once. No step trusts a clock.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use basaltgw_ids::{Member, Ms, RouterId, ShardMap};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// The four kinds of holds, and the table's own register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A keyed or unsafe request that has been taken on.
+    Effect,
+    /// A purge that was heard and has not settled.
+    Purge,
+    /// A time to come back that a refusal named.
+    Ticket,
+    /// Parts that a partial answer still owes.
+    Debt,
+    /// Which table holds, and which is on its way in; kept by the root group.
+    Table,
+}
+
+/// A hold's name; its shard comes from it alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct HoldKey {
+    /// Its kind.
+    pub kind: Kind,
+    /// A hash of what it is about (a request's id, an object, a ticket's number).
+    pub name: u128,
+}
+
+/// A router's question, numbered by the asker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskNo(pub u64);
+
+/// How an effect came out, for whoever asks again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Served, with these bytes (bounded by the settings; a longer answer is `ServedUntold`).
+    Served(Vec<u8>),
+    /// Served; the bytes were too many to keep.
+    ServedUntold,
+    /// It ran, or may have, and failed.
+    Failed,
+}
+
+/// What a register holds. Ends are counted on the keepers' own clocks from when they heard, as spans: they free room, and safety does not rest on them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hold {
+    /// An effect that its owner may have sent on.
+    Out {
+        /// Who alone may send it.
+        owner: Member,
+        /// The takers before it that proved it never ran, counted: an earlier owner's word no longer counts.
+        turn: u32,
+    },
+    /// An effect whose owner proved that it never ran: whoever comes may take it.
+    Free {
+        /// See [`Hold::Out`].
+        turn: u32,
+    },
+    /// An effect that has ended.
+    Done(Outcome),
+    /// An effect whose owner was lost with it out: it never invites a repeat.
+    Doubt,
+    /// A purge of an object or a whole group, in Unix milliseconds of its cause.
+    Purged {
+        /// The group.
+        group: u64,
+        /// The object; `None` for all of the group.
+        object: Option<u64>,
+        /// When it happened, as the change log says.
+        time: u64,
+    },
+    /// A place in a server's budget, named to a client.
+    Ticket {
+        /// The server for which it was.
+        server: Arc<str>,
+        /// Who named it.
+        by: RouterId,
+        /// True once it was used.
+        used: bool,
+    },
+    /// Parts owed.
+    Debt {
+        /// The object.
+        object: u64,
+        /// The version of what was answered: the rest must be of it too.
+        version: Arc<str>,
+        /// Those still missing.
+        missing: Vec<u64>,
+    },
+    /// The table's register, in the bytes of its owner (`crates/placement`); `serial` grows with each change.
+    Table {
+        /// Changes so far.
+        serial: u64,
+        /// Their content.
+        body: Vec<u8>,
+    },
+    /// It has ended and was cleared away: a late word on it finds this for as long as words may be under way.
+    Ended,
+}
+
+/// What may be done to a hold; each moves it forward or is refused with what stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Take an effect on: from nothing or `Free`.
+    Take(Member),
+    /// Its owner proves that it never ran.
+    Back(Member, u32),
+    /// Its owner ends it.
+    Done(Member, u32, Outcome),
+    /// Its owner is lost, or asks no more: nobody may send it again. From `Out` only.
+    Doubt(u32),
+    /// Keep a purge.
+    Purge {
+        /// See [`Hold::Purged`].
+        group: u64,
+        /// See [`Hold::Purged`].
+        object: Option<u64>,
+        /// See [`Hold::Purged`].
+        time: u64,
+    },
+    /// Name a ticket.
+    Name {
+        /// See [`Hold::Ticket`].
+        server: Arc<str>,
+        /// See [`Hold::Ticket`].
+        by: RouterId,
+    },
+    /// Use a ticket: once.
+    Use,
+    /// Owe parts, or fewer of them.
+    Owe {
+        /// See [`Hold::Debt`].
+        object: u64,
+        /// See [`Hold::Debt`].
+        version: Arc<str>,
+        /// See [`Hold::Debt`].
+        missing: Vec<u64>,
+    },
+    /// Set the table's register, if it stands at this serial.
+    SetTable {
+        /// The serial that is expected.
+        from: u64,
+        /// The new content.
+        body: Vec<u8>,
+    },
+    /// Only read: what stands is made sure of on enough keepers.
+    Look,
+    /// Its end has come.
+    End,
+}
+
+/// The answer to a question: exactly one for each.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The change was made and is on enough disks; this is what stands.
+    Kept(Hold),
+    /// It was not made, for what stands (`None`: nothing does).
+    Stands(Option<Hold>),
+    /// Enough keepers can't be had in time. `never`: no keeper can ever come to hold the change, so the request provably never ran;
+    /// else it may yet be found made. With a time to come back.
+    Unkept {
+        /// See [`Verdict::Unkept`].
+        never: bool,
+        /// Why, in a word for counters.
+        why: Unkept,
+        /// Milliseconds.
+        stay_away: Ms,
+    },
+}
+
+/// Why something is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Unkept {
+    /// There is no table yet.
+    NoTable,
+    /// Too few keepers are reached: a minority, or a cut.
+    TooFew,
+    /// The time given has passed.
+    Late,
+    /// Others were quicker too often.
+    Contended,
+    /// A bound is met (here or at a keeper).
+    Full,
+    /// The own disk takes nothing.
+    NoDisk,
+    /// The table that was gone by is an old one.
+    OldTable,
+    /// The own incarnation may not vouch (yet).
+    NotFilled,
+}
+
+/// What the package is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A question: the change is to be on enough disks within `within` milliseconds.
+    Ask {
+        /// Its number.
+        no: AskNo,
+        /// About which hold.
+        key: HoldKey,
+        /// What is to change.
+        change: Change,
+        /// Time for it.
+        within: Ms,
+    },
+    /// Bytes of another router's holds.
+    Bytes(Member, Vec<u8>),
+    /// What was sent under this number was not written; it may have reached nobody.
+    Unsent(u64),
+    /// A router is reached, or not any more: advisory, so that nothing is waited for that can't come.
+    Reached(Member, bool),
+    /// Who keeps what from now on.
+    Map(Arc<ShardMap>),
+    /// Batch `no` is on the disk, or (`false`) will never be.
+    Stored(u64, bool),
+    /// A timer came due.
+    Timer(u64),
+}
+
+/// A record for the disk: opaque to whoever stores it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// Set.
+    Put(Vec<u8>, Vec<u8>),
+    /// Removed.
+    Remove(Vec<u8>),
+}
+
+/// What it wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Carry bytes to another router's holds, under a number for [`Event::Unsent`].
+    Send(u64, Member, Vec<u8>),
+    /// Put records on the disk, all or none, and say so under this number.
+    Store(u64, Vec<Record>),
+    /// The answer to a question.
+    Answer(AskNo, HoldKey, Verdict),
+    /// Wake it after this time.
+    Timer(Ms, u64),
+    /// A shard is filled here, or all are (`None`): the table's owner may go on.
+    Filled(Option<basaltgw_ids::Shard>),
+    /// A line for the operators.
+    Report(String),
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,48 @@
+//! Rules of where shards live and who may serve, keep and fill them, compiled to tables that are the same bytes on every router.
+//!
+//! The language ([`docs/placement.md`]) is read by the parser, checked against the inventory by the compiler, and becomes a [`basaltgw_ids::ShardMap`],
+//! bounds for the choice of caches and sources, and policies of gathers. [`Adoption`](basaltgw_ids::TableVersion) steps (offered, checked, both, new) are
+//! decided here too, as changes of the table's register; copying them is `crates/holds`'. Pure: no I/O, clock or random numbers.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use basaltgw_ids::{Domain, Member};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A router in the inventory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterEntry {
+    /// Who, and the life of its folder.
+    pub member: Member,
+    /// Where it stands.
+    pub domain: Domain,
+    /// Holds that it has room for.
+    pub capacity: u64,
+    /// False once it is to be emptied: it keeps nothing in the next table.
+    pub stays: bool,
+}
+
+/// A cache or parent in the inventory.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CacheEntry {
+    /// Its id in the list.
+    pub id: Arc<str>,
+    /// Its zone by name.
+    pub zone: Arc<str>,
+    /// `edge`, `parent` or `origin`.
+    pub role: Arc<str>,
+    /// Its cell.
+    pub cell: u64,
+    /// Its size in relation to the others.
+    pub weight: f64,
+}
+
+/// What there is: routers and caches, each list in the order of ids.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Inventory {
+    /// Routers.
+    pub routers: Vec<RouterEntry>,
+    /// Caches, parents and the origin.
+    pub caches: Vec<CacheEntry>,
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,42 @@
+//! Bytes that survive a crash: spaces of keys and values, changed by batches that are there whole or not at all.
+//!
+//! It knows nothing of what the bytes mean. One thread owns a [`Store`]; it alone waits for the disk. A folder has one life
+//! ([`basaltgw_ids::Incarnation`]), drawn when it was empty. What is torn, cut, flipped, foreign or from a later version is told apart
+//! and never taken for what was written.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use basaltgw_ids::Incarnation;
+
+/// A space of keys of its own; its number is part of the format.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Space(pub u8);
+
+/// The bounds of a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Entries over all spaces.
+    pub entries: u64,
+    /// Bytes of keys and values over all spaces.
+    pub bytes: u64,
+    /// The longest key and value together, in bytes.
+    pub entry: usize,
+}
+
+/// One change of a batch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Sets a key.
+    Put(Space, Vec<u8>, Vec<u8>),
+    /// Removes a key; nothing if there is none.
+    Remove(Space, Vec<u8>),
+}
+
+/// What a folder was found to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Empty: a new life begins, under this incarnation.
+    Empty(Incarnation),
+    /// A life goes on.
+    Life(Incarnation),
+}
