Holds: a CASPaxos register for each, on a fixed map, with group commit, ends and refusals at once

Need: what a router has taken on for others must outlive the loss of any one machine with its disk, and be refused at once where that can't be had.

Change: `Holds` takes questions, words of other keepers, maps and the disk's answers, and gives words, batches and verdicts. Every promise and every accepted value is on the disk before its answer goes; a batch is out at a time and what comes meanwhile goes in the next. A failed batch becomes refusals. Ballots are counted within a run, runs on the disk, so none is named twice. A value names the changes that led to it, so a retry tells its own change from another's; what is only read is made sure of first unless enough keepers tell it alike. The owner's next change takes one round. Ends are made by the keepers in turn; a register that is dropped leaves its promise behind as a floor.

Tried first: only the ballot of the last change in a value. An owner woken after its takeover then could not be told what stands, since its own late change might have been made in between; hence the short list of changes.

Not yet: moving and filling, model checks.

--- /dev/null
+++ b/crates/holds/src/holds.rs
@@ -0,0 +1,276 @@
+//! One router's part in the holds: asker, and keeper of what its map gives it.
+
+use crate::acceptor::Acceptor;
+use crate::ends::{Sweep, SWEEP};
+use crate::message::{encode, Body, Letter};
+use crate::proposer::{Ended, Proposer};
+use crate::round::{Ask, Origin};
+use crate::{Action, BadSettings, Counters, Event, Hold, HoldKey, Settings, Verdict};
+use basaltgw_ids::{Keepers, Member, Ms, ShardMap};
+use std::sync::Arc;
+
+/// Why holds can't begin.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Bad {
+    /// A setting.
+    #[error(transparent)]
+    Settings(#[from] BadSettings),
+    /// A record that can't be read.
+    #[error("holds: record {key}: {why}")]
+    Record {
+        /// Its key, the first bytes in hex.
+        key: String,
+        /// What was expected.
+        why: String,
+    },
+    /// Registers without the facts of whose they are.
+    #[error("holds: registers, but no record of whose they are: expected it beside them")]
+    NoMeta,
+    /// Records of another member: its votes can't be gone on with.
+    #[error("holds: records of {found}, expected those of {expected}")]
+    Foreign {
+        /// Whose they are.
+        found: Member,
+        /// Whose they should be.
+        expected: Member,
+    },
+}
+
+/// A way to be broken on purpose, for checkers that must notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Not at all.
+    Sound,
+    /// Says that a change is kept once a single keeper has it.
+    SaysBeforeCopied,
+    /// A keeper goes back behind the ballot that it promised.
+    VoteTakenBack,
+}
+
+/// The holds of one router.
+#[derive(Clone, Debug)]
+pub struct Holds {
+    pub(crate) set: Settings,
+    pub(crate) acceptor: Acceptor,
+    pub(crate) proposer: Proposer,
+    pub(crate) sweep: Sweep,
+    now: Ms,
+    begun: bool,
+    replies: u64,
+    /// The latest epoch said to be ahead, and when: said again after a while, in case it was not fetched.
+    behind: (u64, Ms),
+}
+
+impl Holds {
+    /// Takes up what the disk holds: all records that were ever stored and not removed. `seed` draws waits.
+    ///
+    /// # Errors
+    /// If a setting can't be, or a record can't be read or is another member's.
+    pub fn new(me: Member, set: Settings, records: Vec<(Vec<u8>, Vec<u8>)>, seed: u64) -> Result<Self, Bad> {
+        set.check()?;
+        let acceptor = Acceptor::new(me.clone(), records)?;
+        let proposer = Proposer::new(me, set.clone(), acceptor.disk.meta.run, seed);
+        let behind = (0, f64::NEG_INFINITY);
+        Ok(Self {
+            set,
+            acceptor,
+            proposer,
+            sweep: Sweep::default(),
+            now: 0.0,
+            begun: false,
+            replies: 0,
+            behind,
+        })
+    }
+
+    /// Breaks it.
+    #[cfg(any(test, feature = "broken"))]
+    pub fn break_as(&mut self, how: Broken) {
+        self.proposer.how = how;
+    }
+
+    /// Decides what follows from an event.
+    pub fn handle(&mut self, now: Ms, event: Event, acts: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let mut ended: Vec<Ended> = Vec::new();
+        if !std::mem::replace(&mut self.begun, true) {
+            self.acceptor.begin(now);
+            acts.push(Action::Timer(self.set.sweep_ms, SWEEP));
+        }
+        match event {
+            Event::Ask { no, key, change, within } => {
+                self.proposer.counters.asked += 1;
+                self.acceptor.disk.try_again();
+                let ask = Ask::new(Origin::Asked(no), key, change, now, within);
+                ended.extend(self.proposer.ask(now, ask, acts));
+            }
+            Event::Bytes(from, bytes) => self.bytes(now, &from, &bytes, &mut ended, acts),
+            Event::Unsent(no) => ended.extend(self.proposer.unsent(now, no, acts)),
+            Event::Reached(member, yes) => ended.extend(self.proposer.reached(now, &member, yes, acts)),
+            Event::Map(map) => self.map(now, map, &mut ended, acts),
+            Event::Stored(no, ok) => self.stored(now, no, ok, &mut ended, acts),
+            Event::Timer(SWEEP) => self.sweep(now, &mut ended, acts),
+            Event::Timer(no) => ended.extend(self.proposer.timer(now, no, acts)),
+        }
+        while let Some(letter) = self.proposer.home.pop_front() {
+            let me = self.acceptor.me.clone();
+            self.letter(now, &me, letter, &mut ended, acts);
+        }
+        for one in ended {
+            self.answer(one, acts);
+        }
+        self.acceptor.flush(acts);
+    }
+
+    /// What this keeper knows to stand there: advisory, others may know better.
+    pub fn stands(&self, key: &HoldKey) -> Option<&Hold> {
+        self.acceptor.hold(key)
+    }
+
+    /// The purges kept here, with their age in milliseconds as far as this run knows.
+    pub fn purges(&self) -> impl Iterator<Item = (&HoldKey, &Hold, Ms)> {
+        let kept = self.acceptor.registers().iter();
+        kept.filter_map(|(key, kept)| match kept.register.accepted.as_ref().map(|a| &a.1.hold) {
+            Some(hold @ Hold::Purged { .. }) => Some((key, hold, self.now - kept.since)),
+            Some(_) | None => None,
+        })
+    }
+
+    /// What was counted.
+    pub fn counters(&self) -> &Counters {
+        &self.proposer.counters
+    }
+
+    /// Registers kept here, and their bytes by estimate.
+    pub fn size(&self) -> (usize, usize) {
+        (self.acceptor.registers().len(), self.acceptor.bytes())
+    }
+
+    /// Batches and records given to the disk.
+    pub fn stores(&self) -> (u64, u64) {
+        (self.acceptor.disk.batches(), self.acceptor.disk.records)
+    }
+
+    /// The epoch that is gone by; 0 before the first map.
+    pub fn epoch(&self) -> u64 {
+        self.acceptor.epoch()
+    }
+
+    fn bytes(
+        &mut self,
+        now: Ms,
+        from: &Member,
+        bytes: &[u8],
+        ended: &mut Vec<Ended>,
+        acts: &mut Vec<Action>,
+    ) {
+        let letter = (bytes.len() <= self.set.most_message_bytes).then(|| Letter::read(bytes));
+        match letter {
+            Some(Ok(letter)) if letter.to == self.acceptor.me => self.letter(now, from, letter, ended, acts),
+            Some(Ok(_)) => self.proposer.counters.not_for_me += 1,
+            Some(Err(_)) | None => self.proposer.counters.bad_bytes += 1,
+        }
+    }
+
+    fn letter(
+        &mut self,
+        now: Ms,
+        from: &Member,
+        letter: Letter,
+        ended: &mut Vec<Ended>,
+        acts: &mut Vec<Action>,
+    ) {
+        match &letter.body {
+            Body::Prepare(..) | Body::Accept(..) | Body::List(..) => {
+                self.ahead(now, letter.epoch, from, acts);
+                let how = self.proposer.how;
+                let answer = self.acceptor.hear(now, from, letter, &self.set, how);
+                answer.into_iter().for_each(|a| self.send(now, a, ended, acts));
+            }
+            Body::Promised(..) | Body::Accepted(_) | Body::Refused(..) => {
+                ended.extend(self.proposer.hear(now, from, letter, acts));
+            }
+            Body::Listed(..) => {}
+        }
+    }
+
+    /// Another goes by a later epoch.
+    fn ahead(&mut self, now: Ms, epoch: u64, from: &Member, acts: &mut Vec<Action>) {
+        let told = self.behind.0 >= epoch && now < self.behind.1 + self.set.again_ms;
+        if epoch > self.acceptor.epoch() && !told {
+            self.behind = (epoch, now);
+            acts.push(Action::Behind(epoch, from.clone()));
+        }
+    }
+
+    /// Sends an answer.
+    fn send(&mut self, now: Ms, answer: Letter, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        if answer.to == self.acceptor.me {
+            let me = answer.to.clone();
+            return self.letter(now, &me, answer, ended, acts);
+        }
+        if let Some(bytes) = encode(&answer) {
+            // Answers' numbers stay below those of questions: if one is not written, the asker says its word again.
+            self.replies = (self.replies + 1) & ((1 << crate::proposer::LOW_BITS) - 1);
+            self.proposer.counters.messages += 1;
+            acts.push(Action::Send(self.replies, answer.to, bytes));
+        }
+    }
+
+    fn stored(&mut self, now: Ms, no: u64, ok: bool, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        let Some(stored) = self.acceptor.disk.stored(no, ok) else { return };
+        self.proposer.counters.not_stored += u64::from(!ok);
+        for reply in stored.replies {
+            self.send(now, reply, ended, acts);
+        }
+        if stored.meta {
+            ended.extend(self.proposer.run_stored(now, ok, acts));
+        }
+    }
+
+    fn map(&mut self, now: Ms, map: Arc<ShardMap>, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        if !map.shards.iter().chain([&map.root]).all(meets) || map.shards.len() > usize::from(u16::MAX) {
+            self.proposer.counters.bad_maps += 1;
+            acts.push(Action::Report(format!(
+                "holds: map of epoch {} dropped: a group's halves need not meet",
+                map.epoch
+            )));
+            return;
+        }
+        if map.epoch < self.acceptor.disk.meta.epoch.max(1) || map.epoch == self.acceptor.epoch() {
+            self.proposer.counters.old_maps += 1;
+            return;
+        }
+        if map.epoch > self.acceptor.disk.meta.epoch {
+            self.acceptor.disk.meta.epoch = map.epoch;
+            self.acceptor.disk.touch();
+        }
+        self.acceptor.map = Some(map.clone());
+        ended.extend(self.proposer.remap(now, &map, acts));
+    }
+
+    fn answer(&mut self, (origin, key, verdict): Ended, acts: &mut Vec<Action>) {
+        match origin {
+            Origin::Asked(no) => {
+                match &verdict {
+                    Verdict::Kept(_) => self.proposer.counters.kept += 1,
+                    Verdict::Stands(_) => self.proposer.counters.stands += 1,
+                    Verdict::Unkept { .. } => {}
+                }
+                acts.push(Action::Answer(no, key, verdict));
+            }
+            Origin::Upkeep => self.swept(&key, &verdict),
+            Origin::Fill => {}
+        }
+    }
+}
+
+/// True if any two quorums of each group meet, and no member counts twice.
+fn meets(keepers: &Keepers) -> bool {
+    let sound = |g: &basaltgw_ids::Group| {
+        let once = (1..g.members.len()).all(|i| !g.members[..i].contains(&g.members[i]));
+        once && g.need <= g.members.len() && 2 * g.need > g.members.len()
+    };
+    !keepers.groups.is_empty() && keepers.groups.iter().all(sound)
+}
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -6,6 +6,23 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod acceptor;
+mod counters;
+mod disk;
+mod ends;
+mod holds;
+mod message;
+mod proposer;
+mod retry;
+mod round;
+mod settings;
+mod step;
+
+pub use counters::Counters;
+pub use holds::{Bad, Broken, Holds};
+pub use settings::{BadSettings, Settings};
+pub use step::{fits, step, Refused};
+
 use basaltgw_ids::{Member, Ms, RouterId, ShardMap};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -195,6 +212,8 @@
     OldTable,
     /// The own incarnation may not vouch (yet).
     NotFilled,
+    /// The change is none for a hold of that kind.
+    Misfit,
 }
 
 /// What the package is told.
@@ -247,6 +266,8 @@
     Timer(Ms, u64),
     /// A shard is filled here, or all are (`None`): the table's owner may go on.
     Filled(Option<basaltgw_ids::Shard>),
+    /// Another goes by this later epoch of the map: it is to be fetched, from that member or any.
+    Behind(u64, Member),
     /// A line for the operators.
     Report(String),
 }
--- /dev/null
+++ b/crates/holds/tests/ends.rs
@@ -0,0 +1,65 @@
+//! Ends of holds: by the keepers themselves, with tombstones for late words, and nothing left in the end.
+
+mod net;
+
+use basaltgw_holds::{Change, Hold, HoldKey, Kind, Settings, Verdict};
+use net::{effect, Net};
+
+fn quick(net: &mut Net) {
+    let spans = Settings { effect_keep_ms: 200.0, purge_keep_ms: 100.0, late_ms: 300.0, ..net.set.clone() };
+    net.set = Settings { stagger_ms: 50.0, sweep_ms: 10.0, ..spans };
+    (0..net.nodes.len()).for_each(|r| {
+        net.kill(r);
+        net.start(r);
+    });
+}
+
+fn everywhere(net: &Net, key: &HoldKey, hold: Option<&Hold>) -> bool {
+    net.nodes.iter().filter_map(|n| n.holds.as_ref()).all(|h| h.stands(key) == hold)
+}
+
+#[test]
+fn what_was_out_is_in_doubt_first_then_ended_then_forgotten_also_on_disk() {
+    let mut net = Net::new(3, 2, 3, 1);
+    quick(&mut net);
+    let a = net.nodes[0].me.clone();
+    assert!(matches!(net.ask_now(0, effect(1), Change::Take(a.clone())), Verdict::Kept(_)));
+    assert!(net.run_until(1_000.0, |net| everywhere(net, &effect(1), Some(&Hold::Doubt))));
+    assert!(net.run_until(1_000.0, |net| everywhere(net, &effect(1), Some(&Hold::Ended))));
+    assert_eq!(net.ask_now(1, effect(1), Change::Take(a)), Verdict::Stands(Some(Hold::Ended)));
+    let empty = |net: &Net| net.nodes.iter().filter_map(|n| n.holds.as_ref()).all(|h| h.size() == (0, 0));
+    assert!(net.run_until(2_000.0, empty));
+    net.run(50.0);
+    assert!(net.nodes.iter().all(|n| n.disk.len() == 1), "only the own facts are left on disk");
+}
+
+#[test]
+fn an_end_is_made_by_the_next_keeper_if_the_first_is_lost() {
+    let mut net = Net::new(3, 1, 3, 2);
+    quick(&mut net);
+    let key = HoldKey { kind: Kind::Purge, name: 4 };
+    net.ask_now(1, key, Change::Purge { group: 1, object: Some(2), time: 3 });
+    net.run(20.0);
+    net.kill(0);
+    assert!(net.run_until(1_000.0, |net| everywhere(net, &key, Some(&Hold::Ended))));
+}
+
+#[test]
+fn a_word_later_than_all_memory_of_its_hold_is_refused_by_the_floor() {
+    let mut net = Net::new(3, 1, 3, 3);
+    quick(&mut net);
+    let a = net.nodes[0].me.clone();
+    // One router's words are all late: its accepts come when the hold has been taken, ended and dropped.
+    net.ask_now(0, effect(1), Change::Take(a.clone()));
+    let b = net.nodes[1].me.clone();
+    let late = net.ask(1, effect(1), Change::Take(b), 60_000.0);
+    net.step(f64::MAX);
+    net.freeze(1);
+    let empty =
+        |net: &Net| [0, 2].iter().all(|r| net.nodes[*r].holds.as_ref().is_some_and(|h| h.size().0 == 0));
+    assert!(net.run_until(3_000.0, empty));
+    net.wake(1);
+    assert!(net.run_until(3_000.0, |net| net.answer(late).is_some()));
+    let told = net.nodes.iter().filter_map(|n| n.holds.as_ref()).map(|h| h.counters().outvoted).sum::<u64>();
+    assert!(told > 0, "the floor refused a ballot of before");
+}
