Holds: shards move through both groups, and new or absent keepers fill up by portions

Need: a promise must survive a move, a machine lost in its middle, and a move taken back; a keeper that was away must come by its copies again.

A new keeper lists the old group's registers from enough members that go by the joint epoch, which fences all earlier words, and looks at each under both groups until it has it itself; then it says so. A keeper that restarts, or reaches a fellow again, lists the others of its group and copies only what it lacks. Pace and portion are settings.

--- /dev/null
+++ b/crates/holds/src/fill.rs
@@ -0,0 +1,302 @@
+//! How a keeper comes to what it is to keep: a new one from the group before it, one that was away from its fellows; by portions, at a pace.
+//!
+//! While a place moves, its lists count only from members that go by the joint epoch: they refuse the words of earlier epochs from then on, and
+//! enough of them meet every group of disks that such words could have come to. Each hold listed is then looked at under both groups, which
+//! brings it to enough disks of both.
+
+use crate::acceptor::{among, keepers};
+use crate::holds::Holds;
+use crate::message::{Ballot, Body, Letter, Listed, Place};
+use crate::proposer::Ended;
+use crate::round::{Ask, Origin};
+use crate::{Action, Change, HoldKey, Verdict};
+use basaltgw_ids::{Keepers, Member, Ms, Shard, ShardMap};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The timer of filling.
+pub(crate) const FILL: u64 = 1;
+
+/// Rests between two words that a look may take, and that lists are waited for before another place has its turn.
+const PATIENCE: f64 = 10.0;
+
+/// What is to be done, in turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Task {
+    /// A place that is newly kept here.
+    Fill(Place),
+    /// All of those are done: say so.
+    Tell,
+    /// A place that was kept here already, after an absence.
+    CatchUp(Place),
+}
+
+/// A portion of a place.
+#[derive(Clone, Debug)]
+struct Portion {
+    task: Task,
+    place: Place,
+    /// Names after this one are listed.
+    after: Option<HoldKey>,
+    /// Who is asked, and how many must answer.
+    listers: Vec<Member>,
+    need: usize,
+    heard: BTreeMap<Member, (Vec<Listed>, bool)>,
+    /// Until the lists are whole.
+    listing: bool,
+    /// Up to where they are; `None`: to the end.
+    upto: Option<HoldKey>,
+    todo: BTreeSet<HoldKey>,
+    under_way: BTreeSet<HoldKey>,
+    began: Ms,
+    said: Ms,
+}
+
+/// What is being filled.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Filling {
+    tasks: VecDeque<Task>,
+    portion: Option<Portion>,
+    armed: bool,
+}
+
+/// Places under a map, each with its keepers.
+fn places(map: &ShardMap) -> impl Iterator<Item = (Place, &Keepers)> {
+    let shards = map.shards.iter().zip(0u16..).map(|(k, s)| (Place::Shard(Shard(s)), k));
+    std::iter::once((Place::Root, &map.root)).chain(shards)
+}
+
+impl Holds {
+    /// Another map: what is newly kept here is filled, after what a restart may have missed.
+    pub(crate) fn refill(&mut self, before: Option<&ShardMap>, map: &ShardMap, acts: &mut Vec<Action>) {
+        let me = &self.acceptor.me;
+        let (mut fill, mut catch_up, mut moves) = (Vec::new(), Vec::new(), false);
+        for (place, now) in places(map) {
+            moves |= now.groups.len() > 1;
+            let newer = now.groups.iter().skip(1).any(|g| g.members.contains(me));
+            let older = now.groups.first().is_some_and(|g| g.members.contains(me));
+            let kept = before.and_then(|m| keepers(m, place)).is_some_and(|k| among(k, me));
+            match (older, newer) {
+                (false, true) => fill.push(Task::Fill(place)),
+                (true, _) if !kept => catch_up.push(Task::CatchUp(place)),
+                (true, _) | (false, false) => {}
+            }
+        }
+        self.filling.portion = None;
+        // What was to be caught up with is still to be, if it is kept here.
+        let open = std::mem::take(&mut self.filling.tasks).into_iter().filter(|task| match task {
+            Task::CatchUp(place) => {
+                keepers(map, *place).is_some_and(|k| among(k, me)) && !catch_up.contains(task)
+            }
+            Task::Fill(_) | Task::Tell => false,
+        });
+        let open: Vec<Task> = open.collect();
+        self.filling
+            .tasks
+            .extend(fill.into_iter().chain(moves.then_some(Task::Tell)).chain(catch_up).chain(open));
+        self.arm_fill(acts);
+    }
+
+    /// A member is reached again: what both keep may have gone on without this one.
+    pub(crate) fn catch_up(&mut self, with: &Member, acts: &mut Vec<Action>) {
+        let Some(map) = self.acceptor.map.clone() else { return };
+        for (place, found) in places(&map) {
+            let task = Task::CatchUp(place);
+            let both = found
+                .groups
+                .first()
+                .is_some_and(|g| [with, &self.acceptor.me].iter().all(|m| g.members.contains(m)));
+            if both && !self.filling.tasks.contains(&task) {
+                self.filling.tasks.push_back(task);
+            }
+        }
+        self.arm_fill(acts);
+    }
+
+    fn arm_fill(&mut self, acts: &mut Vec<Action>) {
+        let idle = self.filling.tasks.is_empty() && self.filling.portion.is_none();
+        if !idle && !std::mem::replace(&mut self.filling.armed, true) {
+            acts.push(Action::Timer(self.set.fill_pause_ms, FILL));
+        }
+    }
+
+    /// The pace of filling: a step of one portion.
+    pub(crate) fn fill(&mut self, now: Ms, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        self.filling.armed = false;
+        match self.filling.portion.take() {
+            None => self.next_task(now, ended, acts),
+            Some(portion) if portion.listing => self.still_listing(now, portion, ended, acts),
+            Some(mut portion) => {
+                let room = self.set.fill_portion.saturating_sub(portion.under_way.len());
+                let keys: Vec<HoldKey> = portion.todo.iter().take(room).copied().collect();
+                for key in keys {
+                    portion.todo.remove(&key);
+                    portion.under_way.insert(key);
+                    let look = Ask::new(Origin::Fill, key, Change::Look, now, PATIENCE * self.set.again_ms);
+                    ended.extend(self.proposer.ask(now, look, acts));
+                }
+                let done = portion.under_way.is_empty() && portion.todo.is_empty();
+                match (done, portion.upto) {
+                    (false, _) => self.filling.portion = Some(portion),
+                    (true, Some(upto)) => {
+                        self.list(now, portion.task, portion.place, Some(upto), ended, acts)
+                    }
+                    (true, None) => {
+                        if let (Task::Fill(_), Place::Shard(shard)) = (portion.task, portion.place) {
+                            acts.push(Action::Filled(Some(shard)));
+                        }
+                        self.next_task(now, ended, acts);
+                    }
+                }
+            }
+        }
+        self.arm_fill(acts);
+    }
+
+    fn next_task(&mut self, now: Ms, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        match self.filling.tasks.pop_front() {
+            None => {}
+            Some(Task::Tell) => acts.push(Action::Filled(None)),
+            Some(task @ (Task::Fill(place) | Task::CatchUp(place))) => {
+                self.list(now, task, place, None, ended, acts)
+            }
+        }
+    }
+
+    /// Begins a portion: asks for the lists.
+    fn list(
+        &mut self,
+        now: Ms,
+        task: Task,
+        place: Place,
+        after: Option<HoldKey>,
+        ended: &mut Vec<Ended>,
+        acts: &mut Vec<Action>,
+    ) {
+        let me = &self.acceptor.me;
+        let map = self.acceptor.map.clone();
+        let group = map.as_deref().and_then(|m| keepers(m, place)).and_then(|k| k.groups.first());
+        let Some(group) = group else { return };
+        let listers: Vec<Member> = group.members.iter().filter(|m| *m != me).cloned().collect();
+        // What this keeper has counts as its own list.
+        let need = group.need - usize::from(listers.len() < group.members.len()).min(group.need);
+        let heard = BTreeMap::new();
+        let (todo, under_way) = (BTreeSet::new(), BTreeSet::new());
+        let portion = Portion {
+            task,
+            place,
+            after,
+            listers,
+            need,
+            heard,
+            listing: true,
+            upto: None,
+            todo,
+            under_way,
+            began: now,
+            said: now,
+        };
+        self.filling.portion = Some(portion);
+        self.say_list(now, ended, acts);
+        self.listed_enough();
+    }
+
+    /// Says it again for silence; after a while another place has its turn.
+    fn still_listing(
+        &mut self,
+        now: Ms,
+        mut portion: Portion,
+        ended: &mut Vec<Ended>,
+        acts: &mut Vec<Action>,
+    ) {
+        let again = now >= portion.said + self.set.again_ms;
+        if now < portion.began + PATIENCE * self.set.again_ms {
+            portion.said = if again { now } else { portion.said };
+            self.filling.portion = Some(portion);
+            if again {
+                self.say_list(now, ended, acts);
+            }
+            return;
+        }
+        let tell = self.filling.tasks.iter().position(|t| *t == Task::Tell);
+        match (portion.task, tell) {
+            // Not before what is newly kept is filled, all of it, is it said to be.
+            (Task::Fill(_), Some(at)) => self.filling.tasks.insert(at, portion.task),
+            (Task::Fill(_) | Task::CatchUp(_) | Task::Tell, _) => self.filling.tasks.push_back(portion.task),
+        }
+        self.next_task(now, ended, acts);
+    }
+
+    fn say_list(&mut self, now: Ms, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+        let Some(portion) = &self.filling.portion else { return };
+        let body = Body::List(
+            portion.place,
+            portion.after,
+            u32::try_from(self.set.fill_portion).unwrap_or(u32::MAX),
+        );
+        let silent =
+            portion.listers.iter().filter(|m| !portion.heard.contains_key(*m) && self.proposer.reaches(m));
+        let epoch = self.acceptor.epoch();
+        let letter = |to: &Member| Letter { to: to.clone(), epoch, round: 0, body: body.clone() };
+        let letters: Vec<Letter> = silent.map(letter).collect();
+        letters.into_iter().for_each(|letter| self.send(now, letter, ended, acts));
+    }
+
+    /// A list came.
+    pub(crate) fn listed(&mut self, from: &Member, epoch: u64, body: Body) {
+        let (Body::Listed(place, after, keys, more), Some(portion)) = (body, &mut self.filling.portion)
+        else {
+            return;
+        };
+        let fits = portion.listing && portion.place == place && portion.after == after;
+        // An empty list that has more would lead nowhere.
+        if fits
+            && epoch == self.acceptor.epoch()
+            && portion.listers.contains(from)
+            && (!more || !keys.is_empty())
+        {
+            portion.heard.insert(from.clone(), (keys, more));
+            self.listed_enough();
+        }
+    }
+
+    /// Once enough lists are there, they are whole up to where the first of them breaks off.
+    fn listed_enough(&mut self) {
+        let Some(portion) = &mut self.filling.portion else { return };
+        if portion.heard.len() < portion.need {
+            return;
+        }
+        portion.listing = false;
+        let breaks = portion.heard.values().filter(|(_, more)| *more).filter_map(|(keys, _)| keys.last());
+        portion.upto = breaks.map(|last| last.0).min();
+        let upto = portion.upto;
+        let within = |key: &HoldKey| upto.is_none_or(|u| *key <= u);
+        let registers = self.acceptor.registers();
+        let catch_up = matches!(portion.task, Task::CatchUp(_));
+        let lacks = |key: &HoldKey, ballot: &Ballot| {
+            let own = registers.get(key).and_then(|kept| kept.register.accepted.as_ref());
+            !catch_up || own.is_none_or(|own| own.0 < *ballot)
+        };
+        for (key, ballot) in portion.heard.values().flat_map(|(keys, _)| keys) {
+            if within(key) && ballot.as_ref().is_some_and(|b| lacks(key, b)) {
+                portion.todo.insert(*key);
+            }
+        }
+    }
+
+    /// A look that filling asked for has ended; one that failed comes again with the next step.
+    pub(crate) fn filled(&mut self, key: &HoldKey, verdict: &Verdict) {
+        let Some(portion) = &mut self.filling.portion else { return };
+        if portion.under_way.remove(key) {
+            match verdict {
+                Verdict::Kept(_) | Verdict::Stands(_) => self.proposer.counters.filled += 1,
+                Verdict::Unkept { .. } => drop(portion.todo.insert(*key)),
+            }
+        }
+    }
+
+    /// Places yet to be filled or caught up with here.
+    pub fn to_fill(&self) -> usize {
+        let places = self.filling.tasks.iter().filter(|t| **t != Task::Tell).count();
+        places + usize::from(self.filling.portion.is_some())
+    }
+}
--- a/crates/holds/src/holds.rs
+++ b/crates/holds/src/holds.rs
@@ -2,6 +2,7 @@
 
 use crate::acceptor::Acceptor;
 use crate::ends::{Sweep, SWEEP};
+use crate::fill::{Filling, FILL};
 use crate::message::{encode, Body, Letter};
 use crate::proposer::{Ended, Proposer};
 use crate::round::{Ask, Origin};
@@ -54,6 +55,7 @@
     pub(crate) acceptor: Acceptor,
     pub(crate) proposer: Proposer,
     pub(crate) sweep: Sweep,
+    pub(crate) filling: Filling,
     now: Ms,
     begun: bool,
     replies: u64,
@@ -71,16 +73,8 @@
         let acceptor = Acceptor::new(me.clone(), records)?;
         let proposer = Proposer::new(me, set.clone(), acceptor.disk.meta.run, seed);
         let behind = (0, f64::NEG_INFINITY);
-        Ok(Self {
-            set,
-            acceptor,
-            proposer,
-            sweep: Sweep::default(),
-            now: 0.0,
-            begun: false,
-            replies: 0,
-            behind,
-        })
+        let (sweep, filling) = (Sweep::default(), Filling::default());
+        Ok(Self { set, acceptor, proposer, sweep, filling, now: 0.0, begun: false, replies: 0, behind })
     }
 
     /// Breaks it.
@@ -107,10 +101,17 @@
             }
             Event::Bytes(from, bytes) => self.bytes(now, &from, &bytes, &mut ended, acts),
             Event::Unsent(no) => ended.extend(self.proposer.unsent(now, no, acts)),
-            Event::Reached(member, yes) => ended.extend(self.proposer.reached(now, &member, yes, acts)),
+            Event::Reached(member, yes) => {
+                let back = yes && !self.proposer.reaches(&member);
+                ended.extend(self.proposer.reached(now, &member, yes, acts));
+                if back {
+                    self.catch_up(&member, acts);
+                }
+            }
             Event::Map(map) => self.map(now, map, &mut ended, acts),
             Event::Stored(no, ok) => self.stored(now, no, ok, &mut ended, acts),
             Event::Timer(SWEEP) => self.sweep(now, &mut ended, acts),
+            Event::Timer(FILL) => self.fill(now, &mut ended, acts),
             Event::Timer(no) => ended.extend(self.proposer.timer(now, no, acts)),
         }
         while let Some(letter) = self.proposer.home.pop_front() {
@@ -191,7 +192,7 @@
             Body::Promised(..) | Body::Accepted(_) | Body::Refused(..) => {
                 ended.extend(self.proposer.hear(now, from, letter, acts));
             }
-            Body::Listed(..) => {}
+            Body::Listed(..) => self.listed(from, letter.epoch, letter.body),
         }
     }
 
@@ -204,8 +205,8 @@
         }
     }
 
-    /// Sends an answer.
-    fn send(&mut self, now: Ms, answer: Letter, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
+    /// Sends an answer, or a word that is said again if nothing comes of it.
+    pub(crate) fn send(&mut self, now: Ms, answer: Letter, ended: &mut Vec<Ended>, acts: &mut Vec<Action>) {
         if answer.to == self.acceptor.me {
             let me = answer.to.clone();
             return self.letter(now, &me, answer, ended, acts);
@@ -246,8 +247,9 @@
             self.acceptor.disk.meta.epoch = map.epoch;
             self.acceptor.disk.touch();
         }
-        self.acceptor.map = Some(map.clone());
+        let before = self.acceptor.map.replace(map.clone());
         ended.extend(self.proposer.remap(now, &map, acts));
+        self.refill(before.as_deref(), &map, acts);
     }
 
     fn answer(&mut self, (origin, key, verdict): Ended, acts: &mut Vec<Action>) {
@@ -261,7 +263,7 @@
                 acts.push(Action::Answer(no, key, verdict));
             }
             Origin::Upkeep => self.swept(&key, &verdict),
-            Origin::Fill => {}
+            Origin::Fill => self.filled(&key, &verdict),
         }
     }
 }
--- a/crates/holds/src/lib.rs
+++ b/crates/holds/src/lib.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod disk;
 mod ends;
+mod fill;
 mod holds;
 mod message;
 mod proposer;
--- a/crates/holds/src/round.rs
+++ b/crates/holds/src/round.rs
@@ -13,7 +13,6 @@
     /// This keeper, as a hold's end has come.
     Upkeep,
     /// This keeper, which fills up: only done once it has the hold itself.
-    #[allow(dead_code)] // Until filling is there.
     Fill,
 }
 
--- a/crates/holds/src/settings.rs
+++ b/crates/holds/src/settings.rs
@@ -85,8 +85,8 @@
             stagger_ms: 2_000.0,
             sweep_ms: 500.0,
             sweep_portion: 256,
-            fill_portion: 256,
-            fill_pause_ms: 20.0,
+            fill_portion: 64,
+            fill_pause_ms: 10.0,
         }
     }
 
--- a/crates/holds/tests/net/mod.rs
+++ b/crates/holds/tests/net/mod.rs
@@ -27,6 +27,7 @@
     Bytes(Member, Member, Vec<u8>),
     Timer(usize, u64, u64),
     Stored(usize, u64, u64, Vec<Record>, bool),
+    Given(usize, Event),
 }
 
 /// A router: its process, and the folder that outlives it.
@@ -172,7 +173,7 @@
                         write(&mut self.nodes[r].disk, &records);
                     }
                 }
-                What::Stored(..) | What::Bytes(..) | What::Timer(..) => {
+                What::Stored(..) | What::Bytes(..) | What::Timer(..) | What::Given(..) => {
                     self.queue.insert(at, what);
                 }
             }
@@ -196,16 +197,38 @@
         late.into_iter().for_each(|what| self.happen(what));
     }
 
-    /// Gives the map to all that run.
-    pub fn adopt(&mut self, map: ShardMap) {
+    /// Gives the map to all that run, each within so many milliseconds.
+    pub fn adopt(&mut self, map: ShardMap, within: f64) {
         self.map = Arc::new(map);
-        (0..self.nodes.len()).for_each(|r| self.give(r, Event::Map(self.map.clone())));
+        for r in 0..self.nodes.len() {
+            let wait = self.roll() * within;
+            self.after(wait, What::Given(r, Event::Map(self.map.clone())));
+        }
+    }
+
+    /// Moves to another map through both: true if all who keep anything were filled in time. What was said of filling before is forgotten.
+    pub fn go_over(&mut self, to: &ShardMap, within: f64) -> bool {
+        let [both, new] = joint(&self.map, to);
+        self.filled.clear();
+        self.adopt(both, 20.0);
+        if !self.run_until(within, |net| net.all_filled()) {
+            return false;
+        }
+        self.adopt(new, 20.0);
+        self.run(30.0);
+        true
+    }
+
+    /// True if all whose processes run have said that they are filled.
+    pub fn all_filled(&self) -> bool {
+        let runs = (0..self.nodes.len()).filter(|r| self.nodes[*r].holds.is_some());
+        runs.into_iter().all(|r| self.filled.contains(&(r, None)))
     }
 
     /// Asks, and returns the question's number.
     pub fn ask(&mut self, router: usize, key: HoldKey, change: Change, within: f64) -> u64 {
         self.asks += 1;
-        self.give(router, Event::Ask { no: AskNo(self.asks), key, change, within });
+        self.happen(What::Given(router, Event::Ask { no: AskNo(self.asks), key, change, within }));
         self.asks
     }
 
@@ -253,7 +276,7 @@
     fn happen(&mut self, what: What) {
         let router = match &what {
             What::Bytes(_, to, _) => self.nodes.iter().position(|n| n.me.router == to.router),
-            What::Timer(r, ..) | What::Stored(r, ..) => Some(*r),
+            What::Timer(r, ..) | What::Stored(r, ..) | What::Given(r, _) => Some(*r),
         };
         let Some(router) = router else { return };
         if let Some(late) = &mut self.nodes[router].frozen {
@@ -269,6 +292,7 @@
                 }
                 self.give(router, Event::Stored(no, ok));
             }
+            What::Given(_, event) => self.give(router, event),
             What::Timer(..) | What::Stored(..) => {}
         }
     }
@@ -294,7 +318,13 @@
                 }
                 Action::Timer(wait, no) => self.after(wait, What::Timer(router, life, no)),
                 Action::Filled(shard) => self.filled.push((router, shard)),
-                Action::Behind(..) => self.behind += 1,
+                Action::Behind(epoch, _) => {
+                    self.behind += 1;
+                    if self.map.epoch >= epoch {
+                        let map = self.map.clone();
+                        self.after(2.0, What::Given(router, Event::Map(map)));
+                    }
+                }
                 Action::Report(_) => {}
             }
         }
