Connections to servers part into wire, one connection, and all of them

caches.rs had 520 lines of three concerns: the words of attempts and answers (wire.rs), one connection's state with the task on its socket (conn.rs), and which connection takes an attempt (mod.rs). A connection now keeps to itself what it proves, holds back and has given up; putting, answering and aborting are its own methods.

--- /dev/null
+++ b/crates/node/src/caches/wire.rs
@@ -0,0 +1,171 @@
+//! What is said to servers and what they say: attempts and their answers, as the protocol has them.
+
+use crate::clients::WireId;
+use crate::outbox::{Counted, Meter};
+use crate::resp::{decimal, encode, FieldList, Fields};
+use basaltgw::api::{End, Load, Ms, Note, Rank, ServerId};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// What a server says of an attempt.
+#[derive(Debug)]
+pub struct Answer {
+    /// The request's id.
+    pub id: WireId,
+    /// How the attempt ended; `None` for what answers no attempt.
+    pub end: Option<End>,
+    /// The client's copy is the one.
+    pub same: bool,
+    /// It tells which copy this is, as it must of what can be kept.
+    pub copy: bool,
+    /// How it came about.
+    pub note: Note,
+    /// Time spent waiting for the source.
+    pub waited: Ms,
+    /// The load report.
+    pub load: Load,
+    /// The object's bytes.
+    pub body: Counted,
+}
+
+impl Answer {
+    /// Reads an answer; `None` if it can't be read as the protocol has it. What serves has to be wholly readable.
+    pub fn read(words: Vec<Vec<u8>>, meters: &[&Rc<Meter>]) -> Option<Self> {
+        let mut words = words.into_iter();
+        let id = words.next()?;
+        let id = WireId(Arc::from(std::str::from_utf8(&id).ok()?));
+        let word = words.next()?;
+        let fields = words.next().unwrap_or_default();
+        let fields = Fields::read(&fields)?;
+        let body = words.next();
+        let copy = match (fields.get("ver"), fields.get("born")) {
+            (None, None) => false,
+            (Some(tag), Some(born)) if !tag.is_empty() && decimal(born).is_some() => true,
+            _ => return None,
+        };
+        let end = match word.as_slice() {
+            b"ok" if body.is_some() => Some(End::Served),
+            b"current" if copy => Some(End::Served),
+            b"ok" | b"current" => return None,
+            b"nothing" => Some(End::Miss),
+            b"refused" => Some(End::Full),
+            b"error" => Some(End::Error),
+            b"stale" => Some(End::NotSent),
+            b"yes" => None,
+            // Whatever it means, the attempt may have run.
+            _ => Some(End::Error),
+        };
+        let waited = match fields.get("waited") {
+            Some(waited) => decimal(waited)?,
+            None => 0.0,
+        };
+        Some(Self {
+            id,
+            end,
+            same: word == b"current",
+            copy,
+            note: note(fields.get("note")),
+            waited,
+            load: fields.get("load").map(load).unwrap_or_default(),
+            body: Counted::new(body.unwrap_or_default(), meters),
+        })
+    }
+}
+
+fn note(word: Option<&str>) -> Note {
+    match word {
+        Some("hit") => Note::Hit,
+        Some("filled") => Note::FilledBySource,
+        Some("via_origin") => Note::FilledByOrigin,
+        Some("joined") => Note::Joined,
+        Some("stale") => Note::Old,
+        Some("src_refused") => Note::SourceRefused,
+        Some("src_broke") => Note::SourceFailed,
+        Some("src_lacks") => Note::SourceLacks,
+        Some("no_slot") => Note::NoFillPlace,
+        Some("origin_failed") => Note::OriginFailed,
+        // Of caches that heed a plan; see docs/hierarchy.md.
+        Some("src_looped") => Note::Looped,
+        // A note that is not known tells nothing.
+        Some(_) | None => Note::Untold,
+    }
+}
+
+fn load(report: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in report.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        match name {
+            "inflight" | "rif" => load.inflight = value,
+            "util" | "busy" => load.util = value,
+            "x0" => load.hits = value,
+            "x1" => load.link = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+/// An attempt as it is written to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The request's id.
+    pub id: &'a WireId,
+    /// Its class.
+    pub class: &'a str,
+    /// The object, as the client wrote it.
+    pub object: &'a str,
+    /// The part.
+    pub part: u64,
+    /// How long the router waits.
+    pub wait: Ms,
+    /// Who supplies a miss.
+    pub from: Option<&'a ServerId>,
+    /// How the copy is kept.
+    pub rank: Rank,
+    /// The oldest copy that will do.
+    pub oldest: Option<Ms>,
+    /// Join a fill under way.
+    pub share: bool,
+    /// The source gives only what it holds.
+    pub peek: bool,
+    /// Renew behind.
+    pub renew: bool,
+    /// The tag of the client's copy.
+    pub seen: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Ask<'_> {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut fields = FieldList::default();
+        fields.add("c", self.class);
+        fields.add("k", self.object);
+        fields.add("p", self.part);
+        fields.add("w", self.wait.floor().max(1.0));
+        if let Some(from) = self.from {
+            fields.add("from", &*from.0);
+        }
+        match self.rank {
+            Rank::None => {}
+            Rank::Low => fields.add("rank", 1),
+            Rank::Middle => fields.add("rank", 2),
+            Rank::Top => fields.add("rank", 3),
+        }
+        if let Some(oldest) = self.oldest {
+            // 0 would stand for the class's fresh time.
+            fields.add("oldest", oldest.floor().max(1.0));
+        }
+        let modes = [(self.share, "share"), (self.peek, "peek"), (self.renew, "swr")];
+        let modes: Vec<&str> = modes.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !modes.is_empty() {
+            fields.add("mode", modes.join("+"));
+        }
+        if let Some(seen) = self.seen {
+            fields.add("seen", seen);
+        }
+        encode(&[b"fetch", self.id.0.as_bytes(), fields.text().as_bytes(), self.body])
+    }
+}
