The policy in eight files by concern, one way through them; settings of the interface apart

What decides nothing has left them: the fields of `Router` and their first values (state.rs), the plain values of what is carried over (carry.rs), the sort (window.rs). Tests for attempts still out that could never be true where an attempt is chosen are gone: `dispatch` is reached with none out. The policy test reads the list from the deploy file and holds that it names all of the folder. `src/api.rs` has its settings in `api/settings.rs`. All public paths work as before.

Root tests pass.

--- a/src/rules/carry.rs
+++ b/src/carry.rs
@@ -5,9 +5,9 @@
 //! (they hold for the routers and links of one deployment), delays and L1 and L2 (other aims, other hubs), the shadow lists and
 //! the split (other clients), shares of fills, and what is open.
 
-use super::{Health, Router, CUT_MOST};
 use crate::api::*;
-use crate::window::Average;
+use crate::rules::Router;
+use crate::state::{Health, Server};
 
 /// What was learnt of a server.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,7 +41,7 @@
     /// What this router has learnt.
     pub fn learnt(&self) -> Learnt {
         let listed = self.servers.values().filter(|s| s.entry.listed != Listed::Gone);
-        let server = |s: &super::Server| LearntServer {
+        let server = |s: &Server| LearntServer {
             id: s.entry.id.clone(),
             listed_start: s.entry.started,
             cut: s.cut,
@@ -58,32 +58,4 @@
             purges: self.purged.iter().map(|((object, group), at)| (*object, *group, *at)).collect(),
         }
     }
-
-    /// Takes over what another life has learnt; gives how many of its servers are listed here as the same process. Nothing of
-    /// it makes a cold server warm or a purge undone.
-    pub fn adopt(&mut self, now: Ms, learnt: Learnt) -> usize {
-        let mut known = 0;
-        for of in learnt.servers {
-            let Some(s) = self.servers.get_mut(&of.id).filter(|s| s.entry.started == of.listed_start) else {
-                continue;
-            };
-            known += 1;
-            s.cut = of.cut.clamp(CUT_MOST.ln(), 0.0);
-            s.lag = of.lag.map_or(s.lag, |lag| Average::of(lag, 1));
-            if of.out {
-                s.health = Health::Out(now);
-            }
-            s.started = of.cold_since.into_iter().chain(s.started).reduce(f64::max);
-        }
-        for (name, mean, answers) in learnt.sending {
-            let class = self.set.classes.iter().position(|c| c.name == name);
-            class.into_iter().for_each(|c| self.sending[c] = Average::of(mean, answers));
-        }
-        for (object, group, at) in learnt.purges {
-            let known = self.purged.entry((object, group)).or_insert(at);
-            *known = known.max(at);
-        }
-        [Role::Edge, Role::Parent].into_iter().for_each(|role| self.place(role));
-        known
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod carry;
 pub mod rules;
 pub mod shadow;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,16 @@
 //! What a router holds of its servers and open requests; plain data, nothing here decides.
 
-use crate::api::{Listed, Ms, Rank, Request, ServerEntry, ServerId};
+use crate::api::{
+    GroupId, Listed, Ms, ObjectId, Rank, Request, RequestId, ServerEntry, ServerId, Settings, SourceTable,
+};
+use crate::rules::{GATE_LEVEL_MS, SHADOW_ENTRIES};
+use crate::shadow::ShadowList;
 use crate::window::{Average, DecayingRate, SlidingSum};
 use basaltgw_structures::Candidates;
 use indexmap::IndexMap;
 use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
 
 /// A limit on what is out at a cache, or on the fills over the zone's link: none until it first proves full, then
 /// cut when full and grown when not.
@@ -214,6 +220,85 @@
     }
 }
 
+/// One router: decides for its own requests from its own events alone.
+pub struct Router {
+    pub(crate) set: Settings,
+    pub(crate) now: Ms,
+    pub(crate) armed: bool,
+    pub(crate) servers: IndexMap<ServerId, Server>,
+    /// By role: what the list has up, edge caches of the own zone only.
+    pub(crate) up: [Vec<usize>; 3],
+    /// The same, by hash order.
+    pub(crate) order: [Candidates; 3],
+    /// Where sources are planned: the plan, and by edge cache what it comes to.
+    pub(crate) table: Option<Arc<SourceTable>>,
+    pub(crate) planned: IndexMap<usize, Rc<Planned>>,
+    pub(crate) open: IndexMap<RequestId, Open>,
+    pub(crate) edge: ShadowList,
+    pub(crate) missed: ShadowList,
+    /// Objects seen lately.
+    pub(crate) known: IndexMap<ObjectId, Known>,
+    pub(crate) split: usize,
+    pub(crate) next_period: Ms,
+    /// L1 and L2.
+    pub(crate) latency: [Average; 2],
+    /// By class: delay of what was served, and sending time.
+    pub(crate) delay: Vec<(Average, Average)>,
+    pub(crate) sending: Vec<Average>,
+    /// By class: the logarithm of what a hit takes.
+    pub(crate) hits: Vec<Average>,
+    /// By class: the share of answers that needed a fill.
+    pub(crate) fills: Vec<Average>,
+    /// The share of fills for which the origin was asked.
+    pub(crate) beyond: Average,
+    /// The fills over the zone's link.
+    pub(crate) link: Gate,
+    /// When an object, or a group, was purged.
+    pub(crate) purged: IndexMap<(Option<ObjectId>, Option<GroupId>), Ms>,
+    pub(crate) keys: u64,
+    pub(crate) seed: u64,
+    pub(crate) lines: usize,
+}
+
+impl Router {
+    /// A router that knows nothing yet. The seed sets its turns at cold servers apart from its peers'.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let classes = set.classes.len();
+        Self {
+            now: 0.0,
+            armed: false,
+            servers: IndexMap::new(),
+            up: Default::default(),
+            order: Default::default(),
+            table: None,
+            planned: IndexMap::new(),
+            open: IndexMap::new(),
+            edge: ShadowList::new(SHADOW_ENTRIES),
+            missed: ShadowList::new(SHADOW_ENTRIES),
+            known: IndexMap::new(),
+            split: SHADOW_ENTRIES / 2,
+            next_period: 0.0,
+            latency: [Average::default(); 2],
+            delay: vec![Default::default(); classes],
+            sending: vec![Average::default(); classes],
+            hits: vec![Average::default(); classes],
+            fills: vec![Average::default(); classes],
+            beyond: Average::default(),
+            link: Gate::new(0.0, GATE_LEVEL_MS, set.zone_routers),
+            purged: IndexMap::new(),
+            keys: 0,
+            lines: 0,
+            seed,
+            set,
+        }
+    }
+
+    /// s1, the share of the shadow list that earns top rank, in entries.
+    pub fn split(&self) -> usize {
+        self.split
+    }
+}
+
 impl Gate {
     /// A gate that has never been full.
     pub fn new(now: Ms, tau: Ms, routers: usize) -> Self {
--- a/src/window.rs
+++ b/src/window.rs
@@ -97,3 +97,10 @@
         self.value.filter(|_| self.samples >= samples)
     }
 }
+
+/// The values in rising order.
+pub fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut all: Vec<f64> = values.collect();
+    all.sort_unstable_by(f64::total_cmp);
+    all
+}
--- a/tests/policy_file.rs
+++ b/tests/policy_file.rs
@@ -1,12 +1,43 @@
-//! The policy file stays readable: at most 1070 non-blank lines of at most 110 characters.
+//! The policy files stay readable: all decisions are in them, at most 1,070 non-blank lines of at most 110 characters
+//! together, and none is over 400 lines.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+const LINES_IN_ALL: usize = 1070;
+const LINES_A_FILE: usize = 400;
+const WIDTH: usize = 110;
+
+fn read(path: &Path) -> String {
+    std::fs::read_to_string(path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
+}
+
+/// The files that the deploy file names under `policy`.
+fn named(root: &Path) -> BTreeSet<PathBuf> {
+    let deploy = read(&root.join("deploy/balancer.toml"));
+    let (_, list) = deploy.split_once("policy = [").expect("a list of policy files");
+    let (list, _) = list.split_once(']').expect("its end");
+    list.split(',')
+        .map(|f| f.trim().trim_matches('"'))
+        .filter(|f| !f.is_empty())
+        .map(|f| root.join(f))
+        .collect()
+}
 
 #[test]
-fn the_policy_file_stays_within_its_limits() {
-    let text =
-        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/src/rules.rs")).expect("rules.rs");
-    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
-    assert!(lines <= 1070, "{lines} non-blank lines");
-    for (n, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {} is {} wide", n + 1, line.chars().count());
+fn the_policy_files_stay_within_their_limits() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let folder = std::fs::read_dir(root.join("src/rules")).expect("the module's folder");
+    let there = folder.map(|f| f.expect("an entry").path()).chain([root.join("src/rules.rs")]).collect();
+    assert_eq!(named(root), there, "deploy/balancer.toml names every file of the module and no other");
+    let mut lines = 0;
+    for path in &there {
+        let text = read(path);
+        assert!(text.lines().count() <= LINES_A_FILE, "{} is over {LINES_A_FILE} lines", path.display());
+        lines += text.lines().filter(|l| !l.trim().is_empty()).count();
+        for (n, line) in text.lines().enumerate() {
+            assert!(line.chars().count() <= WIDTH, "{}:{} is over {WIDTH} wide", path.display(), n + 1);
+        }
     }
+    assert!(lines <= LINES_IN_ALL, "{lines} non-blank lines");
 }
