A section `fleet` in the project's own file, typed and checked

Need: the router's fleet (peers, copied holds, placement, gathers) has to be told who the router is, where it stands, whom it knows at start, where it keeps what must last, and how much it may take on.

Beyond the schema: names are plain, addresses can be reached (no port 0, no unspecified address), no name or address stands twice or is the router's own, there are at least as many machines as copies, and a frame fits its lane, an outcome its frame. `Fleet::same_but_rules` says what a running router may take over. Without the section nothing more is read. What the schema lets through and the type does not (`shards: 16.0`) is now named by its key too, through serde_path_to_error; before, such a fault named no key.

--- /dev/null
+++ b/crates/config/src/fleet.rs
@@ -0,0 +1,274 @@
+//! The section `fleet` of the project's own file: who the router is among the others, and what it may take on for them.
+
+use crate::yaml::{BadFile, Document};
+use basaltgw_ids::{Domain, RouterId};
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// The longest rules file, in bytes: ten thousand rules of a hundred bytes each.
+pub const MOST_RULES_BYTES: u64 = 1024 * 1024;
+
+/// A router of a fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// The fleet's name: links between fleets are refused.
+    pub cluster: Arc<str>,
+    /// Its own name.
+    pub name: RouterId,
+    /// Where it stands.
+    pub domain: Domain,
+    /// Where it listens for peers.
+    pub listen: SocketAddr,
+    /// The folder of what must last, as the file says it; nobody has looked whether it is there.
+    pub folder: PathBuf,
+    /// The others that are known at start, as the file lists them.
+    pub peers: Vec<Peer>,
+    /// The rules of placement, if a file is named.
+    pub rules: Option<Rules>,
+    /// Copies of each hold: 3 or 5.
+    pub copies: usize,
+    /// Shards of the holds.
+    pub shards: u16,
+    /// What is held for others.
+    pub holds: Held,
+    /// Gathers are taken.
+    pub gather: bool,
+    /// Bounds and times.
+    pub limits: FleetLimits,
+}
+
+/// Another router, as the file lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: RouterId,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub domain: Domain,
+}
+
+/// The rules of placement, not compiled yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// The file, for messages.
+    pub file: PathBuf,
+    /// Its text.
+    pub text: String,
+}
+
+/// The kinds of holds that are kept with others; what is not is done as by a router alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Held {
+    /// Effects.
+    pub effects: bool,
+    /// Purges.
+    pub purges: bool,
+    /// Tickets.
+    pub tickets: bool,
+}
+
+impl Default for Held {
+    fn default() -> Self {
+        Self { effects: true, purges: true, tickets: true }
+    }
+}
+
+/// Bounds and times of the fleet's parts; the ranges are the schema's.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct FleetLimits {
+    /// Holds that are kept here.
+    pub holds: usize,
+    /// Their bytes.
+    pub hold_bytes: usize,
+    /// Bytes of an outcome that are kept for who asks again.
+    pub outcome_bytes: usize,
+    /// Questions about holds that may be open.
+    pub open_asks: usize,
+    /// The longest frame between routers, in bytes.
+    pub frame_bytes: usize,
+    /// Frames that wait on one lane of one link.
+    pub lane_frames: usize,
+    /// Their bytes.
+    pub lane_bytes: usize,
+    /// Entries of a ring between two threads.
+    pub ring: usize,
+    /// Milliseconds within which a promise is copied or turned away.
+    pub promise_ms: f64,
+    /// Holds in a portion when copies are made up again.
+    pub fill_portion: usize,
+    /// Milliseconds between two portions.
+    pub fill_pause_ms: f64,
+    /// Milliseconds after which the place of a router that is down is given to another.
+    pub replace_after_ms: f64,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            holds: 100_000,
+            hold_bytes: 64 * 1024 * 1024,
+            outcome_bytes: 4096,
+            open_asks: 1024,
+            frame_bytes: 1024 * 1024,
+            lane_frames: 1024,
+            lane_bytes: 8 * 1024 * 1024,
+            ring: 1024,
+            promise_ms: 400.0,
+            fill_portion: 64,
+            fill_pause_ms: 20.0,
+            replace_after_ms: 10_000.0,
+        }
+    }
+}
+
+impl Fleet {
+    /// Whether nothing but the rules differs: no other change is taken by a running router.
+    pub fn same_but_rules(&self, other: &Self) -> bool {
+        let bare = |f: &Self| Self { rules: None, ..f.clone() };
+        bare(self) == bare(other)
+    }
+}
+
+/// The section as it stands in the file.
+#[derive(Deserialize)]
+pub(crate) struct FleetFile {
+    cluster: String,
+    name: String,
+    branch: String,
+    machine: String,
+    listen: String,
+    folder: PathBuf,
+    #[serde(default)]
+    peers: Vec<PeerFile>,
+    rules: Option<PathBuf>,
+    copies: Option<usize>,
+    shards: Option<u16>,
+    #[serde(default)]
+    holds: Held,
+    #[serde(default)]
+    gather: bool,
+    #[serde(default)]
+    limits: FleetLimits,
+}
+
+#[derive(Deserialize)]
+struct PeerFile {
+    name: String,
+    address: String,
+    branch: String,
+    machine: String,
+}
+
+const COPIES: usize = 3;
+const SHARDS: u16 = 64;
+
+/// Checks what the schema can't say, and reads the rules.
+pub(crate) fn fleet(document: &Document, of: FleetFile) -> Result<Fleet, BadFile> {
+    let at = |key: &str| format!("/fleet/{key}");
+    let name =
+        |key: &str, text: &str| basaltgw_ids::name(text).map_err(|e| document.fault(&at(key), e.to_string()));
+    let address = |key: &str, text: &str| {
+        let found = text.parse::<SocketAddr>().ok();
+        // Others have to reach it by what is written here.
+        found.filter(|a| a.port() != 0 && !a.ip().is_unspecified()).ok_or_else(|| {
+            let what = format!("expected an IP address that others can reach and a port but 0, as in 10.0.0.1:7101, found {text:?}");
+            document.fault(&at(key), what)
+        })
+    };
+    let peer = |(i, p): (usize, PeerFile)| {
+        let key = |key: &str| format!("peers/{i}/{key}");
+        Ok(Peer {
+            name: RouterId(name(&key("name"), &p.name)?),
+            address: address(&key("address"), &p.address)?,
+            domain: Domain {
+                branch: name(&key("branch"), &p.branch)?,
+                machine: name(&key("machine"), &p.machine)?,
+            },
+        })
+    };
+    let fleet = Fleet {
+        cluster: name("cluster", &of.cluster)?,
+        name: RouterId(name("name", &of.name)?),
+        domain: Domain { branch: name("branch", &of.branch)?, machine: name("machine", &of.machine)? },
+        listen: address("listen", &of.listen)?,
+        folder: of.folder,
+        peers: of.peers.into_iter().enumerate().map(peer).collect::<Result<_, _>>()?,
+        rules: None,
+        copies: of.copies.unwrap_or(COPIES),
+        shards: of.shards.unwrap_or(SHARDS),
+        holds: of.holds,
+        gather: of.gather,
+        limits: of.limits,
+    };
+    distinct(document, &fleet)?;
+    sizes(document, &fleet.limits)?;
+    let rules = of.rules.map(|file| rules(document, &file)).transpose()?;
+    Ok(Fleet { rules, ..fleet })
+}
+
+/// One name and one address each, and enough machines for the copies.
+fn distinct(document: &Document, fleet: &Fleet) -> Result<(), BadFile> {
+    let (mut names, mut addresses) = (BTreeMap::new(), BTreeMap::new());
+    names.insert(&fleet.name, "the router itself".to_string());
+    addresses.insert(fleet.listen, "where the router itself listens".to_string());
+    for (i, peer) in fleet.peers.iter().enumerate() {
+        let fault = |key: &str, what| Err(document.fault(&format!("/fleet/peers/{i}/{key}"), what));
+        if let Some(is) = names.insert(&peer.name, format!("fleet.peers[{i}] too")) {
+            return fault("name", format!("{} is {is}; expected a name once", peer.name));
+        }
+        if let Some(is) = addresses.insert(peer.address, format!("that of {}", peer.name)) {
+            return fault("address", format!("{} is {is}; expected an address once", peer.address));
+        }
+    }
+    let machines: BTreeSet<_> =
+        fleet.peers.iter().map(|p| &p.domain).chain(std::iter::once(&fleet.domain)).collect();
+    if machines.len() < fleet.copies {
+        let what = format!(
+            "expected {} machines or more for as many copies, found {} among {} routers",
+            fleet.copies,
+            machines.len(),
+            fleet.peers.len() + 1
+        );
+        return Err(document.fault("/fleet/peers", what));
+    }
+    Ok(())
+}
+
+/// What has to fit into something else does.
+fn sizes(document: &Document, limits: &FleetLimits) -> Result<(), BadFile> {
+    let pairs = [
+        ("outcome_bytes", limits.outcome_bytes, "hold_bytes", limits.hold_bytes),
+        ("outcome_bytes", limits.outcome_bytes.saturating_mul(2), "frame_bytes", limits.frame_bytes),
+        ("frame_bytes", limits.frame_bytes, "lane_bytes", limits.lane_bytes),
+    ];
+    for (inner, least, outer, is) in pairs {
+        if least > is {
+            let what = format!("expected {least} or more, for limits.{inner}, found {is}");
+            return Err(document.fault(&format!("/fleet/limits/{outer}"), what));
+        }
+    }
+    Ok(())
+}
+
+fn rules(document: &Document, file: &Path) -> Result<Rules, BadFile> {
+    let path = document.beside(file);
+    let fault = |what: String| document.fault("/fleet/rules", format!("{}: {what}", path.display()));
+    let is = std::fs::metadata(&path).map_err(|e| fault(e.to_string()))?;
+    if !is.is_file() {
+        return Err(fault("expected a file".into()));
+    }
+    let mut text = String::new();
+    let open = std::fs::File::open(&path).map_err(|e| fault(e.to_string()))?;
+    open.take(MOST_RULES_BYTES + 1).read_to_string(&mut text).map_err(|e| fault(e.to_string()))?;
+    if text.len() as u64 > MOST_RULES_BYTES {
+        return Err(fault(format!("expected at most {MOST_RULES_BYTES} bytes")));
+    }
+    Ok(Rules { file: path, text })
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fleet;
 pub mod learnt;
 mod node;
 pub mod plan;
@@ -9,6 +10,7 @@
 pub mod value;
 pub mod yaml;
 
+pub use fleet::Fleet;
 pub use node::{parse, read, Environment, Limits, Member, News, NodeConfig, Place, Reload, Seq, Transport};
 pub use plan::{own_settings, Carry, Hierarchy, OwnSettings};
 pub use settings::{settings, Names};
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -1,6 +1,7 @@
 //! The project's own settings file (`serve --with FILE`): the plan of the tree, and how a reshape goes; and what a router's module is
 //! handed of it.
 
+use crate::fleet::{fleet, Fleet, FleetFile};
 use crate::yaml::{schema, BadFile, Document};
 use basaltgw::api::{ServerId, SourceShare, SourceTable};
 use basaltgw_hierarchy::{Cold, NodeId, NodeSpec, PlanSpec, Settings, Table, Tier, Version};
@@ -16,6 +17,8 @@
     pub hierarchy: Option<Hierarchy>,
     /// What is carried over from one life to the next.
     pub carry: Option<Carry>,
+    /// The other routers. Without it the router is alone.
+    pub fleet: Option<Fleet>,
 }
 
 /// Where a router leaves what it has learnt when it ends, and finds it when it starts.
@@ -40,6 +43,7 @@
 struct File {
     hierarchy: Option<HierarchyFile>,
     carry: Option<CarryFile>,
+    fleet: Option<FleetFile>,
 }
 
 #[derive(Deserialize)]
@@ -104,11 +108,15 @@
 }
 
 fn own(document: &Document, cold: Cold) -> Result<OwnSettings, BadFile> {
-    let File { hierarchy, carry } = document.typed()?;
+    let File { hierarchy, carry, fleet: routers } = document.typed()?;
     let carry = carry.map(|c| Carry { file: c.file, oldest: 1000.0 * c.oldest_s.unwrap_or(OLDEST_S) });
-    let Some(HierarchyFile { plan, reshape }) = hierarchy else {
-        return Ok(OwnSettings { hierarchy: None, carry });
-    };
+    let fleet = routers.map(|f| fleet(document, f)).transpose()?;
+    let hierarchy = hierarchy.map(|h| tree(document, h, cold)).transpose()?;
+    Ok(OwnSettings { hierarchy, carry, fleet })
+}
+
+fn tree(document: &Document, file: HierarchyFile, cold: Cold) -> Result<Hierarchy, BadFile> {
+    let HierarchyFile { plan, reshape } = file;
     let usual = Settings::default();
     let settings = Settings {
         behind: reshape.behind.unwrap_or(usual.behind),
@@ -140,7 +148,7 @@
         let at = at.map_or_else(|| "/hierarchy/plan".to_string(), |i| format!("/hierarchy/plan/nodes/{i}"));
         return Err(document.fault(&at, refusal.to_string()));
     }
-    Ok(OwnSettings { hierarchy: Some(Hierarchy { plan, settings }), carry })
+    Ok(Hierarchy { plan, settings })
 }
 
 /// A reshape's table as the module takes it.
--- a/crates/config/src/yaml.rs
+++ b/crates/config/src/yaml.rs
@@ -3,8 +3,9 @@
 use jsonschema::Validator;
 use marked_yaml::{parse_yaml_with_options, LoaderOptions, Node};
 use serde_json::{Map, Number, Value};
+use serde_path_to_error::Segment;
 use std::fmt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The longest file that is read, in bytes: a plan of the most nodes is a tenth of it.
 const MOST_BYTES: u64 = 32 * 1024 * 1024;
@@ -121,7 +122,19 @@
 
     /// The content as a type. What the schema lets through and the type does not is a fault all the same.
     pub fn typed<T: serde::de::DeserializeOwned>(&self) -> Result<T, BadFile> {
-        serde_json::from_value(self.value.clone()).map_err(|e| self.fault("", e.to_string()))
+        serde_path_to_error::deserialize(&self.value).map_err(|e| {
+            let step = |s: &Segment| match s {
+                Segment::Seq { index } => format!("/{index}"),
+                Segment::Map { key } => format!("/{key}"),
+                Segment::Enum { .. } | Segment::Unknown => String::new(),
+            };
+            self.fault(&e.path().iter().map(step).collect::<String>(), e.inner().to_string())
+        })
+    }
+
+    /// A file that the document names, seen from where the document lies.
+    pub fn beside(&self, file: &Path) -> PathBuf {
+        Path::new(&self.file).parent().unwrap_or(Path::new("")).join(file)
     }
 }
 
--- /dev/null
+++ b/crates/config/tests/fleet.rs
@@ -0,0 +1,134 @@
+//! The section `fleet`: defaults, each fault by file, line and key, and what a running router takes over.
+
+use basaltgw_config::fleet::{Fleet, FleetLimits, Held, MOST_RULES_BYTES};
+use basaltgw_config::plan::own_settings_of;
+use basaltgw_hierarchy::Cold;
+
+const COLD: Cold = Cold { share: 0.1, span: 20_000.0 };
+const GOOD: &str = "\
+fleet:
+  cluster: rig
+  name: r1
+  branch: north
+  machine: m1
+  listen: 127.0.0.1:7101
+  folder: /var/lib/basaltgw/r1
+  peers:
+    - {name: r2, address: 127.0.0.1:7102, branch: north, machine: m2}
+    - name: r3
+      address: 127.0.0.1:7103
+      branch: south
+      machine: m1
+  shards: 16
+  limits: {ring: 8, frame_bytes: 8192}
+";
+
+fn read(text: &str) -> Result<Fleet, String> {
+    let own = own_settings_of("d/b.yaml", text, COLD).map_err(|e| e.to_string())?;
+    Ok(own.fleet.expect("the section"))
+}
+
+/// The fault that comes of one change to the good text.
+fn fault(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from), "{from}");
+    read(&GOOD.replace(from, to)).expect_err(to)
+}
+
+#[test]
+fn what_may_be_absent_has_a_default() {
+    let fleet = read(GOOD).expect("a fleet");
+    assert_eq!((&*fleet.cluster, &*fleet.name.0, &*fleet.domain.machine), ("rig", "r1", "m1"));
+    assert_eq!((fleet.copies, fleet.shards, fleet.gather, &fleet.rules), (3, 16, false, &None));
+    assert_eq!(fleet.holds, Held { effects: true, purges: true, tickets: true });
+    assert_eq!(fleet.limits, FleetLimits { ring: 8, frame_bytes: 8192, ..FleetLimits::default() });
+    assert_eq!((&*fleet.peers[1].domain.branch, fleet.peers[1].address.port()), ("south", 7103));
+    let text = format!("{GOOD}  holds: {{tickets: false}}\n  gather: true\n");
+    let fleet = read(&text).expect("a fleet");
+    assert_eq!((fleet.holds.effects, fleet.holds.tickets, fleet.gather), (true, false, true));
+    assert_eq!(own_settings_of("b.yaml", "{}", COLD).expect("nothing").fleet, None);
+}
+
+#[test]
+fn the_defaults_are_those_that_the_schema_names_and_lie_in_its_ranges() {
+    let schema: serde_json::Value =
+        serde_json::from_str(include_str!("../../../deploy/basaltgw.schema.json")).expect("JSON");
+    let limits = &schema["properties"]["fleet"]["properties"]["limits"]["properties"];
+    let named = limits.as_object().expect("limits").iter();
+    let all: String = named.map(|(k, v)| format!("    {k}: {}\n", v["default"])).collect();
+    let text = GOOD.replace("  limits: {ring: 8, frame_bytes: 8192}\n", &format!("  limits:\n{all}"));
+    assert_eq!(read(&text).expect("a fleet").limits, FleetLimits::default());
+}
+
+#[test]
+fn each_fault_names_file_line_and_key() {
+    let reach = "expected an IP address that others can reach and a port but 0, as in 10.0.0.1:7101, found";
+    let r2 = "address: 127.0.0.1:7102";
+    let cases = [
+        ("name: r1", "name: r 1", "3: fleet.name: expected 1 to 64 bytes of letters"),
+        ("machine: m1\n  listen", "machine: m/1\n  listen", "5: fleet.machine: expected 1 to 64 bytes"),
+        (":7101", ":0", &format!("6: fleet.listen: {reach} \"127.0.0.1:0\"")),
+        ("127.0.0.1:7101", "0.0.0.0:7101", &format!("6: fleet.listen: {reach} \"0.0.0.0:7101\"")),
+        ("127.0.0.1:7101", "localhost:7101", &format!("6: fleet.listen: {reach} \"localhost:7101\"")),
+        (r2, "address: 127.0.0.1:0", &format!("9: fleet.peers[0].address: {reach}")),
+        ("name: r2", "name: r1", "9: fleet.peers[0].name: r1 is the router itself; expected a name once"),
+        ("name: r3", "name: r2", "10: fleet.peers[1].name: r2 is fleet.peers[0] too"),
+        ("7103", "7102", "11: fleet.peers[1].address: 127.0.0.1:7102 is that of r2; expected"),
+        ("7103", "7101", "11: fleet.peers[1].address: 127.0.0.1:7101 is where the router itself listens"),
+        (
+            "machine: m2",
+            "machine: m1",
+            "8: fleet.peers: expected 3 machines or more for as many copies, found 2",
+        ),
+        ("  shards: 16", "  copies: 5", "8: fleet.peers: expected 5 machines or more"),
+        ("  shards: 16", "  copies: 4", "14: fleet.copies: 4 is not"),
+        ("  shards: 16", "  shards: 0", "14: fleet.shards: 0 is less than"),
+        ("  shards: 16", "  shards: 16.0", "14: fleet.shards: invalid type: floating point"),
+        ("  shards: 16", "  holds: {debts: true}", "14: fleet.holds: Additional properties"),
+        ("  shards: 16", "  rules: absent.rules", "14: fleet.rules: d/absent.rules: "),
+        ("ring: 8", "ring: 1", "15: fleet.limits.ring: 1 is less than"),
+        (
+            "ring: 8",
+            "lane_bytes: 4096",
+            "15: fleet.limits.lane_bytes: expected 8192 or more, for limits.frame_bytes",
+        ),
+        ("ring: 8", "outcome_bytes: 8000", "15: fleet.limits.frame_bytes: expected 16000 or more"),
+        ("  folder: /var/lib/basaltgw/r1\n", "", "1: fleet: \"folder\" is a required property"),
+    ];
+    for (from, to, says) in cases {
+        let text = fault(from, to);
+        assert!(text.starts_with(&format!("d/b.yaml:{says}")), "{to}: {text}");
+    }
+    let many: String = (0..1024)
+        .map(|i| format!("    - {{name: n{i}, address: '10.0.0.1:{}', branch: b, machine: m{i}}}\n", i + 1))
+        .collect();
+    assert!(fault("  peers:\n", &format!("  peers:\n{many}")).starts_with("d/b.yaml:8: fleet.peers: "));
+}
+
+#[test]
+fn rules_lie_beside_the_file_and_are_bounded_text() {
+    let folder = std::env::temp_dir().join(format!("basaltgw-fleet-{}", std::process::id()));
+    std::fs::create_dir_all(folder.join("sub")).expect("a folder");
+    let (file, rules) = (folder.join("b.yaml").display().to_string(), folder.join("p.rules"));
+    let text = |named: &str| format!("{GOOD}  rules: {named}\n");
+    let said = |named| own_settings_of(&file, &text(named), COLD).map(|own| own.fleet.expect("the section"));
+    std::fs::write(&rules, "one\n").expect("written");
+    let one = said("p.rules").expect("a fleet");
+    std::fs::write(&rules, "two\n").expect("written");
+    let two = said("p.rules").expect("a fleet");
+    std::fs::write(&rules, vec![b'x'; MOST_RULES_BYTES as usize + 1]).expect("written");
+    let long = said("p.rules").expect_err("too long").to_string();
+    std::fs::write(&rules, [0xff, 0xfe]).expect("written");
+    let bytes = said("p.rules").expect_err("no text").to_string();
+    let dir = said("sub").expect_err("no file").to_string();
+    std::fs::remove_dir_all(&folder).expect("removed");
+    let of = one.rules.as_ref().expect("rules");
+    assert_eq!((of.text.as_str(), &of.file), ("one\n", &rules));
+    assert!(long.contains(":16: fleet.rules:") && long.contains("at most 1048576 bytes"), "{long}");
+    assert!(bytes.contains(":16: fleet.rules:") && bytes.contains("UTF-8"), "{bytes}");
+    assert!(dir.contains(":16: fleet.rules:") && dir.contains("expected a file"), "{dir}");
+    // A running router takes other rules, and nothing else.
+    assert!(one != two && one.same_but_rules(&two));
+    assert!(one.same_but_rules(&Fleet { rules: None, ..one.clone() }));
+    assert!(!one.same_but_rules(&Fleet { shards: 17, ..two.clone() }));
+    assert!(!one.same_but_rules(&Fleet { peers: Vec::new(), ..two }));
+}
