Peers: one link for each pair of routers, bounded lanes, rings to two users that never block

Routers must pass on holds, tables and evidence without any of them, or the network, ever holding up the owner.

A thread of its own dials and listens, checks hellos against the list, and carries checksummed frames. Of two connections the router with the smaller name chooses one and says so, so no frame is lost to a switch between two that are both up. Lanes are bounded in frames and bytes and written in weighted turns; what was taken and not written whole is told as unsent, and only what was begun may have reached somebody. Silent, garbling, flooding and stuck peers lose their own link; a full ring stops reading from that link alone. A panic of any task ends the thread: the executor would have kept it to itself, which a test showed.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,6 +6,24 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod codec;
+mod counts;
+mod hub;
+mod lanes;
+pub mod limits;
+mod link;
+mod port;
+mod thread;
+
+pub use counts::Counts;
+pub use port::{Ended, Links, Port, Refused, Rest, User};
+pub use thread::start;
+
+/// The frames as bytes, for tests that play a peer.
+pub mod frames {
+    pub use crate::codec::{BadFrame, Codec, Frame, Kind};
+}
+
 use basaltgw_ids::{Domain, Member, RouterId, TableHash, TableVersion};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/peers/tests/links.rs
@@ -0,0 +1,122 @@
+//! Links between routers in order: both dial, frames, tables, other lives, other addresses, the end.
+
+mod common;
+
+use basaltgw_ids::{TableHash, TableVersion};
+use basaltgw_peers::frames::Kind;
+use basaltgw_peers::{Lane, Order, Refused, Told, Why};
+use common::*;
+
+#[test]
+fn both_dial_and_one_link_carries_all_lanes() {
+    let (at_a, at_b) = (address(), address());
+    let mut a = Node::new("a", 1, at_a, &[listed("b", at_b)], LIMITS);
+    let mut b = Node::new("b", 2, at_b, &[listed("a", at_a)], LIMITS);
+    for port in [&mut a.owner, &mut a.copies] {
+        assert_eq!(up(port, &b.me), hello("b", 2));
+    }
+    for port in [&mut b.owner, &mut b.copies] {
+        assert_eq!(up(port, &a.me), hello("a", 1));
+    }
+    for no in 0..50u64 {
+        for (lane, long) in
+            [(Lane::Gather, 10), (Lane::Roster, 0), (Lane::Holds, 100), (Lane::Table, 100_000)]
+        {
+            send(&mut a.owner, no, &b.me, lane, &vec![no as u8; long]);
+            send(&mut b.copies, no, &a.me, lane, &vec![no as u8; long]);
+        }
+    }
+    // Each user gets its lanes, each lane in order, and nothing went down meanwhile.
+    for (node, from) in [(&mut a, &member("b", 2)), (&mut b, &member("a", 1))] {
+        for (port, lanes) in [
+            (&mut node.owner, [(Lane::Gather, 10), (Lane::Roster, 0), (Lane::Roster, 0)]),
+            (&mut node.copies, [(Lane::Holds, 100), (Lane::Roster, 0), (Lane::Table, 100_000)]),
+        ] {
+            let mut next = [0; 4];
+            let total = if lanes[1] == lanes[2] { 100 } else { 150 };
+            for _ in 0..total {
+                let (lane, body) = told(port, "a frame", |t| match t {
+                    Told::Got { from: f, lane, body } if f == from => Some((*lane, body.clone())),
+                    other => panic!("{other:?}"),
+                });
+                let (_, long) = lanes.iter().find(|(l, _)| *l == lane).unwrap();
+                assert_eq!(body, vec![next[lane as usize]; *long]);
+                next[lane as usize] += 1;
+            }
+        }
+    }
+    assert_eq!((a.count("peer_up"), b.count("peer_up")), (1, 1));
+}
+
+#[test]
+fn another_table_is_told_as_up() {
+    let at_a = address();
+    let mut a = Node::new("a", 1, at_a, &[listed("b", address())], LIMITS);
+    let mut b = Node::new("b", 2, address(), &[listed("a", at_a)], LIMITS);
+    up(&mut a.owner, &b.me);
+    up(&mut b.copies, &a.me);
+    let table = (TableVersion(2), TableHash([9; 32]));
+    a.copies.send(Order::Table(table.0, table.1)).unwrap();
+    assert_eq!(up(&mut b.copies, &a.me).table, table);
+}
+
+#[test]
+fn another_life_takes_the_place_of_the_one_before() {
+    let mut a = Node::new("a", 1, address(), &[listed("z", address())], LIMITS);
+    let (first, second) = (member("z", 1), member("z", 2));
+    let mut old = Raw::up(a.address, &hello("z", 1), 1);
+    up(&mut a.owner, &first);
+    // A second connection of the same start is closed, without a word.
+    assert_eq!(Raw::dial(a.address, &hello("z", 1), 1).read(), None);
+    assert_eq!(a.count("peer_second"), 1);
+    let mut new = Raw::up(a.address, &hello("z", 2), 2);
+    assert_eq!(down(&mut a.owner, &first), Why::Replaced);
+    up(&mut a.owner, &second);
+    wait("the old connection's end", || old.read().is_none().then_some(()));
+    // What is for the old life does not reach the new one.
+    send(&mut a.owner, 1, &first, Lane::Holds, b"old");
+    send(&mut a.owner, 2, &second, Lane::Holds, b"new");
+    let unsent = told(&mut a.owner, "unsent", |t| matches!(t, Told::Unsent { .. }).then(|| t.clone()));
+    assert_eq!(unsent, Told::Unsent { no: 1, to: first, why: Why::NoLink });
+    let frame = wait("a frame", || new.read().filter(|f| f.kind != Kind::Alive));
+    assert_eq!((frame.kind, &frame.body[..]), (Kind::Lane(Lane::Holds), &b"new"[..]));
+}
+
+#[test]
+fn the_end_writes_what_waits_and_a_router_returns_at_another_address() {
+    let at_a = address();
+    let mut a = Node::new("a", 1, at_a, &[listed("b", address())], LIMITS);
+    let mut b = Node::new("b", 2, address(), &[listed("a", at_a)], LIMITS);
+    up(&mut a.copies, &b.me);
+    up(&mut b.copies, &a.me);
+    for no in 0..50 {
+        send(&mut b.copies, no, &a.me, Lane::Holds, &[no as u8; 1000]);
+    }
+    b.copies.send(Order::End).unwrap();
+    for no in 0..50 {
+        assert_eq!(got(&mut a.copies, &b.me), (Lane::Holds, vec![no; 1000]));
+    }
+    down(&mut a.copies, &b.me);
+    wait("the end", || b.rest.ended().then_some(()));
+    assert!(b.owner.ended() && matches!(b.owner.send(Order::End), Err(Refused::Ended(Order::End))));
+    assert_eq!(b.rest.join(), Ok(()));
+    let b = Node::new("b", 2, address(), &[listed("a", at_a)], LIMITS);
+    up(&mut a.copies, &b.me);
+}
+
+#[test]
+fn a_dropped_port_ends_the_links_and_a_panic_is_told() {
+    let a = Node::new("a", 1, address(), &[], LIMITS);
+    drop(a.owner);
+    assert_eq!(a.rest.join(), Ok(()));
+    let users =
+        [[Lane::Gather, Lane::Roster], [Lane::Holds, Lane::Table]].map(|lanes| basaltgw_peers::User {
+            lanes: lanes.to_vec(),
+            wake: Box::new(|| assert!(std::thread::panicking(), "woken")),
+        });
+    let links = basaltgw_peers::start(hello("a", 1), address(), vec![], LIMITS, 1, users).unwrap();
+    let (mut one, two, rest) = links.split();
+    send(&mut one, 1, &member("b", 1), Lane::Holds, b"");
+    wait("the end", || two.ended().then_some(()));
+    assert_eq!(rest.join().unwrap_err().0, "woken");
+}
