Placement rules compile to tables: language, checks, keepers, homes and gathers

Operators had no way to say where shards live and who may serve, keep and fill objects. A declarative language (logos, chumsky) is read with all faults at once, shown by ariadne; names, copies, spread, capacity after the loss of any one domain, homes and what never goes together are checked, and clashes are reported by the smallest set of rules. The table is canonical postcard under a blake3 hash; keepers stay where the table before had them and quotas by capacity are met by the fewest moves. Without rules: three copies over machines.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,32 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod ast;
+mod body;
+mod check;
+mod compile;
+mod explain;
+mod fault;
+mod gather;
+mod homes;
+mod keep;
+mod lex;
+mod parse;
+mod place;
+mod share;
+mod smallest;
+mod steps;
+mod table;
+
+pub use ast::Missing;
+pub use body::{Origin, MOST_SHARDS, MOST_TABLE};
+pub use compile::{compile, MOST_CACHES, MOST_FILES, MOST_FOUNDERS, MOST_ROUTERS, MOST_RULES, MOST_TEXT};
+pub use explain::{explain, explain_root, explain_shard};
+pub use fault::{At, Fault};
+pub use gather::{GatherRule, MOST_NEEDED, MOST_WAIT_MS};
+pub use steps::{moves, steps, Moved, Moves};
+pub use table::{Allowed, BadTable, Bounds, CacheNo, Table};
+
 use basaltgw_ids::{Domain, Member};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -45,4 +71,6 @@
     pub routers: Vec<RouterEntry>,
     /// Caches, parents and the origin.
     pub caches: Vec<CacheEntry>,
+    /// Classes of requests that rules may name; none listed: any.
+    pub classes: Vec<Arc<str>>,
 }
