Requests that may run once are kept by the fleet before they are sent; threads for peers and copies

Need: a checkout taken by one router has to be known to the others before it runs, so that a machine lost with its disk neither loses its outcome nor has it run again, and a purge heard by one has to reach those that restart without discovery.

Change: with a section `fleet` the process has two more threads. The peers' thread carries; the copies' thread owns holds, roster, table and disk, and puts what has to last into one commit before it sends what rests on it. Bounded rings join them to the owner. A keyed or unsafe request is told to the module only once its hold is kept; its outcome is put down before it is said; given up is answered at once and put down beside that; who asks again by the same id is told the outcome, or waits while another router has it out, or is told that nobody knows. A process that was stopped gives back what it had not sent. A router serves once it knows the purges of before its start from enough keepers, or counts everything as purged. The fleet is founded when all that are listed have met, and goes on by the table that was kept.

Without `fleet` no thread is started.

--- /dev/null
+++ b/crates/node/src/fleet/copies/hear.rs
@@ -0,0 +1,114 @@
+//! What peers say.
+
+use super::Copies;
+use crate::fleet::purges::Purge;
+use crate::fleet::words::{Word, PURGES_AT_ONCE};
+use crate::fleet::Told;
+use basaltgw_holds as holds;
+use basaltgw_ids::{Member, Ms};
+use basaltgw_peers as peers;
+use basaltgw_peers::Lane;
+use basaltgw_roster as roster;
+
+impl Copies {
+    pub(super) fn peer(&mut self, now: Ms, told: peers::Told) {
+        match told {
+            peers::Told::Up(hello) => {
+                let member = hello.member.clone();
+                self.lost.remove(&member.router);
+                if let Some(before) = self.reached.insert(member.router.clone(), member.clone()) {
+                    if before != member {
+                        self.holds(now, holds::Event::Reached(before, false));
+                    }
+                }
+                self.holds(now, holds::Event::Reached(member.clone(), true));
+                let presence = self.parts.table.presence(&hello);
+                self.roster(now, roster::Event::Met(presence));
+                if !self.start.done {
+                    self.say(&member, &Word::PurgesWanted);
+                }
+                self.say(&member, &Word::TableWanted);
+                let steps = self.parts.table.met(now, &hello);
+                self.steps(now, steps);
+            }
+            peers::Told::Down(member, why) => {
+                log::info!("router {member} is not reached: {why:?}");
+                if self.reached.get(&member.router) == Some(&member) {
+                    self.reached.remove(&member.router);
+                    self.lost.insert(member.router.clone(), now);
+                }
+                self.holds(now, holds::Event::Reached(member.clone(), false));
+                self.parts.table.lost(now, &member);
+            }
+            peers::Told::Got { from, lane, body } => match lane {
+                Lane::Holds => self.holds(now, holds::Event::Bytes(from, body)),
+                Lane::Roster => self.roster(now, roster::Event::Bytes(from, body)),
+                Lane::Table => match Word::read(&body) {
+                    Some(word) => self.word(now, &from, word),
+                    None => self.counts.unreadable += 1,
+                },
+                // Not one of this thread's lanes.
+                Lane::Gather => self.counts.unreadable += 1,
+            },
+            peers::Told::Unsent { no, .. } => {
+                self.counts.unsent += 1;
+                if no > 0 {
+                    self.holds(now, holds::Event::Unsent(no));
+                }
+            }
+        }
+    }
+
+    pub(super) fn word(&mut self, now: Ms, from: &Member, word: Word) {
+        match word {
+            Word::PurgesWanted => {
+                let all: Vec<Purge> = self.parts.purges.all().collect();
+                let many = all.chunks(PURGES_AT_ONCE).count().max(1);
+                for n in 0..many {
+                    let some: Vec<Purge> =
+                        all.iter().skip(n * PURGES_AT_ONCE).take(PURGES_AT_ONCE).copied().collect();
+                    // Whose folder was empty vouches for nothing of before.
+                    let last = n + 1 == many && (self.start.old || self.start.done);
+                    self.say(from, &Word::Purges { some, last });
+                }
+            }
+            Word::Purges { some, last } => {
+                some.into_iter().for_each(|p| self.purge_heard(p));
+                if last {
+                    self.start.told.insert(from.clone());
+                }
+            }
+            Word::TableWanted => {
+                if let Some((serial, body)) = self.parts.table.register() {
+                    self.say(from, &Word::TableIs { serial, body });
+                }
+            }
+            Word::TableIs { serial, body } => {
+                let steps = self.parts.table.learn(now, serial, &body);
+                self.steps(now, steps);
+            }
+            Word::Checked { serial, table } => {
+                let steps = self.parts.table.checked(now, from, serial, table);
+                self.steps(now, steps);
+            }
+            Word::Still { key, turn } => {
+                if self.mine.get(&key) != Some(&turn) {
+                    self.doubt(now, key, turn);
+                }
+            }
+            Word::Filled { epoch } => {
+                let steps = self.parts.table.filled(now, from, epoch);
+                self.steps(now, steps);
+            }
+        }
+    }
+
+    /// A purge that another router has heard.
+    pub(super) fn purge_heard(&mut self, purge: Purge) {
+        if self.parts.purges.heard(purge) {
+            self.counts.purges_from_peers += 1;
+            self.to_keep.push(purge);
+            self.tell(Told::Purge(purge));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/start.rs
@@ -0,0 +1,196 @@
+//! The fleet's start: folder, links, threads and rings, in the order in which each can still be refused.
+
+use super::copies::{Copies, Parts, ADOPTED, HOLDS, PURGES};
+use super::port::{Fleet, Terms};
+use super::purges::{Purge, Purges};
+use super::table::{Founder, TableKeeper};
+use super::FleetCounts;
+use basaltgw_config::fleet::Fleet as FleetConfig;
+use basaltgw_config::NodeConfig;
+use basaltgw_holds::{Holds, Settings as HoldSettings};
+use basaltgw_ids::{Member, Ms, TableHash, TableVersion};
+use basaltgw_peers::{Hello, Lane, Limits as LinkLimits, Listed, User, PROTOCOL};
+use basaltgw_roster::{Presence, Roster, Settings as RosterSettings};
+use basaltgw_storage::{Found, Limits as StoreLimits, Store};
+use std::collections::BTreeMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io;
+use std::sync::{Arc, Mutex};
+
+/// Entries of a store for each hold: the hold, and a purge that is kept apart from it.
+const ENTRIES_PER_HOLD: u64 = 2;
+/// Bytes of a store beyond those of the holds: the table, the marks and the purges.
+const SPARE_BYTES: u64 = 64 << 20;
+/// Time to come back of a request that found no room to ask for its promise, in milliseconds: some rounds of copying.
+const STAY_AWAY_MS: Ms = 200.0;
+
+/// 128 random bits of the system's, new with each call.
+fn draw() -> u128 {
+    let word = || u128::from(RandomState::new().build_hasher().finish());
+    word() << 64 ^ word().rotate_left(17) ^ u128::from(std::process::id()) << 32
+}
+
+fn wrong(what: impl ToString) -> io::Error {
+    io::Error::other(what.to_string())
+}
+
+/// Opens the folder and starts the threads of a router of a fleet.
+///
+/// # Errors
+/// If the folder can't be used, the peers' address can't be listened at, or a thread can't be started.
+pub fn start(set: &FleetConfig, config: &NodeConfig) -> io::Result<Fleet> {
+    let limits = &set.limits;
+    let store_limits = StoreLimits {
+        entries: limits.holds as u64 * ENTRIES_PER_HOLD + super::purges::MOST_PURGES as u64,
+        bytes: limits.hold_bytes as u64 + SPARE_BYTES,
+        entry: limits.frame_bytes,
+    };
+    let (store, found) = Store::open(&set.folder, store_limits, draw()).map_err(wrong)?;
+    let (incarnation, old) = match found {
+        Found::Empty(new) => (new, false),
+        Found::Life(old) => (old, true),
+    };
+    let me = Member { router: set.name.clone(), incarnation };
+    log::info!("router {me} of fleet {}, {}", set.cluster, if old { "a life goes on" } else { "a new life" });
+    let settles = config.settings.purge_settles;
+    let longest = config.settings.classes.iter().map(|c| c.deadline.max(c.key_window)).fold(0.0, f64::max);
+    let hold_set = HoldSettings {
+        most_asks: limits.open_asks,
+        most_registers: limits.holds,
+        most_bytes: limits.hold_bytes,
+        most_outcome_bytes: limits.outcome_bytes,
+        most_message_bytes: limits.frame_bytes,
+        stay_away_most_ms: config.settings.max_retry_after.max(STAY_AWAY_MS),
+        effect_keep_ms: HoldSettings::usual().effect_keep_ms.max(2.0 * longest),
+        purge_keep_ms: (2.0 * settles).max(1_000.0),
+        fill_portion: limits.fill_portion,
+        fill_pause_ms: limits.fill_pause_ms.max(1.0),
+        ..HoldSettings::usual()
+    };
+    let stay_away_least = hold_set.stay_away_least_ms;
+    let records = store.read(HOLDS).map_err(wrong)?;
+    let holds = Holds::new(me.clone(), hold_set, records, draw() as u64).map_err(wrong)?;
+    let mut purges = Purges::default();
+    for (key, value) in store.read(PURGES).map_err(wrong)? {
+        let (key, time) = (postcard::from_bytes(&key), <[u8; 8]>::try_from(value.as_slice()));
+        let (Ok((group, object)), Ok(time)) = (key, time) else {
+            return Err(wrong(format!("{}: a purge that can't be read", set.folder.display())));
+        };
+        purges.heard(Purge { group, object, time: u64::from_be_bytes(time) });
+    }
+    let table = table(set, &me, &store)?;
+    let presence = Presence { member: me.clone(), address: set.listen, domain: set.domain.clone() };
+    let listed = set.peers.iter().map(|p| p.name.clone()).collect();
+    let roster_set = RosterSettings { listed, ..RosterSettings::default() };
+    let roster = Roster::new(presence, roster_set, draw() as u64).map_err(wrong)?;
+
+    let (questions, asked) = rtrb::RingBuffer::new(limits.ring);
+    let (tell, told) = rtrb::RingBuffer::new(limits.ring);
+    let (ring, bell) = async_channel::bounded(1);
+    let waker: Arc<Mutex<Option<std::thread::Thread>>> = Arc::default();
+    let wake_copies = {
+        let waker = Arc::clone(&waker);
+        move || {
+            if let Ok(thread) = waker.lock() {
+                thread.iter().for_each(std::thread::Thread::unpark);
+            }
+        }
+    };
+    let ring_owner = {
+        let ring = ring.clone();
+        move || {
+            let _ = ring.try_send(());
+        }
+    };
+    let users = [
+        User { lanes: vec![Lane::Gather], wake: Box::new(ring_owner) },
+        User { lanes: vec![Lane::Roster, Lane::Holds, Lane::Table], wake: Box::new(wake_copies) },
+    ];
+    let hello = Hello {
+        protocol: PROTOCOL,
+        cluster: Arc::clone(&set.cluster),
+        member: me.clone(),
+        domain: set.domain.clone(),
+        table: table.version().unwrap_or((TableVersion(0), TableHash([0; 32]))),
+    };
+    let listed = set.peers.iter().map(|p| Listed {
+        router: p.name.clone(),
+        address: p.address,
+        domain: p.domain.clone(),
+    });
+    let link_limits = LinkLimits {
+        frames: limits.lane_frames,
+        bytes: limits.lane_bytes,
+        frame: limits.frame_bytes,
+        ring: limits.ring,
+    };
+    let links =
+        basaltgw_peers::start(hello, set.listen, listed.collect(), link_limits, draw() as u64, users)?;
+    let (own_port, copies_port, links) = links.split();
+    let shown: Arc<Mutex<FleetCounts>> = Arc::default();
+    let parts = Parts {
+        me: me.clone(),
+        old,
+        holds,
+        roster,
+        store,
+        port: copies_port,
+        table,
+        purges,
+        settles,
+        questions: asked,
+        told: tell,
+        bell: ring,
+        shown: Arc::clone(&shown),
+        counts: links.counts(),
+    };
+    let run = move || match Copies::new(parts).run() {
+        Ok(()) => String::new(),
+        Err(why) => why,
+    };
+    let thread = std::thread::Builder::new().name("copies".into()).spawn(run)?;
+    if let Ok(mut waker) = waker.lock() {
+        *waker = Some(thread.thread().clone());
+    }
+    let terms = Terms {
+        effects: set.holds.effects,
+        purges: set.holds.purges,
+        promise: limits.promise_ms,
+        stay_away: stay_away_least.max(STAY_AWAY_MS),
+        outcome_bytes: limits.outcome_bytes,
+    };
+    let effects = config.settings.classes.iter().map(|c| c.effect).collect();
+    Ok(Fleet::new(me, effects, terms, (questions, told, bell), (thread, links, own_port), shown))
+}
+
+/// The table's owner, with what was adopted before.
+fn table(set: &FleetConfig, me: &Member, store: &Store) -> io::Result<TableKeeper> {
+    let mut founders: BTreeMap<_, _> = set
+        .peers
+        .iter()
+        .map(|p| (p.name.clone(), Founder { address: p.address, domain: p.domain.clone() }))
+        .collect();
+    founders.insert(set.name.clone(), Founder { address: set.listen, domain: set.domain.clone() });
+    let kept = match store.get(ADOPTED, &[]).map_err(wrong)? {
+        Some(bytes) => {
+            let found = postcard::from_bytes(&bytes);
+            Some(found.map_err(|e| wrong(format!("{}: the table kept there: {e}", set.folder.display())))?)
+        }
+        None => None,
+    };
+    TableKeeper::new(me.clone(), founders, set.limits.holds as u64, rules(set), kept).map_err(wrong)
+}
+
+/// The rules of the file, or those that the section itself amounts to.
+pub fn rules(set: &FleetConfig) -> Vec<(String, String)> {
+    match &set.rules {
+        Some(rules) => vec![(rules.file.display().to_string(), rules.text.clone())],
+        None => {
+            let text = format!(
+                "holds {{ shards {} copies {} spread machines }}\nroot {{ copies {} spread machines }}\n",
+                set.shards, set.copies, set.copies
+            );
+            vec![("the section fleet".to_string(), text)]
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/words.rs
@@ -0,0 +1,99 @@
+//! What the copies' threads of two routers say to each other besides holds and membership.
+
+use super::purges::Purge;
+use basaltgw_holds::HoldKey;
+use basaltgw_ids::{TableHash, TableVersion};
+use serde::{Deserialize, Serialize};
+
+/// Purges in one message.
+pub const PURGES_AT_ONCE: usize = 512;
+
+/// A message on the table's lane.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Say which purges you know.
+    PurgesWanted,
+    /// Some that are known; `last` if these are all that were left.
+    Purges {
+        /// At most [`PURGES_AT_ONCE`].
+        some: Vec<Purge>,
+        /// See above.
+        last: bool,
+    },
+    /// Say what stands in the table's register.
+    TableWanted,
+    /// The table's register as it stands here: advisory, whoever takes it over goes by no older one.
+    TableIs {
+        /// Its serial.
+        serial: u64,
+        /// Its content.
+        body: Vec<u8>,
+    },
+    /// The offered table was compiled or read here, with this hash.
+    Checked {
+        /// The register's serial at that.
+        serial: u64,
+        /// What it is here.
+        table: (TableVersion, TableHash),
+    },
+    /// Have you still got this out? If not, say so to its keepers.
+    Still {
+        /// Which hold.
+        key: HoldKey,
+        /// Under which turn.
+        turn: u32,
+    },
+    /// All shards that this router keeps under this epoch are filled.
+    Filled {
+        /// The epoch.
+        epoch: u64,
+    },
+}
+
+impl Word {
+    /// Its bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads one; `None` if it is none, or has bytes left over.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let (word, rest) = postcard::take_from_bytes(bytes).ok()?;
+        let fits = match &word {
+            Self::Purges { some, .. } => some.len() <= PURGES_AT_ONCE,
+            Self::PurgesWanted | Self::TableWanted | Self::TableIs { .. } => true,
+            Self::Checked { .. } | Self::Filled { .. } | Self::Still { .. } => true,
+        };
+        (rest.is_empty() && fits).then_some(word)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_a_word_or_none(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            if let Some(word) = Word::read(&bytes) {
+                prop_assert_eq!(Word::read(&word.bytes()), Some(word));
+            }
+        }
+    }
+
+    #[test]
+    fn words_come_back_as_they_went() {
+        let purge = Purge { group: 1, object: None, time: 5 };
+        for word in [
+            Word::PurgesWanted,
+            Word::Purges { some: vec![purge], last: true },
+            Word::TableIs { serial: 3, body: vec![1, 2] },
+            Word::Filled { epoch: 9 },
+        ] {
+            assert_eq!(Word::read(&word.bytes()), Some(word));
+        }
+        let many = Word::Purges { some: vec![purge; PURGES_AT_ONCE + 1], last: true };
+        assert_eq!(Word::read(&many.bytes()), None);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clients;
 pub mod clock;
 pub mod counters;
+pub mod fleet;
 pub mod inbox;
 pub mod limits;
 pub mod outbox;
@@ -24,7 +25,6 @@
 use async_io::Async;
 use basaltgw::rules::carry::Learnt;
 use basaltgw_config::{learnt, Carry, Hierarchy, News, NodeConfig, OwnSettings};
-use counters::Counters;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -55,6 +55,8 @@
     Reloaded(bool),
     /// The project's own file was read again.
     Plan(Box<Hierarchy>),
+    /// The fleet's threads have told something.
+    Fleet,
     /// The process was asked to end.
     End,
     /// The counters were asked for.
@@ -95,8 +97,11 @@
     pub settings: OwnSettings,
 }
 
-/// Runs a router until it is asked to end; gives its counters.
-pub fn serve(mut config: NodeConfig, own: Own) -> io::Result<Counters> {
+/// Runs a router until it is asked to end; gives what it counted, as `name=value` words.
+///
+/// # Errors
+/// If it can't start, or one of the fleet's threads has ended by itself.
+pub fn serve(mut config: NodeConfig, own: Own) -> io::Result<String> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
     let signals = shutdown::listen()?;
     let (queue, from_clients) = async_channel::bounded(limits::QUEUE);
@@ -120,6 +125,15 @@
         owner.adopt(learnt);
     }
     let clock = Rc::clone(&shared.clock);
+    if let Some(set) = &own.settings.fleet {
+        let fleet = fleet::start::start(set, &config)?;
+        // The threads' bell becomes one of the owner's inputs.
+        let (bell, urgent) = (fleet.bell.clone(), urgent.clone());
+        let ring =
+            async move { while bell.recv().await.is_ok() && urgent.send(Input::Fleet).await.is_ok() {} };
+        shared.executor.spawn(ring).detach();
+        owner.join(fleet);
+    }
     let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let executor = Rc::clone(&shared.executor);
@@ -129,7 +143,8 @@
     executor.spawn(follow).detach();
     config.known = Vec::new();
     executor.spawn(shutdown::watch(signals, urgent, (config, own.clone()), moves)).detach();
-    let (counters, left) = async_io::block_on(executor.run(owner.run(inputs, listener)));
+    let owner::Ended { counters, learnt: left, fleet, fault } =
+        async_io::block_on(executor.run(owner.run(inputs, listener)));
     if let Some(carry) = &own.settings.carry {
         match leave(&carry.file, &learnt::write(&left, clock.now())) {
             Ok(()) => log::info!(
@@ -140,7 +155,10 @@
             Err(e) => log::warn!("what was learnt is not left: {}: {e}", carry.file.display()),
         }
     }
-    Ok(counters)
+    match fault {
+        Some(fault) => Err(io::Error::other(fault)),
+        None => Ok(format!("{counters}{fleet}")),
+    }
 }
 
 /// What an earlier life left; what can't be used is said and left out.
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -194,7 +194,8 @@
     }
 
     fn report(&mut self, (no, n): AttemptKey, end: End, telling: Telling, later: bool) {
-        let Some(open) = self.requests.get(no) else { return };
+        let Some(open) = self.requests.get_mut(no) else { return };
+        open.promise.attempt(end);
         let Some(attempt) = open.attempts.get(n.0) else { return };
         self.counters.ended(end);
         let planned = match &attempt.source {
@@ -210,7 +211,7 @@
             server: attempt.server.clone(),
             end,
             delay: self.now - attempt.sent,
-            last: open.answered,
+            last: open.answered || open.promise.decided(),
             note: telling.note,
             source_wait: telling.waited,
             load: telling.load,
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -23,6 +23,7 @@
 pub(super) enum Due {
     Module(u64),
     Attempt(RequestNo, AttemptNo),
+    Look(RequestNo),
 }
 
 /// Timers, by their time and then in the order in which they were set.
@@ -61,10 +62,22 @@
     (at.max(0.0) * 1000.0) as u64
 }
 
+/// What is left of an owner.
+pub struct Ended {
+    /// What was counted.
+    pub counters: Counters,
+    /// What was learnt.
+    pub learnt: Learnt,
+    /// What the fleet counted, as words.
+    pub fleet: String,
+    /// Why it had to end, if it was not asked to.
+    pub fault: Option<String>,
+}
+
 impl Owner {
-    /// Takes inputs in batches until the router has ended; gives its counters and what was learnt. `listener` accepts clients and is
+    /// Takes inputs in batches until the router has ended. `listener` accepts clients and is
     /// dropped when none are taken any more.
-    pub async fn run(mut self, from: Inputs, listener: Task<()>) -> (Counters, Learnt) {
+    pub async fn run(mut self, from: Inputs, listener: Task<()>) -> Ended {
         let mut listener = Some(listener);
         let mut inputs = Vec::new();
         loop {
@@ -96,15 +109,18 @@
                 let open = self.clients.any_open();
                 if self.ending.over(self.now, open) {
                     self.count();
-                    return (self.counters, self.router.learnt());
+                    let fault = self.fleet.as_mut().and_then(|f| f.fault.take().or(f.end()));
+                    let fleet = self.fleet_words();
+                    return Ended { counters: self.counters, learnt: self.router.learnt(), fleet, fault };
                 }
             }
         }
     }
 
     pub(super) fn batch(&mut self, inputs: &mut Vec<Input>) {
-        self.now = self.clock.now();
+        let before = std::mem::replace(&mut self.now, self.clock.now());
         let begun = self.now;
+        self.woken(begun - before);
         // Purges and drains go before all that came with them, and before what is decided again.
         let (news, others): (Vec<_>, Vec<_>) =
             inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
@@ -118,6 +134,7 @@
             match what {
                 Due::Module(token) => self.tell(Event::Timer(token)),
                 Due::Attempt(no, n) => self.time_out((no, n)),
+                Due::Look(no) => self.look(no),
             }
         }
         if self.now >= self.tidied + TIDY_MS {
@@ -134,6 +151,7 @@
     fn tidy(&mut self) {
         self.caches.tidy(self.now);
         let events = self.tree.tick(self.now);
+        self.fleet_told();
         self.tell_all(events);
         // Nothing was written on them, so they count as never up.
         for at in self.caches.unproved(self.now) {
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -161,7 +161,8 @@
                 }
             },
             FromClient::Ping(tag) => {
-                client.outbox.put(pong(tag, self.list_in && !self.ending.asked()));
+                let known = self.fleet.as_ref().is_none_or(|f| f.purges_known);
+                client.outbox.put(pong(tag, self.list_in && known && !self.ending.asked()));
             }
             FromClient::Unreadable(tag) => self.not_understood(id, tag),
         }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -3,6 +3,7 @@
 //! - `batch`: queues, timers and batches;
 //! - `clients`: clients and their places; `asker`: what a front gives, and how it is answered;
 //! - `requests` and `attempts`: from the time that a request is taken in to its answer; `news`: what overtakes them;
+//! - `promise`: requests that may run once only, where a fleet keeps them;
 //! - `relief`: when memory is short.
 
 mod asker;
@@ -10,6 +11,7 @@
 mod batch;
 mod clients;
 mod news;
+mod promise;
 mod relief;
 mod requests;
 #[cfg(test)]
@@ -19,6 +21,7 @@
 use crate::clients::Reply;
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::fleet::Fleet;
 use crate::limits::HELD_SHARE;
 use crate::outbox::Meter;
 use crate::shutdown::Ending;
@@ -29,6 +32,7 @@
 use basaltgw::rules::carry::Learnt;
 use basaltgw::rules::Router;
 use basaltgw_config::{Names, NodeConfig, OwnSettings, Place};
+pub use batch::Ended;
 use batch::{Due, Timers};
 use clients::Clients;
 use requests::Requests;
@@ -59,6 +63,8 @@
     pending: VecDeque<Event>,
     /// The plan of the tree, where there is one.
     tree: Tree,
+    /// Other routers, where the own settings name some.
+    fleet: Option<Fleet>,
     ending: Ending,
     tidied: Ms,
     counters: Counters,
@@ -93,6 +99,7 @@
             timers: Timers::default(),
             pending: VecDeque::new(),
             tree: Tree::new(own.hierarchy.as_ref()),
+            fleet: None,
             ending: Ending::default(),
             tidied: 0.0,
             counters: Counters::default(),
@@ -113,6 +120,11 @@
         log::info!("took over what was learnt of {known} of {servers} servers, and {purges} purges");
     }
 
+    /// Has other routers to keep what it takes on.
+    pub fn join(&mut self, fleet: Fleet) {
+        self.fleet = Some(fleet);
+    }
+
     fn input(&mut self, input: Input) {
         match input {
             Input::ClientOpen(id, outbox) => self.connect(id, outbox),
@@ -130,13 +142,14 @@
                 let events = self.tree.offer(self.now, &hierarchy);
                 self.tell_all(events);
             }
+            Input::Fleet => self.fleet_told(),
             Input::End => {
                 log::info!("asked to end");
                 self.ending.ask(self.now);
             }
             Input::Count => {
                 self.count();
-                log::info!("{}", self.counters);
+                log::info!("{}{}", self.counters, self.fleet_words());
                 self.tree.describe().iter().for_each(|line| log::info!("{line}"));
             }
         }
--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -3,7 +3,8 @@
 use super::attempts::Attempt;
 use super::requests::Open;
 use super::Owner;
-use basaltgw::api::{End, Event, ListMode, Listed, ServerId};
+use crate::fleet::purges::Purge;
+use basaltgw::api::{End, Event, GroupId, ListMode, Listed, Ms, ObjectId, ServerId};
 use basaltgw_config::{Member, News};
 
 impl Owner {
@@ -14,17 +15,24 @@
                 self.list(whole, members);
             }
             News::Purge { object, group, time } => {
-                self.counters.purges += 1;
-                self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
-                let named = |o: &Open| match object {
-                    Some(object) => o.request.object == object,
-                    None => o.request.group == group,
-                };
-                self.recall(|o, _| named(o));
+                let heard = Purge::new(group, object, time);
+                self.fleet.iter_mut().for_each(|f| f.purged(heard));
+                self.heed(object, group, time);
             }
         }
     }
 
+    /// A purge, from whomever it was heard.
+    pub(super) fn heed(&mut self, object: Option<ObjectId>, group: GroupId, time: Ms) {
+        self.counters.purges += 1;
+        self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
+        let named = |o: &Open| match object {
+            Some(object) => o.request.object == object,
+            None => o.request.group == group,
+        };
+        self.recall(|o, _| named(o));
+    }
+
     fn list(&mut self, whole: bool, members: Vec<Member>) {
         self.list_in = true;
         let (mut leaving, mut left_out) = (Vec::new(), Vec::new());
--- /dev/null
+++ b/crates/node/src/owner/promise.rs
@@ -0,0 +1,300 @@
+//! Requests that may run once only, where the fleet keeps them: taken on by enough routers before they are sent, and their outcome put
+//! down before it is said. Without a fleet nothing here is in the way.
+
+use super::batch::Due;
+use super::Owner;
+use crate::caches::RequestNo;
+use crate::clients::{Reply, WireId};
+use crate::fleet::{Fleet, Told};
+use crate::outbox::Counted;
+use basaltgw::api::{ClassId, Effect, End, Event, GroupId, Ms, ObjectId};
+use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Kind, Outcome, Verdict};
+
+/// What another router has out is asked after so often, until its outcome is known or the client's time is over.
+const LOOK_MS: Ms = 30.0;
+/// So much of a request's time is left for its answer to be written, once its promise is waited for no longer.
+const SPARE_MS: Ms = 15.0;
+/// A process that has not come to its queues for so long may have been stopped, and others may have taken over what it held: what
+/// it has not sent yet it gives back instead.
+const STOPPED_MS: Ms = 750.0;
+
+/// How far a request is with the fleet.
+#[derive(Debug, Default)]
+pub(super) enum Promise {
+    /// It needs none, or there is no fleet.
+    #[default]
+    None,
+    /// The keepers are asked to take it.
+    Asked,
+    /// Another router has it.
+    Elsewhere,
+    /// It is this router's to send.
+    Mine { turn: u32, ran: bool, served: bool },
+    /// Its outcome is being put down, and then said.
+    Ending { turn: u32, body: Counted },
+    /// The fleet has been told, or is being told, how it ended.
+    Over,
+}
+
+impl Promise {
+    /// The module has its last word on it.
+    pub(super) fn decided(&self) -> bool {
+        matches!(self, Self::Ending { .. })
+    }
+
+    /// The module knows of the request.
+    pub(super) fn begun(&self) -> bool {
+        !matches!(self, Self::Asked | Self::Elsewhere)
+    }
+
+    /// An attempt has ended so.
+    pub(super) fn attempt(&mut self, end: End) {
+        if let Self::Mine { ran, served, .. } = self {
+            let never = match end {
+                End::Full | End::NoConnection | End::NotSent | End::Miss => true,
+                End::Served | End::Error | End::Late | End::Broken | End::Cancelled => false,
+            };
+            *ran |= !never;
+            *served |= end == End::Served;
+        }
+    }
+}
+
+/// The hold of a request, by the client's id of it.
+pub(super) fn effect(id: &WireId) -> HoldKey {
+    // The id is 16 hex digits; what is not is no request.
+    let name = u128::from(u64::from_str_radix(&id.0, 16).unwrap_or(u64::MAX));
+    HoldKey { kind: Kind::Effect, name }
+}
+
+impl Owner {
+    /// True if the request has to be taken on by the fleet before it may be tried: the keepers are asked, or it is turned away.
+    pub(super) fn promise(&mut self, no: RequestNo) -> bool {
+        let Some(fleet) = &mut self.fleet else { return false };
+        let Some(open) = self.requests.get_mut(no) else { return false };
+        let once = |class: ClassId| {
+            fleet.effects.get(class.0).is_some_and(|e| matches!(e, Effect::Keyed | Effect::Unsafe))
+        };
+        if !fleet.terms.effects || !open.class.is_some_and(once) {
+            return false;
+        }
+        open.promise = Promise::Asked;
+        let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
+        let change = Change::Take(fleet.me.clone());
+        let asked = within > 0.0 && fleet.ask(no, effect(&open.request.id), change, within);
+        if !asked {
+            fleet.counters.turned_away += 1;
+            let stay_away = fleet.terms.stay_away;
+            self.answer(no, Reply::Refused(stay_away));
+        }
+        true
+    }
+
+    /// The copies' thread has spoken.
+    pub(super) fn fleet_told(&mut self) {
+        while let Some(told) = self.fleet.as_mut().and_then(Fleet::next) {
+            match told {
+                Told::Verdict(ask, verdict) => self.verdict(ask, verdict),
+                Told::Purge(purge) => {
+                    let (group, object) = (GroupId(purge.group), purge.object.map(ObjectId));
+                    self.heed(object, group, purge.time as Ms);
+                }
+                Told::PurgesKnown(known) => self.purges_known(known),
+                Told::Table(version, hash) => log::info!("goes by table {} ({hash})", version.0),
+            }
+        }
+        if let Some(why) = self.fleet.as_mut().and_then(Fleet::lost) {
+            self.fleet_lost(&why);
+        }
+    }
+
+    /// A thread of the fleet is gone, and so is what it vouched for: the process ends in order.
+    fn fleet_lost(&mut self, why: &str) {
+        if let Some(fleet) = self.fleet.as_mut().filter(|f| f.fault.is_none() && !f.ending) {
+            fleet.fault = Some(why.to_string());
+            log::error!("the fleet's threads have ended, and so does the router: {why}");
+            self.ending.ask(self.now);
+        }
+    }
+
+    /// What was purged before this start is known, or everything counts as purged now.
+    fn purges_known(&mut self, known: bool) {
+        if let Some(fleet) = self.fleet.as_mut().filter(|f| !f.purges_known) {
+            fleet.purges_known = true;
+            if !known {
+                log::warn!("purges of before this start can't be had: copies of before it are not served until they have settled");
+                let groups = 0..=crate::limits::MOST_GROUP;
+                groups.for_each(|g| self.tell(Event::Purged(GroupId(g), None, 0.0)));
+            }
+        }
+    }
+
+    fn verdict(&mut self, ask: AskNo, verdict: Verdict) {
+        let Some(no) = self.fleet.as_mut().and_then(|f| f.asks.remove(&ask)) else { return };
+        let Some(open) = self.requests.get_mut(no) else { return };
+        match std::mem::take(&mut open.promise) {
+            Promise::Ending { turn, body } => {
+                open.promise = Promise::Over;
+                let key = effect(&open.request.id);
+                match verdict {
+                    Verdict::Kept(_) | Verdict::Stands(Some(Hold::Done(_))) => {}
+                    Verdict::Stands(_) => {
+                        // Others were told that nobody knows.
+                        self.fleet.iter_mut().for_each(|f| f.counters.fenced += 1);
+                        return self.pay_out(no, Reply::Failed);
+                    }
+                    // It was served, whoever keeps that; it goes on being put down.
+                    Verdict::Unkept { .. } => {
+                        self.fleet.iter_mut().for_each(|f| f.put_down(key, turn, f.outcome(body.bytes())));
+                    }
+                }
+                self.pay_out(no, Reply::Served(body.bytes()));
+            }
+            Promise::Asked | Promise::Elsewhere => self.taken(no, verdict),
+            other @ (Promise::None | Promise::Mine { .. } | Promise::Over) => open.promise = other,
+        }
+    }
+
+    /// What came of asking the keepers to take a request, or how it stands.
+    fn taken(&mut self, no: RequestNo, verdict: Verdict) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some(open) = self.requests.get_mut(no) else { return };
+        let stands = match verdict {
+            Verdict::Kept(Hold::Out { owner, turn }) if owner == fleet.me => {
+                fleet.counters.promised += 1;
+                open.promise = Promise::Mine { turn, ran: false, served: false };
+                if open.answered {
+                    // The client has left meanwhile.
+                    return self.forget(no);
+                }
+                return self.go_on(no);
+            }
+            Verdict::Kept(stands) => Some(stands),
+            Verdict::Stands(stands) => stands,
+            Verdict::Unkept { never, stay_away, why } => {
+                fleet.counters.unkept += 1;
+                log::debug!("a request is turned away, its promise is not kept: {why:?}");
+                if !never {
+                    // It may yet be found taken; it never ran, which is put down as soon as that can be.
+                    fleet.give_back(effect(&open.request.id));
+                }
+                open.promise = Promise::Over;
+                return self.answer(no, Reply::Refused(stay_away));
+            }
+        };
+        open.promise = Promise::Over;
+        match stands {
+            Some(Hold::Done(Outcome::Served(bytes))) => {
+                fleet.counters.told_again += 1;
+                self.answer(no, Reply::Served(&bytes));
+            }
+            Some(Hold::Out { .. } | Hold::Free { .. }) => {
+                if open.answered {
+                    return self.forget(no);
+                }
+                open.promise = Promise::Elsewhere;
+                fleet.counters.looks += 1;
+                self.timers.set(self.now + LOOK_MS, Due::Look(no));
+            }
+            // Nobody may say that it never ran.
+            Some(Hold::Done(Outcome::ServedUntold | Outcome::Failed) | Hold::Doubt | Hold::Ended) | None => {
+                fleet.counters.in_doubt += 1;
+                self.answer(no, Reply::Failed);
+            }
+            Some(Hold::Purged { .. } | Hold::Ticket { .. } | Hold::Debt { .. } | Hold::Table { .. }) => {
+                fleet.counters.in_doubt += 1;
+                self.answer(no, Reply::Failed);
+            }
+        }
+    }
+
+    /// Asks again how a request stands that another router has, and takes it if it was given back.
+    pub(super) fn look(&mut self, no: RequestNo) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some(open) = self.requests.get(no) else { return };
+        if !matches!(open.promise, Promise::Elsewhere) || open.answered {
+            return;
+        }
+        let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
+        let change = Change::Take(fleet.me.clone());
+        if within <= 0.0 || !fleet.ask(no, effect(&open.request.id), change, within) {
+            // It may run at the other router: whoever waits is not invited to repeat it.
+            fleet.counters.in_doubt += 1;
+            self.answer(no, Reply::Failed);
+        }
+    }
+
+    /// Puts down how a promised request ends. True if the answer has to wait for that.
+    pub(super) fn ends(&mut self, no: RequestNo, reply: Reply<'_>) -> bool {
+        let Some(fleet) = &mut self.fleet else { return false };
+        let Some(open) = self.requests.get_mut(no) else { return false };
+        let Promise::Mine { turn, .. } = open.promise else { return open.promise.decided() };
+        let key = effect(&open.request.id);
+        open.promise = Promise::Over;
+        let bytes = match reply {
+            // Given up is answered at once; that it never ran is put down beside that.
+            Reply::Refused(_) => {
+                fleet.give_back(key);
+                return false;
+            }
+            Reply::Failed => {
+                fleet.put_down(key, turn, Outcome::Failed);
+                return false;
+            }
+            Reply::Served(bytes) => bytes,
+            Reply::Same => &[],
+        };
+        let outcome = fleet.outcome(bytes);
+        let change = Change::Done(fleet.me.clone(), turn, outcome.clone());
+        let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
+        if within > 0.0 && fleet.ask(no, key, change, within) {
+            open.promise = Promise::Ending { turn, body: Counted::new(bytes.to_vec(), &[&self.meter]) };
+            return true;
+        }
+        fleet.put_down(key, turn, outcome);
+        false
+    }
+
+    /// A request is over whose client had left before it ended: its hold ends by what came of its attempts.
+    pub(super) fn ended_unheard(&mut self, no: RequestNo) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some(open) = self.requests.get_mut(no).filter(|o| o.over()) else { return };
+        let Promise::Mine { turn, ran, served } = open.promise else { return };
+        let key = effect(&open.request.id);
+        open.promise = Promise::Over;
+        match (ran, served) {
+            (false, _) => fleet.give_back(key),
+            (true, true) => fleet.put_down(key, turn, Outcome::ServedUntold),
+            (true, false) => fleet.put_down(key, turn, Outcome::Failed),
+        }
+    }
+
+    /// The process may have been stopped for `gap`: what it holds and has not sent is given back, not sent.
+    pub(super) fn woken(&mut self, gap: Ms) {
+        if gap < STOPPED_MS || self.fleet.is_none() {
+            return;
+        }
+        let unsent = self.requests.held_unsent();
+        log::warn!(
+            "was not at its queues for {gap:.0} ms: {} promised requests are given back unsent",
+            unsent.len()
+        );
+        for no in unsent {
+            self.take_back(no);
+            self.tell(Event::ClientLeft(super::name(no)));
+            let stay_away = self.fleet.as_ref().map_or(0.0, |f| f.terms.stay_away);
+            self.answer(no, Reply::Refused(stay_away));
+        }
+    }
+
+    /// Takes back what waits to be written of a request.
+    fn take_back(&mut self, no: RequestNo) {
+        let waiting = self.requests.waiting(|_, _| true).into_iter().filter(|key| key.0 == no);
+        waiting.for_each(|key| self.give_up(key, (End::Cancelled, End::NotSent), true));
+    }
+
+    /// Prints what the fleet counts.
+    pub(super) fn fleet_words(&self) -> String {
+        self.fleet.as_ref().map(Fleet::words).unwrap_or_default()
+    }
+}
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -2,6 +2,7 @@
 
 use super::asker::{Asked, Asker};
 use super::attempts::Attempt;
+use super::promise::Promise;
 use super::{name, Owner};
 use crate::caches::{AttemptKey, RequestNo};
 use crate::clients::{Do, Reply, WireId};
@@ -13,7 +14,7 @@
 /// A request whose answer is owed, or whose attempts are not all over.
 pub(super) struct Open {
     asker: Asker,
-    class: Option<ClassId>,
+    pub class: Option<ClassId>,
     pub request: Box<Do>,
     /// Its body is counted while it may have to be sent.
     pub body: Option<Counted>,
@@ -21,10 +22,12 @@
     /// Nothing more may be written to the asker for it.
     pub answered: bool,
     pub attempts: Vec<Attempt>,
+    /// How far it is with the fleet.
+    pub promise: Promise,
 }
 
 impl Open {
-    fn over(&self) -> bool {
+    pub(super) fn over(&self) -> bool {
         self.answered && self.attempts.iter().all(|a| a.way.is_none())
     }
 
@@ -90,13 +93,30 @@
         keys
     }
 
+    /// Promised requests of which nothing is out.
+    pub(super) fn held_unsent(&self) -> Vec<RequestNo> {
+        let out = |a: &Attempt| matches!(a.stage(), Some(Stage::Begun | Stage::Written));
+        let unsent =
+            |o: &Open| matches!(o.promise, Promise::Mine { ran: false, .. }) && !o.attempts.iter().any(out);
+        self.open.iter().filter(|(_, o)| !o.answered && unsent(o)).map(|(no, _)| *no).collect()
+    }
+
     fn insert(&mut self, mut asked: Asked, meter: &Rc<Meter>) -> RequestNo {
         self.ever += 1;
         let no = RequestNo(self.ever);
         let body = Some(Counted::new(std::mem::take(&mut asked.request.body), &[meter]));
         let Asked { asker, class, request, deadline } = asked;
         self.ids.insert(request.id.clone());
-        let open = Open { asker, class, request, body, deadline, answered: false, attempts: Vec::new() };
+        let open = Open {
+            asker,
+            class,
+            request,
+            body,
+            deadline,
+            answered: false,
+            attempts: Vec::new(),
+            promise: Promise::None,
+        };
         self.open.insert(no, open);
         no
     }
@@ -129,11 +149,13 @@
         let asker = asked.asker;
         let no = self.requests.insert(asked, &self.meter);
         self.owe(asker, no);
-        self.go_on(no);
+        if !self.promise(no) {
+            self.go_on(no);
+        }
     }
 
     /// Tells the module of a request that was taken in.
-    fn go_on(&mut self, no: RequestNo) {
+    pub(super) fn go_on(&mut self, no: RequestNo) {
         let Some(open) = self.requests.get(no) else { return };
         let event = Event::Request(Request {
             id: name(no),
@@ -150,6 +172,13 @@
 
     /// Gives the one answer. All answers of the module and of servers go through this.
     pub(super) fn answer(&mut self, no: RequestNo, reply: Reply<'_>) {
+        // What ran is put down before it is said.
+        if !self.ends(no, reply) {
+            self.pay_out(no, reply);
+        }
+    }
+
+    pub(super) fn pay_out(&mut self, no: RequestNo, reply: Reply<'_>) {
         let Some(asker) = self.requests.settle(no) else { return };
         if self.pay(asker, reply) {
             self.counters.answered(&reply);
@@ -159,15 +188,19 @@
 
     /// The asker waits no longer.
     pub(super) fn left(&mut self, no: RequestNo) {
+        let told = self.requests.get(no).is_some_and(|o| o.promise.begun());
         if self.requests.settle(no).is_some() {
             self.counters.left += 1;
-            self.tell(Event::ClientLeft(name(no)));
+            if told {
+                self.tell(Event::ClientLeft(name(no)));
+            }
         }
         self.forget(no);
     }
 
     /// What is answered and has nothing out is over.
     pub(super) fn forget(&mut self, no: RequestNo) {
+        self.ended_unheard(no);
         self.requests.forget(no);
     }
 }
