Counters by who is counted, on prometheus-client, with one writer and as cheap as before

Counters were one struct of 50 fields that referred to each other's comments, and only the owner could read them. They are groups now (clients, attempts, connections, change log, files, memory, tree, batches); a group declares each counter once with its word, its help and its kind, and another group (peers, holds) is another such list.

--- a/crates/node/src/owner/asker.rs
+++ b/crates/node/src/owner/asker.rs
@@ -35,7 +35,7 @@
 
     /// The request found no place, and nothing of it is known.
     pub(super) fn turn_away(&mut self, asker: Asker) {
-        self.counters.turned_away += 1;
+        self.counters.clients.turned_away.one();
         match asker {
             Asker::Client(id, tag) => self.clients.turn_away(id, tag),
         }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -55,7 +55,7 @@
         let Some(no) = number(&fetch.request) else { return };
         let Some(open) = self.requests.get_mut(no) else { return };
         let n = AttemptNo(open.attempts.len());
-        self.counters.attempts += 1;
+        self.counters.attempts.made.one();
         let source = Some(fetch.fill_from).filter(|s| *s != fetch.server);
         let asked = Some(fetch.timeout).filter(|t| *t != 0.0);
         let until = asked.map_or(open.deadline, |t| open.deadline.min(self.now + t));
@@ -104,10 +104,10 @@
     /// A connection is over, and with it what was open on it.
     pub(super) fn conn_down(&mut self, at: ConnId, down: Down) {
         match down {
-            Down::NeverUp => self.counters.conns_failed += 1,
+            Down::NeverUp => self.counters.conns.failed.one(),
             Down::Ended(Over::Ended | Over::Silent) => {}
-            Down::Ended(Over::Unreadable(_)) => self.counters.conns_unreadable += 1,
-            Down::Ended(Over::Unfinished) => self.counters.conns_unfinished += 1,
+            Down::Ended(Over::Unreadable(_)) => self.counters.conns.unreadable.one(),
+            Down::Ended(Over::Unfinished) => self.counters.conns.unfinished.one(),
         }
         self.depart(|leaving| leaving.on == at);
         for key in self.caches.down(at) {
@@ -165,14 +165,14 @@
         }
         let key = self.caches.answered(self.now, at, &answer.id);
         let (Some(key), Some(end)) = (key, answer.end) else {
-            self.counters.late_answers += u64::from(answer.end.is_some());
+            self.counters.attempts.late_answers.more(answer.end.is_some().into());
             return;
         };
         let write = self.requests.get(key.0).is_some_and(Open::is_write);
         if end == End::Served && !answer.copy && !write {
             // A read's answer without its copy's tag is spoilt, and so is the connection. What else is open on it is out until its
             // socket is closed.
-            self.counters.conns_unreadable += 1;
+            self.counters.conns.unreadable.one();
             self.caches.end(at);
             self.recall(|_, a| a.way.as_ref().is_some_and(|(conn, _)| *conn == at));
             return self.end(key, End::Broken, UNTOLD, false);
@@ -196,7 +196,7 @@
     fn report(&mut self, (no, n): AttemptKey, end: End, telling: Telling, later: bool) {
         let Some(open) = self.requests.get(no) else { return };
         let Some(attempt) = open.attempts.get(n.0) else { return };
-        self.counters.ended(end);
+        self.counters.attempts.ended(end);
         let planned = match &attempt.source {
             Some(source) => {
                 let pair = (&attempt.server, source);
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -111,7 +111,8 @@
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
         let silent = self.now - LEAVING_MS;
-        self.counters.unheeded += self.depart(|leaving| leaving.since < silent);
+        let unheeded = self.depart(|leaving| leaving.since < silent);
+        self.counters.attempts.unheeded.more(unheeded);
         left_over.into_iter().for_each(|event| self.tell(event));
         others.into_iter().for_each(|input| self.input(input));
         for what in self.timers.take(self.now) {
@@ -125,9 +126,9 @@
             self.tidy();
         }
         self.relieve();
-        self.counters.batches += 1;
-        self.counters.batch_longest = self.counters.batch_longest.max(self.clock.now() - begun);
-        self.counters.held_most = self.counters.held_most.max(self.meter.held() as u64);
+        self.counters.batches.given.one();
+        self.counters.batches.longest.raise(self.clock.now() - begun);
+        self.counters.memory.held_most.raise(self.meter.held() as u64);
     }
 
     /// Closes what is no longer of use.
@@ -140,6 +141,6 @@
             self.input(Input::CacheDown(at, Down::NeverUp));
         }
         let idle = if self.ending.accepts(self.now) { CLIENT_IDLE_MS } else { 0.0 };
-        self.counters.closed_idle += self.clients.close_idle(self.now, idle) as u64;
+        self.counters.clients.closed_idle.more(self.clients.close_idle(self.now, idle) as u64);
     }
 }
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -126,16 +126,16 @@
 
 impl Owner {
     pub(super) fn connect(&mut self, id: ClientId, outbox: Outbox) {
-        self.counters.clients += 1;
+        self.counters.clients.connected.one();
         self.clients.0.insert(id, Client::new(self.now, outbox));
     }
 
     pub(super) fn client_over(&mut self, id: ClientId, over: Over) {
         match over {
             Over::Ended => {}
-            Over::Unreadable(_) => self.counters.closed_unreadable += 1,
-            Over::Silent => self.counters.closed_silent += 1,
-            Over::Unfinished => self.counters.closed_unfinished += 1,
+            Over::Unreadable(_) => self.counters.clients.closed_unreadable.one(),
+            Over::Silent => self.counters.clients.closed_silent.one(),
+            Over::Unfinished => self.counters.clients.closed_unfinished.one(),
         }
         self.disconnect(id);
     }
@@ -151,13 +151,15 @@
                     let too_many = client.undone >= UNDONE_MOST;
                     self.left(no);
                     if too_many {
-                        self.counters.closed_broken_rule += 1;
+                        self.counters.clients.closed_broken_rule.one();
                         self.disconnect(id);
                     }
                 }
                 None => {
                     let unsent = client.unsent.remove(&tag);
-                    unsent.into_iter().for_each(|p| self.counters.taken_back += u64::from(p.take_back()));
+                    unsent
+                        .into_iter()
+                        .for_each(|p| self.counters.clients.taken_back.more(p.take_back().into()));
                 }
             },
             FromClient::Ping(tag) => {
@@ -170,11 +172,11 @@
     /// What makes no sense is failed, and a client that goes on with it is closed.
     fn not_understood(&mut self, id: ClientId, tag: Tag) {
         let Some(client) = self.clients.0.get_mut(&id) else { return };
-        self.counters.unreadable += 1;
+        self.counters.clients.unreadable.one();
         client.outbox.put(answer(tag, Reply::Failed));
         client.unreadable += 1;
         if client.unreadable >= UNREADABLE_MOST {
-            self.counters.closed_broken_rule += 1;
+            self.counters.clients.closed_broken_rule.one();
             self.disconnect(id);
         }
     }
@@ -184,7 +186,7 @@
         if !client.opens(tag) {
             // Which of two requests under one number an answer would be for can't be told, and no client in service has so many
             // open: the connection is closed, and nothing that is open on it is answered.
-            self.counters.closed_broken_rule += 1;
+            self.counters.clients.closed_broken_rule.one();
             return self.disconnect(id);
         }
         let class = self.names.class(&request.class);
@@ -192,7 +194,7 @@
         if class.is_none() || self.requests.knows(&request.id) {
             return self.not_understood(id, tag);
         }
-        self.counters.requests += 1;
+        self.counters.clients.requests.one();
         let deadline = at + request.left;
         self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline });
     }
@@ -202,7 +204,7 @@
     /// One on which something is open is never closed for this.
     pub(super) fn make_room(&mut self) {
         let closed = self.clients.least_missed(self.now);
-        self.counters.closed_for_room += closed.len() as u64;
+        self.counters.clients.closed_for_room.more(closed.len() as u64);
         closed.into_iter().for_each(|id| self.disconnect(id));
     }
 
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -109,7 +109,7 @@
     pub fn adopt(&mut self, learnt: Learnt) {
         let (servers, purges) = (learnt.servers.len(), learnt.purges.len());
         let known = self.router.adopt(self.now, learnt);
-        self.counters.carried = known as u64;
+        self.counters.files.carried.reached(known as u64);
         log::info!("took over what was learnt of {known} of {servers} servers, and {purges} purges");
     }
 
@@ -123,9 +123,9 @@
             Input::Cache(at, answer) => self.outcome(at, answer),
             Input::CacheDown(at, down) => self.conn_down(at, down),
             Input::News(news) => self.news(news),
-            Input::LogLost => self.counters.log_lost += 1,
-            Input::Reloaded(true) => self.counters.reloads += 1,
-            Input::Reloaded(false) => self.counters.reloads_refused += 1,
+            Input::LogLost => self.counters.log.lost.one(),
+            Input::Reloaded(true) => self.counters.files.reloads.one(),
+            Input::Reloaded(false) => self.counters.files.reloads_refused.one(),
             Input::Plan(hierarchy) => {
                 let events = self.tree.offer(self.now, &hierarchy);
                 self.tell_all(events);
@@ -142,12 +142,14 @@
         }
     }
 
-    fn count(&mut self) {
-        (self.counters.conns_now, self.counters.conns) = self.caches.counts();
-        self.counters.clients_now = self.clients.len() as u64;
-        self.counters.servers_now = self.servers.len() as u64;
-        self.counters.held = self.meter.held() as u64;
-        self.counters.tree = self.tree.counters.clone();
+    fn count(&self) {
+        let (conns_now, conns) = self.caches.counts();
+        self.counters.conns.now.set(conns_now);
+        self.counters.conns.opened.reached(conns);
+        self.counters.clients.now.set(self.clients.len() as u64);
+        self.counters.log.servers_now.set(self.servers.len() as u64);
+        self.counters.memory.held.set(self.meter.held() as u64);
+        self.counters.tree.reached(&self.tree.counters);
     }
 
     fn tell_all(&mut self, events: Vec<Event>) {
--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -10,11 +10,11 @@
     pub(super) fn news(&mut self, news: News) {
         match news {
             News::Servers { whole, members } => {
-                self.counters.lists += 1;
+                self.counters.log.lists.one();
                 self.list(whole, members);
             }
             News::Purge { object, group, time } => {
-                self.counters.purges += 1;
+                self.counters.log.purges.one();
                 self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
                 let named = |o: &Open| match object {
                     Some(object) => o.request.object == object,
--- a/crates/node/src/owner/relief.rs
+++ b/crates/node/src/owner/relief.rs
@@ -26,7 +26,7 @@
     pub(super) fn relieve(&mut self) {
         while self.meter.held() > self.most_held {
             let Some(withheld) = self.clients.withhold() else { return };
-            self.counters.withheld += withheld;
+            self.counters.clients.withheld.more(withheld);
         }
     }
 }
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -152,7 +152,7 @@
     pub(super) fn answer(&mut self, no: RequestNo, reply: Reply<'_>) {
         let Some(asker) = self.requests.settle(no) else { return };
         if self.pay(asker, reply) {
-            self.counters.answered(&reply);
+            self.counters.clients.answered(&reply);
         }
         self.forget(no);
     }
@@ -160,7 +160,7 @@
     /// The asker waits no longer.
     pub(super) fn left(&mut self, no: RequestNo) {
         if self.requests.settle(no).is_some() {
-            self.counters.left += 1;
+            self.counters.clients.left.one();
             self.tell(Event::ClientLeft(name(no)));
         }
         self.forget(no);
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -90,7 +90,7 @@
     owner.leaving[0].since -= LEAVING_MS + 1.0;
     owner.batch(&mut Vec::new());
     assert!(!attempts(&owner, 1)[0].1 && owner.leaving.is_empty());
-    assert_eq!(owner.counters.unheeded, 1);
+    assert_eq!(owner.counters.attempts.unheeded.get(), 1);
 }
 
 #[test]
@@ -108,7 +108,7 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     owner.batch(&mut Vec::new());
-    assert_eq!((owner.counters.refused, owner.counters.failed), (1, 0));
+    assert_eq!((owner.counters.clients.refused.get(), owner.counters.clients.failed.get()), (1, 0));
 }
 
 #[test]
@@ -170,7 +170,7 @@
     let other = attempts(&owner, 2);
     assert!(other.len() == 1 && other[0].0 != home, "decided after the news: {other:?}");
     assert_eq!(attempts(&owner, 1), [(home, false), (other[0].0.clone(), true)]);
-    assert_eq!((owner.counters.attempts, written.len()), (3, 0));
+    assert_eq!((owner.counters.attempts.made.get(), written.len()), (3, 0));
 }
 
 #[test]
@@ -181,7 +181,7 @@
     owner.batch(&mut vec![Input::News(News::Servers { whole: true, members: Vec::new() })]);
     // There is nowhere left to go, so it is answered; and nothing of it is out.
     assert!(owner.requests.is_empty());
-    assert_eq!((owner.counters.refused, owner.counters.attempts), (1, 1));
+    assert_eq!((owner.counters.clients.refused.get(), owner.counters.attempts.made.get()), (1, 1));
 }
 
 #[test]
