Merge the counters by group on prometheus-client

The counters are grouped by who is counted, on a metrics library; the line they print is the same to the letter.

--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -11,7 +11,7 @@
     pub(super) fn news(&mut self, news: News) {
         match news {
             News::Servers { whole, members } => {
-                self.counters.lists += 1;
+                self.counters.log.lists.one();
                 self.list(whole, members);
             }
             News::Purge { object, group, time } => {
@@ -24,7 +24,7 @@
 
     /// A purge, from whomever it was heard.
     pub(super) fn heed(&mut self, object: Option<ObjectId>, group: GroupId, time: Ms) {
-        self.counters.purges += 1;
+        self.counters.log.purges.one();
         self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
         let named = |o: &Open| match object {
             Some(object) => o.request.object == object,
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -181,7 +181,7 @@
     pub(super) fn pay_out(&mut self, no: RequestNo, reply: Reply<'_>) {
         let Some(asker) = self.requests.settle(no) else { return };
         if self.pay(asker, reply) {
-            self.counters.answered(&reply);
+            self.counters.clients.answered(&reply);
         }
         self.forget(no);
     }
@@ -190,7 +190,7 @@
     pub(super) fn left(&mut self, no: RequestNo) {
         let told = self.requests.get(no).is_some_and(|o| o.promise.begun());
         if self.requests.settle(no).is_some() {
-            self.counters.left += 1;
+            self.counters.clients.left.one();
             if told {
                 self.tell(Event::ClientLeft(name(no)));
             }
