Rig of several routers: relays on every link, process faults, and a checker of what was promised

The proofs of copied holds need several processes of the program with faults between them, judged by what clients, stand-ins and links saw alone. The stand-ins were in crates/node/tests and a process was kept twice.

crates/emulator gets rig/: 3 to 9 routers, each with its own folder, configuration and fleet section; a relay on every directed link between routers, to caches and from clients (delay, cut of one way, hole, drip, repeat, break, reset; switched by handle, drawn from a seed); kill, kill with the folder wiped, stop and wake, full disk by RLIMIT_FSIZE, another address; an archive that counts effects by id; a history and its checker, with stateright's tester of linearizability. The stand-ins move to standin/, crates/node's tests use them from there, and there is one Process. What a router says is read by a thread, so that a full disk does not silence it.

The checker catches each rule broken by hand (6 tests), relays do what they say (4), and without a fleet section the rig sees a checkout resent after a kill run twice and a purge forgotten over a restart (crates/node/tests/rig.rs). cargo test -p basaltgw-emulator -p basaltgw-node: all pass.

--- /dev/null
+++ b/crates/emulator/src/config.rs
@@ -0,0 +1,118 @@
+//! The files of routers in the model's fleet: configuration, plan, records of the change log.
+
+use basaltgw::api::Listed;
+use basaltgw_hierarchy::{PlanSpec, Settings};
+use basaltgw_model::fleet::NodeInfo;
+use basaltgw_model::sim::{Setup, AIM_STRETCH};
+use basaltgw_model::spec::EffectSpec;
+use serde_json::{json, Value};
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// A plan as a router's own file has it.
+pub fn plan_file(plan: &PlanSpec, set: &Settings) -> String {
+    let mut text = format!("hierarchy:\n  plan:\n    version: {}\n    nodes:\n", plan.version);
+    for n in &plan.nodes {
+        let sources: Vec<&str> = n.sources.iter().map(|s| &*s.0).collect();
+        let _ =
+            writeln!(text, "      - {{id: {}, tier: {}, sources: [{}]}}", n.id, n.tier.0, sources.join(", "));
+    }
+    let _ = writeln!(
+        text,
+        "  reshape: {{behind: {}, proofs: {}, idle_ms: {}, quiet_ms: {}}}",
+        set.behind, set.proofs, set.idle, set.quiet
+    );
+    text
+}
+
+/// The kinds of a list, by place.
+pub const KINDS: [&str; 3] = ["edge", "parent", "origin"];
+
+/// The place of a node's kind.
+pub fn kind(node: &NodeInfo) -> usize {
+    match node.tier {
+        0 => 2,
+        1 | 2 => 1,
+        _ => 0,
+    }
+}
+
+fn area(zone: usize) -> String {
+    if zone == 0 {
+        "hub".into()
+    } else {
+        format!("zone-{zone}")
+    }
+}
+
+/// A router's configuration.
+pub fn configuration(
+    setup: &Setup,
+    zone: usize,
+    number: usize,
+    log: SocketAddr,
+    listed: &[(&NodeInfo, SocketAddr)],
+) -> Value {
+    let members: Vec<Value> = listed
+        .iter()
+        .map(|(n, at)| {
+            json!({"id": n.id.0.to_string(), "host_port": at.to_string(), "locality": area(n.zone),
+                   "flavor": KINDS[kind(n)], "cell": 0, "phase": "SERVING", "size": 1, "up_since_ms": 0})
+        })
+        .collect();
+    let classes = &setup.load.classes;
+    let services: Vec<Value> = classes
+        .iter()
+        .map(|c| {
+            let effect = if c.effect == EffectSpec::Safe { "read_like" } else { "non_idempotent" };
+            json!({"name": c.name, "idempotency": effect, "slo": c.aim_ms, "deadline": c.deadline_ms, "worth": c.worth,
+                   "late-worth": c.late_worth, "aim-stretch": AIM_STRETCH})
+        })
+        .collect();
+    let rules = &setup.fleet.rules;
+    let of = |get: fn(&basaltgw_model::spec::ClassSpec) -> Value| classes.iter().map(get).collect::<Vec<_>>();
+    let areas: Vec<String> = (0..=setup.fleet.zones).map(area).collect();
+    json!({
+        "name": format!("router-{number}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", setup.seed + number as u64),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "changelog": log.to_string(),
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "areas": areas, "my-zone": area(zone), "kinds": KINDS,
+            "peers-total": setup.fleet.zones * setup.fleet.routers_per_zone, "granularity": 2.0, "services": services,
+            "contract": {"cold": rules.cold_edge.span_ms, "cold-share": rules.cold_edge.share,
+                         "drain-grace": rules.drain_grace_ms, "fall": rules.cold_edge.window_ms,
+                         "fall-multiple": rules.cold_edge.multiple},
+            "family-info": {"shield-kind": 1, "store-kind": 2, "pass-through-ok": true, "collapses": true, "lateral": "silent",
+                            "purge-settles": rules.purge_settles_ms, "heed-within": rules.purge_grace_ms,
+                            "goes-through": of(|c| json!(c.effect == EffectSpec::Unsafe)),
+                            "lifetime-by-class": of(|c| json!(c.fresh_ms)), "class-grace": of(|c| json!(c.grace_ms)),
+                            "pace-kb-per-s": setup.fleet.net.pace_kb_per_ms * 1000.0,
+                            "parent-cold-from": rules.cold_parent.share, "upper-cold": rules.cold_parent.span_ms,
+                            "parent-fall-multiple": rules.cold_parent.multiple},
+            "limits": {"cancel": true, "try-limit": 8, "parallel-tries": false, "retry-after": true,
+                       "max-retry-after": 500.0, "conn-idle": 15000.0, "connect-timeout": 400.0, "max-streams": 100,
+                       "most-held": 20000}
+        }
+    })
+}
+
+/// A record of the change log: id, address, state, zone, kind, cell, weight, start.
+pub fn record(node: &NodeInfo, at: SocketAddr, listed: Listed, started_ms: u64) -> Vec<u8> {
+    let id = node.id.0.strip_prefix("s-").and_then(|h| u32::from_str_radix(h, 16).ok()).unwrap_or_default();
+    let mut bytes = id.to_be_bytes().to_vec();
+    let octets = match at {
+        SocketAddr::V4(v4) => v4.ip().octets(),
+        SocketAddr::V6(_) => [0; 4],
+    };
+    bytes.extend_from_slice(&octets);
+    bytes.extend_from_slice(&at.port().to_be_bytes());
+    let state = match listed {
+        Listed::Up => 0,
+        Listed::Draining => 1,
+        Listed::Gone => 2,
+    };
+    bytes.extend_from_slice(&[state, node.zone as u8, kind(node) as u8, 0, 0]);
+    bytes.extend_from_slice(&1000u32.to_be_bytes());
+    bytes.extend_from_slice(&started_ms.to_be_bytes());
+    bytes
+}
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -1,226 +1,256 @@
-//! Routers as processes: their configuration, their plan's file, signals, and what they say at their end.
-
-use basaltgw::api::Listed;
-use basaltgw_hierarchy::{PlanSpec, Settings};
-use basaltgw_model::fleet::NodeInfo;
-use basaltgw_model::sim::{Setup, AIM_STRETCH};
-use basaltgw_model::spec::EffectSpec;
-use rustix::process::{kill_process, Pid, Signal};
-use serde_json::{json, Value};
+//! Routers as processes: their files, signals, and what they say.
+
+use crate::standin::{comes, until, Client, PATIENCE};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+use serde_json::Value;
 use std::collections::HashMap;
-use std::fmt::Write;
-use std::fs::File;
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tempfile::TempDir;
 
-/// A router may take this long to listen, and to end.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// Bytes that are kept of what a process says: a thousand times what one says in a test.
+const MOST_SAID: usize = 16 * 1024 * 1024;
+/// How often a process is looked at.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// A router's process; killed when dropped.
 pub struct Process {
     child: Child,
-    said: PathBuf,
-    plan: PathBuf,
+    files: Files,
+    said: Arc<Mutex<String>>,
     /// Where clients connect.
     pub address: SocketAddr,
 }
 
+/// What it was started from.
+struct Files {
+    config: PathBuf,
+    own: PathBuf,
+    /// A folder that goes with the process.
+    _dir: Option<TempDir>,
+}
+
 impl Process {
-    /// Starts one and waits until it listens.
+    /// Starts one and waits until it listens; `own` is the text of its own settings.
     pub fn start(
         binary: &Path,
         dir: &Path,
         number: usize,
         config: &Value,
-        plan: Option<&str>,
+        own: Option<&str>,
     ) -> Result<Self, String> {
         let file = |what: &str| dir.join(format!("router-{number}.{what}"));
-        let (config_file, plan_file, said) = (file("json"), file("yaml"), file("log"));
-        let write = |path: &Path, text: &str| {
-            std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
-        };
-        write(&config_file, &config.to_string())?;
-        let log = File::create(&said).map_err(|e| format!("{}: {e}", said.display()))?;
-        let mut command = Command::new(binary);
-        command.arg("serve").env("GW_CONFIG", &config_file).env_remove("GW_LISTEN").env_remove("GW_NAME");
-        if let Some(plan) = plan {
-            write(&plan_file, plan)?;
-            command.arg("--with").arg(&plan_file);
+        let files = Files { config: file("json"), own: file("yaml"), _dir: None };
+        let mut line = "exec \"$0\" serve".to_string();
+        if let Some(own) = own {
+            write(&files.own, own)?;
+            line = format!("{line} --with '{}'", files.own.display());
+        }
+        Self::begin(binary, files, config, &line)
+    }
+
+    /// Starts one with a folder of its own, by a line of shell in which `$0` is the program.
+    pub fn start_by(binary: &Path, config: &Value, line: &str) -> Result<Self, String> {
+        let dir = TempDir::new().map_err(|e| e.to_string())?;
+        let file = |what: &str| dir.path().join(what);
+        let (config_file, own) = (file("json"), file("yaml"));
+        Self::begin(binary, Files { config: config_file, own, _dir: Some(dir) }, config, line)
+    }
+
+    /// Starts one in a folder by a line of shell, with the files that it finds there.
+    pub fn start_in(
+        binary: &Path,
+        dir: &Path,
+        number: usize,
+        config: &Value,
+        own: &str,
+    ) -> Result<Self, String> {
+        let file = |what: &str| dir.join(format!("router-{number}.{what}"));
+        let files = Files { config: file("json"), own: file("yaml"), _dir: None };
+        write(&files.own, own)?;
+        let line = format!("trap '' XFSZ; exec \"$0\" serve --with '{}'", files.own.display());
+        Self::begin(binary, files, config, &line)
+    }
+
+    fn begin(binary: &Path, files: Files, config: &Value, line: &str) -> Result<Self, String> {
+        write(&files.config, &config.to_string())?;
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", line]).arg(binary);
+        command.env("GW_CONFIG", &files.config).env_remove("GW_LISTEN").env_remove("GW_NAME");
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+        let mut child = child.map_err(|e| format!("{}: {e}", binary.display()))?;
+        let said: Arc<Mutex<String>> = Arc::default();
+        if let Some(stderr) = child.stderr.take() {
+            let into = Arc::clone(&said);
+            std::thread::spawn(move || listen(stderr, &into));
         }
-        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
-        let child = child.map_err(|e| format!("{}: {e}", binary.display()))?;
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut process = Self { child, said, plan: plan_file, address: nowhere };
+        let mut process = Self { child, files, said, address: nowhere };
         let begun = Instant::now();
         loop {
-            let text = process.said();
+            let text = process.text();
+            let over = process.child.try_wait().is_ok_and(|s| s.is_some());
             if let Some(at) = text.lines().find_map(|l| l.split_once("listens at ")?.1.trim().parse().ok()) {
                 process.address = at;
                 return Ok(process);
             }
-            if begun.elapsed() > PATIENCE || process.child.try_wait().is_ok_and(|s| s.is_some()) {
-                return Err(format!(
-                    "router {number} does not listen: {}",
-                    text.lines().last().unwrap_or("it said nothing")
-                ));
+            if begun.elapsed() > PATIENCE || over {
+                let last = text.lines().last().unwrap_or("it said nothing").to_string();
+                return Err(format!("a router does not listen ({}): {last}", process.files.own.display()));
             }
-            std::thread::sleep(Duration::from_millis(10));
+            std::thread::sleep(LOOK);
         }
     }
 
-    /// All that it has said so far.
-    pub fn said(&self) -> String {
-        std::fs::read_to_string(&self.said).unwrap_or_default()
+    /// All whole lines that it has said so far.
+    pub fn text(&self) -> String {
+        self.said.lock().map(|said| said.clone()).unwrap_or_default()
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Whether it has said this.
+    pub fn said(&self, text: &str) -> bool {
+        self.text().lines().any(|l| l.contains(text))
+    }
+
+    /// Sends it a signal by name, as in `HUP`.
+    pub fn signal(&self, name: &str) {
+        let signal = match name {
+            "HUP" => Signal::HUP,
+            "TERM" => Signal::TERM,
+            "USR1" => Signal::USR1,
+            "KILL" => Signal::KILL,
+            "STOP" => Signal::STOP,
+            "CONT" => Signal::CONT,
+            other => panic!("no signal {other} is sent to routers"),
+        };
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(e) = pid.and_then(|pid| kill_process(pid, signal).err()) {
             log::warn!("a router was not reached by a signal: {e}");
         }
     }
 
-    /// Replaces the plan's file and has it read.
+    /// From now on no file of its may grow beyond so many bytes, as on a full disk; `None` lifts that. The program has to be started
+    /// with the signal for it ignored, as [`Process::start_in`] does.
+    pub fn files_up_to(&self, bytes: Option<u64>) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let limit = Rlimit { current: bytes, maximum: None };
+        if let Some(e) = pid.and_then(|pid| prlimit(Some(pid), Resource::Fsize, limit).err()) {
+            log::warn!("a router's files were not limited: {e}");
+        }
+    }
+
+    /// Replaces its own settings' file and has it read.
     pub fn plan(&self, text: &str) -> Result<(), String> {
-        std::fs::write(&self.plan, text).map_err(|e| format!("{}: {e}", self.plan.display()))?;
-        self.signal(Signal::HUP);
+        write(&self.files.own, text)?;
+        self.signal("HUP");
         Ok(())
     }
 
+    /// Replaces the configuration file; a router hears of it by SIGHUP.
+    pub fn rewrite(&self, text: &str) {
+        write(&self.files.config, text).expect("a configuration file");
+    }
+
     /// Asks it to end.
     pub fn end(&self) {
-        self.signal(Signal::TERM);
+        self.signal("TERM");
+    }
+
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        if self.child.try_wait().is_ok_and(|s| s.is_none()) {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
     }
 
-    /// Waits for its end; the counters that it printed, by name.
-    pub fn ended(&mut self) -> HashMap<String, f64> {
+    /// Whether it still runs (or is stopped).
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|s| s.is_none())
+    }
+
+    /// Waits for its end; `None` if that never came.
+    pub fn over(&mut self) -> Option<ExitStatus> {
         let begun = Instant::now();
-        while begun.elapsed() < PATIENCE && self.child.try_wait().is_ok_and(|s| s.is_none()) {
-            std::thread::sleep(Duration::from_millis(10));
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if begun.elapsed() > PATIENCE {
+                return None;
+            }
+            std::thread::sleep(LOOK);
         }
-        let text = self.said();
-        let last =
-            text.lines().rev().find_map(|l| l.split_once("ended: ")).map(|(_, c)| c).unwrap_or_default();
-        let pairs = last.split_whitespace().filter_map(|p| p.split_once('='));
-        pairs.filter_map(|(n, v)| Some((n.to_string(), v.parse().ok()?))).collect()
     }
-}
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        if self.child.try_wait().is_ok_and(|s| s.is_none()) {
-            let _ = self.child.kill();
-            let _ = self.child.wait();
+    /// Waits for its end, which has to come.
+    pub fn ended(&mut self) -> ExitStatus {
+        self.over().expect("the router's end")
+    }
+
+    /// The counters that it printed at its end, by name.
+    pub fn last_counters(&self) -> HashMap<String, f64> {
+        let text = self.text();
+        let last = text.lines().rev().find_map(|l| l.split_once("ended: ")).map(|(_, c)| c);
+        numbers(last.unwrap_or_default())
+    }
+
+    /// Its counters, printed on request; none if it says nothing in that time.
+    pub fn counters(&self, patience: Duration) -> Option<HashMap<String, f64>> {
+        let printed = |l: &&str| l.contains("clients_now=");
+        let before = self.text().lines().filter(printed).count();
+        self.signal("USR1");
+        if !comes(patience, || self.text().lines().filter(printed).count() > before) {
+            return None;
         }
+        self.text().lines().rfind(printed).map(numbers)
     }
-}
 
-/// A plan as a router's own file has it.
-pub fn plan_file(plan: &PlanSpec, set: &Settings) -> String {
-    let mut text = format!("hierarchy:\n  plan:\n    version: {}\n    nodes:\n", plan.version);
-    for n in &plan.nodes {
-        let sources: Vec<&str> = n.sources.iter().map(|s| &*s.0).collect();
-        let _ =
-            writeln!(text, "      - {{id: {}, tier: {}, sources: [{}]}}", n.id, n.tier.0, sources.join(", "));
-    }
-    let _ = writeln!(
-        text,
-        "  reshape: {{behind: {}, proofs: {}, idle_ms: {}, quiet_ms: {}}}",
-        set.behind, set.proofs, set.idle, set.quiet
-    );
-    text
-}
+    /// A counter, printed on request, which has to come.
+    pub fn counter(&self, name: &str) -> u64 {
+        let all = self.counters(PATIENCE).expect("counters are printed");
+        *all.get(name).unwrap_or_else(|| panic!("no counter {name}")) as u64
+    }
 
-/// The kinds of a list, by place.
-pub const KINDS: [&str; 3] = ["edge", "parent", "origin"];
+    /// Waits until a counter is at least so much.
+    pub fn reaches(&self, name: &str, least: u64) {
+        until(&format!("{name} is {least}"), || self.counter(name) >= least);
+    }
 
-/// The place of a node's kind.
-pub fn kind(node: &NodeInfo) -> usize {
-    match node.tier {
-        0 => 2,
-        1 | 2 => 1,
-        _ => 0,
+    /// A client connected to it.
+    pub fn client(&self) -> Client {
+        Client::new(TcpStream::connect(self.address).expect("a connection"))
     }
 }
 
-fn area(zone: usize) -> String {
-    if zone == 0 {
-        "hub".into()
-    } else {
-        format!("zone-{zone}")
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
     }
 }
 
-/// A router's configuration.
-pub fn configuration(
-    setup: &Setup,
-    zone: usize,
-    number: usize,
-    log: SocketAddr,
-    listed: &[(&NodeInfo, SocketAddr)],
-) -> Value {
-    let members: Vec<Value> = listed
-        .iter()
-        .map(|(n, at)| {
-            json!({"id": n.id.0.to_string(), "host_port": at.to_string(), "locality": area(n.zone),
-                   "flavor": KINDS[kind(n)], "cell": 0, "phase": "SERVING", "size": 1, "up_since_ms": 0})
-        })
-        .collect();
-    let classes = &setup.load.classes;
-    let services: Vec<Value> = classes
-        .iter()
-        .map(|c| {
-            let effect = if c.effect == EffectSpec::Safe { "read_like" } else { "non_idempotent" };
-            json!({"name": c.name, "idempotency": effect, "slo": c.aim_ms, "deadline": c.deadline_ms, "worth": c.worth,
-                   "late-worth": c.late_worth, "aim-stretch": AIM_STRETCH})
-        })
-        .collect();
-    let rules = &setup.fleet.rules;
-    let of = |get: fn(&basaltgw_model::spec::ClassSpec) -> Value| classes.iter().map(get).collect::<Vec<_>>();
-    let areas: Vec<String> = (0..=setup.fleet.zones).map(area).collect();
-    json!({
-        "name": format!("router-{number}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", setup.seed + number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "changelog": log.to_string(),
-        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"revision": 1, "complete": true, "members": members}}]},
-        "settings": {
-            "areas": areas, "my-zone": area(zone), "kinds": KINDS,
-            "peers-total": setup.fleet.zones * setup.fleet.routers_per_zone, "granularity": 2.0, "services": services,
-            "contract": {"cold": rules.cold_edge.span_ms, "cold-share": rules.cold_edge.share,
-                         "drain-grace": rules.drain_grace_ms, "fall": rules.cold_edge.window_ms,
-                         "fall-multiple": rules.cold_edge.multiple},
-            "family-info": {"shield-kind": 1, "store-kind": 2, "pass-through-ok": true, "collapses": true, "lateral": "silent",
-                            "purge-settles": rules.purge_settles_ms, "heed-within": rules.purge_grace_ms,
-                            "goes-through": of(|c| json!(c.effect == EffectSpec::Unsafe)),
-                            "lifetime-by-class": of(|c| json!(c.fresh_ms)), "class-grace": of(|c| json!(c.grace_ms)),
-                            "pace-kb-per-s": setup.fleet.net.pace_kb_per_ms * 1000.0,
-                            "parent-cold-from": rules.cold_parent.share, "upper-cold": rules.cold_parent.span_ms,
-                            "parent-fall-multiple": rules.cold_parent.multiple},
-            "limits": {"cancel": true, "try-limit": 8, "parallel-tries": false, "retry-after": true,
-                       "max-retry-after": 500.0, "conn-idle": 15000.0, "connect-timeout": 400.0, "max-streams": 100,
-                       "most-held": 20000}
+/// Keeps whole lines; of very many, the later half.
+fn listen(stderr: impl Read, into: &Mutex<String>) {
+    for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        let Ok(mut said) = into.lock() else { return };
+        said.push_str(&line);
+        said.push('\n');
+        if said.len() > MOST_SAID {
+            let later = said[said.len() / 2..].find('\n').map_or(0, |end| said.len() / 2 + end + 1);
+            said.drain(..later);
         }
-    })
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// A record of the change log: id, address, state, zone, kind, cell, weight, start.
-pub fn record(node: &NodeInfo, at: SocketAddr, listed: Listed, started_ms: u64) -> Vec<u8> {
-    let id = node.id.0.strip_prefix("s-").and_then(|h| u32::from_str_radix(h, 16).ok()).unwrap_or_default();
-    let mut bytes = id.to_be_bytes().to_vec();
-    let octets = match at {
-        SocketAddr::V4(v4) => v4.ip().octets(),
-        SocketAddr::V6(_) => [0; 4],
-    };
-    bytes.extend_from_slice(&octets);
-    bytes.extend_from_slice(&at.port().to_be_bytes());
-    let state = match listed {
-        Listed::Up => 0,
-        Listed::Draining => 1,
-        Listed::Gone => 2,
-    };
-    bytes.extend_from_slice(&[state, node.zone as u8, kind(node) as u8, 0, 0]);
-    bytes.extend_from_slice(&1000u32.to_be_bytes());
-    bytes.extend_from_slice(&started_ms.to_be_bytes());
-    bytes
+fn numbers(line: &str) -> HashMap<String, f64> {
+    let pairs = line.split_whitespace().filter_map(|p| p.split_once('='));
+    pairs.filter_map(|(n, v)| Some((n.to_string(), v.parse().ok()?))).collect()
 }
--- /dev/null
+++ b/crates/emulator/src/rig/history.rs
@@ -0,0 +1,163 @@
+//! What clients, stand-ins and links saw, in order; all that the checker knows.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Events kept at most; a longer run counts what it left out and then does not hold.
+const MOST: usize = 1_000_000;
+
+/// A request as one client sent it to one router, numbered over the rig.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ask(pub u64);
+
+/// What a request is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum About {
+    /// A checkout: its id is the same at every router that it is presented to.
+    Checkout,
+    /// A read of an object's first part.
+    Read(u64),
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// `200` with these bytes.
+    Served(Vec<u8>),
+    /// `503`, with the time to stay away in milliseconds.
+    Refused(Option<u64>),
+    /// Another word: failed, or in doubt.
+    Failed(String),
+}
+
+/// One thing seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// A client wrote a request.
+    Asked {
+        /// Which.
+        ask: Ask,
+        /// To which router.
+        router: usize,
+        /// Its id.
+        id: String,
+        /// What for.
+        about: About,
+        /// How long the client waits, in milliseconds.
+        within: u64,
+    },
+    /// A client read an answer.
+    Answered(Ask, Final),
+    /// A client's connection ended without one.
+    Lost(Ask),
+    /// An effect arrived at the archive, and runs.
+    Ran(String),
+    /// The change log told a router of a purge of an object that happened at that Unix millisecond.
+    Purged {
+        /// To which router.
+        router: usize,
+        /// Which object.
+        object: u64,
+        /// When it happened.
+        unix: u64,
+    },
+    /// A router was ended, stopped, or its clients' link disturbed; or (`false`) it serves again.
+    Down(usize, bool),
+    /// A router was cut off from most others, or (`false`) is no longer.
+    Apart(usize, bool),
+    /// A fault, in words, for whoever reads the history.
+    Fault(String),
+}
+
+/// Something seen, and when: milliseconds since the rig began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// When.
+    pub at: u64,
+    /// What.
+    pub seen: Seen,
+}
+
+#[derive(Default)]
+struct Inner {
+    events: Vec<Event>,
+    ends: BTreeMap<Ask, Option<Final>>,
+    asks: u64,
+    left_out: u64,
+}
+
+/// The history, shared by all that see something.
+#[derive(Clone)]
+pub struct History {
+    begun: Instant,
+    inner: Arc<(Mutex<Inner>, Condvar)>,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        Self { begun: Instant::now(), inner: Arc::default() }
+    }
+}
+
+impl History {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64
+    }
+
+    /// A number for a request.
+    pub fn number(&self) -> Ask {
+        let mut inner = self.inner();
+        inner.asks += 1;
+        Ask(inner.asks)
+    }
+
+    /// Keeps what was seen.
+    pub fn see(&self, seen: Seen) {
+        let mut inner = self.inner();
+        // Taken with the lock held, so that the order of events is that of their times.
+        let at = self.now();
+        match &seen {
+            Seen::Answered(ask, end) => {
+                inner.ends.entry(*ask).or_insert_with(|| Some(end.clone()));
+            }
+            Seen::Lost(ask) => {
+                inner.ends.entry(*ask).or_insert(None);
+            }
+            _ => {}
+        }
+        if inner.events.len() < MOST {
+            inner.events.push(Event { at, seen });
+        } else {
+            inner.left_out += 1;
+        }
+        self.inner.1.notify_all();
+    }
+
+    /// Waits for the end of a request: `None` if its time passed, `Some(None)` if its connection was lost.
+    pub fn end(&self, ask: Ask, patience: Duration) -> Option<Option<Final>> {
+        let inner = self.inner();
+        let (inner, _) = self
+            .inner
+            .1
+            .wait_timeout_while(inner, patience, |i| !i.ends.contains_key(&ask))
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        inner.ends.get(&ask).cloned()
+    }
+
+    /// All events so far, and how many were left out.
+    pub fn events(&self) -> (Vec<Event>, u64) {
+        let inner = self.inner();
+        (inner.events.clone(), inner.left_out)
+    }
+
+    /// How many events are such.
+    pub fn count(&self, such: impl Fn(&Seen) -> bool) -> usize {
+        self.inner().events.iter().filter(|e| such(&e.seen)).count()
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/rig/seat.rs
@@ -0,0 +1,183 @@
+//! A router of the rig: its process, its folder, its addresses.
+
+use super::files::{own, Spec};
+use super::relay::Relay;
+use crate::process::Process;
+use crate::standin::{self, Listed, EDGE, ORIGIN, PARENT};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// A port may be taken by another process between its choice and the router's start: so often another one is tried.
+const TRIES: usize = 3;
+/// A router's counters are waited for so long.
+const COUNTERS: Duration = Duration::from_secs(5);
+
+/// A router's seat.
+pub struct Seat {
+    /// Its process, if it runs (or is stopped).
+    process: Option<Process>,
+    number: usize,
+    home: PathBuf,
+    /// What must last: gone when wiped.
+    pub folder: PathBuf,
+    rules: Option<PathBuf>,
+    /// Where it listens for peers.
+    pub listen: SocketAddr,
+    /// The relays by which it reaches the others.
+    pub peers: BTreeMap<usize, Relay>,
+    /// The relay by which clients reach it.
+    pub clients: Relay,
+    config: Value,
+    stopped: bool,
+}
+
+/// A port that is free now.
+fn port() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("a port for peers: {e}"))?;
+    listener.local_addr().map_err(|e| e.to_string())
+}
+
+fn folder(path: &Path) -> Result<(), String> {
+    std::fs::create_dir_all(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+impl Seat {
+    /// A seat whose router has never run.
+    #[allow(clippy::too_many_arguments)] // All are parts of the rig's layout, and there is one caller.
+    pub(super) fn new(
+        number: usize,
+        home: PathBuf,
+        rules: Option<PathBuf>,
+        peers: BTreeMap<usize, Relay>,
+        servers: &[Relay],
+        clients: Relay,
+        log: SocketAddr,
+        spec: &Spec,
+    ) -> Result<Self, String> {
+        let kinds = [(EDGE, "box"), (PARENT, "parent"), (ORIGIN, "origin")];
+        let listed: Vec<Listed> =
+            servers.iter().zip(kinds).map(|(relay, (id, kind))| Listed(id, relay.address, kind)).collect();
+        let mut config = standin::configuration(&listed, log);
+        config["name"] = json!(super::files::name(number));
+        config["settings"]["peers-total"] = json!(spec.places.len());
+        config["settings"]["family-info"]["purge-settles"] = json!(spec.settles_ms as f64);
+        config["settings"]["services"][0]["slo"] = json!(spec.aim_ms as f64);
+        let folder_path = home.join("lasting");
+        folder(&home)?;
+        let listen = port()?;
+        let seat = Self {
+            process: None,
+            number,
+            home,
+            folder: folder_path,
+            rules,
+            listen,
+            peers,
+            clients,
+            config,
+            stopped: false,
+        };
+        Ok(seat)
+    }
+
+    /// Whether its process is there.
+    pub fn runs(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// Where clients connect behind the relay.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.process.as_ref().map(|p| p.address)
+    }
+
+    /// Whether the process has said this.
+    pub fn said(&self, text: &str) -> bool {
+        self.process.as_ref().is_some_and(|p| p.said(text))
+    }
+
+    /// All that the process has said.
+    pub fn text(&self) -> String {
+        self.process.as_ref().map(Process::text).unwrap_or_default()
+    }
+
+    /// Starts its process.
+    pub(super) fn begin(&mut self, spec: &Spec) -> Result<(), String> {
+        if self.process.is_some() {
+            return Err(format!("router {} runs already", self.number));
+        }
+        folder(&self.folder)?;
+        let peers: Vec<(usize, SocketAddr)> =
+            self.peers.iter().map(|(r, relay)| (*r, relay.address)).collect();
+        let mut tries = 0;
+        self.process = loop {
+            tries += 1;
+            let text = own(spec, self.number, self.listen, &self.folder, self.rules.as_deref(), &peers);
+            match Process::start_in(&spec.binary, &self.home, self.number, &self.config, &text) {
+                Ok(process) => break Some(process),
+                Err(e) if tries < TRIES && e.contains("in use") => self.listen = port()?,
+                Err(e) => return Err(format!("router {}: {e}", self.number)),
+            }
+        };
+        self.stopped = false;
+        Ok(())
+    }
+
+    /// Kills its process.
+    pub(super) fn kill(&mut self) {
+        self.process = None;
+        self.stopped = false;
+    }
+
+    /// Ends its process in order, and waits for that.
+    pub fn end(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            process.end();
+            process.over();
+        }
+    }
+
+    pub(super) fn full(&self, full: bool) {
+        if let Some(process) = &self.process {
+            process.files_up_to(full.then_some(0));
+        }
+    }
+
+    pub(super) fn wipe(&mut self) -> Result<(), String> {
+        match std::fs::remove_dir_all(&self.folder) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+                Err(format!("{}: {e}", self.folder.display()))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn moves(&mut self) -> Result<(), String> {
+        self.listen = port()?;
+        Ok(())
+    }
+
+    pub(super) fn signal(&mut self, name: &str) {
+        if let Some(process) = &self.process {
+            process.signal(name);
+            self.stopped = name == "STOP" || (self.stopped && name != "CONT");
+        }
+    }
+
+    /// Has it read its own settings again, with this change of the section `fleet`.
+    pub fn reload(&mut self) {
+        self.signal("HUP");
+    }
+
+    /// Changes what its next start is configured by.
+    pub fn config(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+    }
+
+    pub(super) fn counters(&self) -> BTreeMap<String, f64> {
+        let told = self.process.as_ref().filter(|_| !self.stopped).and_then(|p| p.counters(COUNTERS));
+        told.unwrap_or_default().into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/standin/config.rs
@@ -0,0 +1,69 @@
+//! Configurations of routers before stand-ins.
+
+use super::Cache;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// A server of the list at the router's start: number, address, kind.
+pub struct Listed(pub u32, pub SocketAddr, pub &'static str);
+
+/// A router's configuration before these servers.
+pub fn configuration(servers: &[Listed], log: SocketAddr) -> Value {
+    let members: Vec<Value> = servers
+        .iter()
+        .map(|Listed(id, address, kind)| {
+            json!({"id": format!("s-{id:08x}"), "host_port": address.to_string(), "flavor": kind,
+                   "locality": if *kind == "box" { "edge-1" } else { "hub" }, "cell": 0,
+                   "phase": "SERVING", "size": 1, "up_since_ms": 0})
+        })
+        .collect();
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "changelog": log.to_string(),
+        "known": {"seq": 1, "results": [
+            {"seq": 1, "fleet": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "areas": ["hub", "edge-1"], "my-zone": "edge-1", "kinds": ["box", "parent", "origin"],
+            "peers-total": 1, "granularity": 2.0,
+            "services": [
+                {"name": "pages", "idempotency": "read_like", "slo": 400.0, "deadline": 5000.0, "worth": 2.0},
+                {"name": "loan", "idempotency": "non_idempotent", "slo": 700.0, "deadline": 5000.0}],
+            "contract": {"cold": 17000.0, "cold-share": 0.24, "drain-grace": 250.0, "fall": 1500.0,
+                         "fall-multiple": 4.0},
+            "family-info": {"shield-kind": 1, "store-kind": 2, "pass-through-ok": true,
+                            "purge-settles": 6000.0, "heed-within": 300.0, "goes-through": [false, true],
+                            "lifetime-by-class": [0.0, 0.0], "collapses": true, "lateral": "any"},
+            "limits": {"cancel": true, "try-limit": 8, "parallel-tries": false, "retry-after": true,
+                       "max-retry-after": 500.0, "conn-idle": 15000.0, "connect-timeout": 400.0,
+                       "max-streams": 100, "most-held": 20000}
+        }
+    })
+}
+
+/// The numbers of the usual servers.
+pub const EDGE: u32 = 0x0a;
+/// See [`EDGE`].
+pub const EDGE_2: u32 = 0x0b;
+/// See [`EDGE`].
+pub const PARENT: u32 = 0x0c;
+/// See [`EDGE`].
+pub const ORIGIN: u32 = 0x0d;
+
+/// An edge cache, a parent and the origin.
+pub fn three(edge: &Cache, parent: &Cache, origin: &Cache) -> [Listed; 3] {
+    [
+        Listed(EDGE, edge.address, "box"),
+        Listed(PARENT, parent.address, "parent"),
+        Listed(ORIGIN, origin.address, "origin"),
+    ]
+}
+
+/// Adds a second edge cache to a configuration, since a read that failed at one goes to another.
+pub fn with_second(config: &mut Value, second: &Cache) {
+    let members = &mut config["known"]["results"][0]["fleet"]["members"];
+    let mut member = members[0].clone();
+    member["id"] = json!(format!("s-{EDGE_2:08x}"));
+    member["host_port"] = json!(second.address.to_string());
+    members.as_array_mut().expect("members").push(member);
+}
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,7 +1,8 @@
 //! The owner of the fleet, the clients and the checker, in real time.
 
+use crate::config::{configuration, plan_file, record};
 use crate::net::{change_log, client, frame, serve, ConnId, Frames, Input, Net, Status};
-use crate::process::{configuration, plan_file, record, Process};
+use crate::process::Process;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -814,7 +815,8 @@
         let now = self.now();
         self.seats.iter().for_each(|s| s.process.end());
         for seat in &mut self.seats {
-            for (name, value) in seat.process.ended() {
+            seat.process.over();
+            for (name, value) in seat.process.last_counters() {
                 *self.out.routers.entry(name).or_insert(0.0) += value;
             }
         }
--- a/crates/node/tests/carry.rs
+++ b/crates/node/tests/carry.rs
@@ -22,8 +22,8 @@
         files
     }
 
-    fn start(&self, config: &Value) -> Router {
-        Router::start_as(config, &format!("exec \"$0\" serve --with {}", self.yaml.display()))
+    fn start(&self, config: &Value) -> Process {
+        router_by(config, &format!("exec \"$0\" serve --with {}", self.yaml.display()))
     }
 }
 
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -15,14 +15,14 @@
     edge: Cache,
     log: ChangeLog,
     config: Value,
-    router: Router,
+    router: Process,
 }
 
 fn rig_of(edge: Cache, change: impl FnOnce(&mut Value)) -> Rig {
     let log = ChangeLog::start();
     let mut config = configuration(&three(&edge, &Cache::full(), &Cache::full()), log.address);
     change(&mut config);
-    let router = Router::start(&config);
+    let router = router(&config);
     Rig { edge, log, config, router }
 }
 
@@ -250,7 +250,7 @@
         let _ = bad.socket.write_all(&bytes_of(&tag.to_string(), "9b1f", object, "1500"));
     }
     let mut failed = 0;
-    while let Some(got) = bad.next() {
+    for got in bad {
         failed += usize::from(got.word == "500");
     }
     assert!(failed <= 8);
@@ -425,7 +425,7 @@
     let origin = Cache::start(|s| Do::Later(200, content(s)));
     let log = ChangeLog::start();
     let edge = Cache::full();
-    let router = Router::start(&configuration(&three(&edge, &Cache::full(), &origin), log.address));
+    let router = router(&configuration(&three(&edge, &Cache::full(), &origin), log.address));
     let mut client = router.client();
     for tag in 1..=8 {
         client.ask(tag, "loan", tag, "", b"borrow");
@@ -445,7 +445,7 @@
         Cache::start_as(|conn| if conn == 1 { Proof::Cut } else { Proof::Yes }, |s| Do::Ok(content(s)));
     let parent = Cache::full();
     let log = ChangeLog::start();
-    let router = Router::start(&configuration(&three(&Cache::full(), &parent, &origin), log.address));
+    let router = router(&configuration(&three(&Cache::full(), &parent, &origin), log.address));
     let mut client = router.client();
     client.ask(1, "loan", 1, "", b"borrow");
     assert_eq!(client.must().word, "200", "sent again, since it provably never ran");
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -17,7 +17,7 @@
     parent: Cache,
     origin: Cache,
     log: ChangeLog,
-    router: Router,
+    router: Process,
 }
 
 /// With a parent and an origin that hold everything.
@@ -30,7 +30,7 @@
     let log = ChangeLog::start();
     let mut config = configuration(&three(&edge, &parent, &origin), log.address);
     change(&mut config);
-    let router = Router::start(&config);
+    let router = router(&config);
     Rig { edge, parent, origin, log, router }
 }
 
@@ -218,7 +218,7 @@
         Listed(PARENT, parent.address, "parent"),
         Listed(ORIGIN, closed, "origin"),
     ];
-    let router = Router::start(&configuration(&list, log.address));
+    let router = router(&configuration(&list, log.address));
     let mut client = router.client();
     client.ask(1, "loan", 3, "", b"borrow");
     let got = client.must();
@@ -415,7 +415,7 @@
 fn without_descriptors_clients_wait_and_are_served_later() {
     let (edge, parent, origin, log) = (Cache::full(), Cache::full(), Cache::full(), ChangeLog::start());
     let config = configuration(&three(&edge, &parent, &origin), log.address);
-    let router = Router::start_as(&config, "ulimit -n 40; exec \"$0\" serve");
+    let router = router_by(&config, "ulimit -n 40; exec \"$0\" serve");
     let mut first = router.client();
     first.ask(1, "pages", 1, "", b"");
     assert_eq!(first.must().word, "200");
--- a/crates/node/tests/tree.rs
+++ b/crates/node/tests/tree.rs
@@ -67,8 +67,8 @@
     Do::Word("ok", "ver=1,born=1,note=filled,waited=1")
 }
 
-fn start(config: &Value, own: &Own) -> Router {
-    Router::start_as(config, &format!("exec \"$0\" serve --with {}", own.0.display()))
+fn start(config: &Value, own: &Own) -> Process {
+    router_by(config, &format!("exec \"$0\" serve --with {}", own.0.display()))
 }
 
 /// Asks for objects one after another; the sources that the edge cache was told since then.
