Fleet's hard cases written as tests against the agreed section, not yet built

The section fleet is not wired yet; the tests of checkouts, cuts and purges through several routers are written against its agreed form and are not part of a test program until it is.

--- /dev/null
+++ b/crates/node/tests/fleet/checkouts.rs
@@ -0,0 +1,132 @@
+//! A checkout is one, through whichever routers it comes, and whoever of them dies.
+
+use crate::common::{until, PATIENCE};
+use crate::trial::{in_doubt, trial, Trial, WITHIN};
+use basaltgw_emulator::rig::Final;
+
+#[test]
+fn the_same_checkout_through_two_routers_at_once_runs_once_with_one_outcome() {
+    let mut t = trial(3);
+    t.effects_take(60);
+    for round in 0..12 {
+        let id = t.id();
+        let (one, other) = (t.caller(round % 3), t.caller((round + 1) % 3));
+        let asks = [one.checkout(&id, WITHIN), other.checkout(&id, WITHIN)];
+        let ends = asks.map(|ask| t.end(ask));
+        assert_eq!(t.rig.archive.runs(&id), 1, "{ends:?}");
+        assert!(ends.iter().any(|e| matches!(e, Some(Final::Served(_)))), "{ends:?}");
+        assert!(ends.iter().all(|e| matches!(e, Some(Final::Served(_))) || in_doubt(e)), "{ends:?}");
+        // Whoever asks later gets the outcome.
+        assert!(matches!(t.checkout((round + 2) % 3, &id), Some(Final::Served(_))));
+    }
+    let counted = t.holds();
+    assert!(counted.served_again >= 12 && counted.ran == 12, "{counted:?}");
+}
+
+/// A checkout that runs while its router is killed; `wiped` with its disk.
+fn dies_with_it_out(t: &mut Trial, wiped: bool) -> String {
+    t.effects_take(30_000);
+    let (id, caller) = (t.id(), t.caller(0));
+    let ask = caller.checkout(&id, WITHIN);
+    t.runs(&id);
+    match wiped {
+        true => t.rig.kill_wiped(0).expect("a folder"),
+        false => t.rig.kill(0),
+    }
+    assert_eq!(t.end(ask), None, "lost with its router");
+    t.effects_take(0);
+    id
+}
+
+#[test]
+fn what_was_out_when_its_router_died_is_in_doubt_at_every_other_and_runs_no_more() {
+    for wiped in [false, true] {
+        let mut t = trial(3);
+        let id = dies_with_it_out(&mut t, wiped);
+        for router in [1, 2, 1] {
+            let end = t.checkout(router, &id);
+            assert!(in_doubt(&end), "{end:?}");
+        }
+        // It returns, with its disk or with another one.
+        t.rig.begin(0).expect("a router");
+        t.serves(0);
+        let end = t.checkout(0, &id);
+        assert!(in_doubt(&end), "{end:?}");
+        assert_eq!(t.rig.archive.runs(&id), 1);
+        t.comes_to_serve(0);
+        t.holds();
+    }
+}
+
+#[test]
+fn an_outcome_outlives_the_machine_that_gave_it_with_its_disk() {
+    let mut t = trial(3);
+    let (id, bytes) = t.served(0);
+    t.rig.kill_wiped(0).expect("a folder");
+    assert_eq!(t.checkout(1, &id), Some(Final::Served(bytes.clone())));
+    // It returns elsewhere with an empty disk, is filled, and then another is lost: the outcome is still there.
+    t.rig.moves(0).expect("a port");
+    t.rig.begin(0).expect("a router");
+    t.serves(0);
+    t.comes_to_serve(0);
+    t.rig.kill_wiped(1).expect("a folder");
+    assert_eq!(t.checkout(0, &id), Some(Final::Served(bytes.clone())));
+    assert_eq!(t.checkout(2, &id), Some(Final::Served(bytes)));
+    assert_eq!(t.rig.archive.runs(&id), 1);
+    assert!(t.holds().served_again >= 1);
+}
+
+#[test]
+fn a_machine_lost_with_its_disk_at_each_step_of_a_promise_leaves_one_word_of_it() {
+    let mut t = trial(3);
+    t.effects_take(40);
+    // Each step lasts long enough to be met: words between routers take a while.
+    for step in 0..5 {
+        for (a, b) in [(0, 1), (0, 2), (1, 0), (2, 0)] {
+            t.rig.between(a, b).shape(|s| s.delay = (25.0, 35.0));
+        }
+        let (id, caller) = (t.id(), t.caller(0));
+        let said = |t: &Trial, from, to| t.rig.between(from, to).carried().bytes;
+        let before = (said(&t, 0, 1), said(&t, 1, 0));
+        let ask = caller.checkout(&id, WITHIN);
+        match step {
+            0 => until("it asks others", || said(&t, 0, 1) > before.0),
+            1 => until("they answer", || said(&t, 0, 1) > before.0 && said(&t, 1, 0) > before.1),
+            2 => t.runs(&id),
+            3 => {
+                t.runs(&id);
+                let ran = said(&t, 0, 1);
+                until("it tells others how it ended", || said(&t, 0, 1) > ran);
+            }
+            _ => assert!(t.rig.history.end(ask, PATIENCE).is_some()),
+        }
+        t.rig.kill_wiped(0).expect("a folder");
+        let ends = [1, 2].map(|router| t.checkout(router, &id));
+        assert!(t.rig.archive.runs(&id) <= 1, "step {step}: {ends:?}");
+        assert!(ends.iter().all(Option::is_some), "step {step}: {ends:?}");
+        t.rig.heal();
+        t.rig.begin(0).expect("a router");
+        t.serves(0);
+        t.comes_to_serve(0);
+    }
+    t.holds();
+}
+
+#[test]
+fn half_the_fleet_restarting_at_once_keeps_every_outcome_and_serves_again() {
+    let mut t = trial(4);
+    let kept: Vec<_> = (0..4).map(|r| t.served(r)).collect();
+    t.rig.kill(0);
+    t.rig.kill(1);
+    for r in [0, 1] {
+        t.rig.begin(r).expect("a router");
+    }
+    (0..2).for_each(|r| t.serves(r));
+    for r in 0..4 {
+        t.comes_to_serve(r);
+        for (id, bytes) in &kept {
+            assert_eq!(t.checkout(r, id).as_ref(), Some(&Final::Served(bytes.clone())));
+        }
+    }
+    t.holds();
+}
--- /dev/null
+++ b/crates/node/tests/fleet/cuts.rs
@@ -0,0 +1,133 @@
+//! Links that are cut, break what they carry, or lead to a router that is stopped.
+
+use crate::common::until;
+use crate::trial::{in_doubt, is_refused, trial, WITHIN};
+use basaltgw_emulator::rig::relay::Once;
+use basaltgw_emulator::rig::{Final, Party, Seen};
+use std::time::Duration;
+
+#[test]
+fn a_minority_refuses_at_once_with_a_time_to_come_back_and_goes_on_reading() {
+    let mut t = trial(3);
+    let (before, bytes) = t.served(0);
+    t.rig.cut(0, &[1, 2]);
+    for _ in 0..3 {
+        let (id, begun) = (t.id(), std::time::Instant::now());
+        let end = t.checkout(0, &id);
+        assert!(is_refused(&end), "{end:?}");
+        assert!(begun.elapsed() < Duration::from_millis(WITHIN / 2), "{:?}", begun.elapsed());
+        assert_eq!(t.rig.archive.runs(&id), 0);
+    }
+    let (id, caller) = (t.id(), t.caller(0));
+    assert!(matches!(t.end(caller.read(&id, 9, WITHIN)), Some(Final::Served(_))));
+    // The others keep the word of all.
+    t.comes_to_serve(1);
+    assert_eq!(t.checkout(2, &before), Some(Final::Served(bytes.clone())));
+    t.rig.heal();
+    t.comes_to_serve(0);
+    assert_eq!(t.checkout(0, &before), Some(Final::Served(bytes)));
+    assert!(t.holds().refused_apart >= 3);
+}
+
+#[test]
+fn a_one_way_cut_breaks_no_word_and_heals_with_both_sides_changed() {
+    let mut t = trial(3);
+    t.rig.cut_one_way(0, 1);
+    let mut kept = Vec::new();
+    for _ in 0..3 {
+        for router in 0..3 {
+            let id = t.id();
+            let end = t.checkout(router, &id);
+            assert!(end.is_some(), "router {router}");
+            kept.push((id, end));
+        }
+    }
+    // The other two reach each other both ways.
+    let (id, _) = t.comes_to_serve(2);
+    t.rig.heal();
+    for (id, end) in &kept {
+        for router in 0..3 {
+            let again = t.checkout(router, id);
+            if let Some(Final::Served(_)) = end {
+                assert_eq!(&again, end, "router {router}");
+            }
+        }
+        assert!(t.rig.archive.runs(id) <= 1);
+    }
+    (0..3).for_each(|r| assert!(matches!(t.checkout(r, &id), Some(Final::Served(_)))));
+    t.holds();
+}
+
+#[test]
+fn a_router_stopped_past_its_takeover_and_woken_neither_sends_nor_vouches_for_it() {
+    let mut t = trial(3);
+    // What it sends to caches waits on the link: it has the checkout out, and nothing has run.
+    for cache in 0..3 {
+        t.rig.flow(Party::Router(0), Party::Cache(cache)).cut(true);
+    }
+    let (id, caller) = (t.id(), t.caller(0));
+    let ask = caller.checkout(&id, WITHIN);
+    let held = || (0..3).any(|c| t.rig.flow(Party::Router(0), Party::Cache(c)).carried().held > 0);
+    until("it is sent", held);
+    t.rig.stop(0);
+    let end = t.checkout(1, &id);
+    assert!(in_doubt(&end), "{end:?}");
+    t.rig.wake(0);
+    for cache in 0..3 {
+        t.rig.flow(Party::Router(0), Party::Cache(cache)).cut(false);
+    }
+    t.serves(0);
+    assert!(!is_refused(&t.end(ask)), "it may have run");
+    for router in [2, 0, 1] {
+        let end = t.checkout(router, &id);
+        assert!(!is_refused(&end), "{end:?}");
+    }
+    assert!(t.rig.archive.runs(&id) <= 1);
+    t.comes_to_serve(0);
+    t.holds();
+}
+
+#[test]
+fn words_late_twice_and_broken_between_routers_break_no_word() {
+    let mut t = trial(3);
+    for round in 0..8 {
+        let (a, b) = (round % 3, (round + 1) % 3);
+        t.rig.between(a, b).shape(|s| s.delay = (0.0, 30.0));
+        t.rig.between(a, b).once(Once::Repeat);
+        t.rig.between(b, a).once(Once::Break);
+        if round % 4 == 3 {
+            t.rig.between(a, b).reset();
+        }
+        let id = t.id();
+        let ends = [a, b, (round + 2) % 3].map(|r| t.checkout(r, &id));
+        assert!(t.rig.archive.runs(&id) <= 1, "{ends:?}");
+    }
+    t.rig.heal();
+    (0..3).for_each(|r| drop(t.comes_to_serve(r)));
+    let carried = t.rig.carried();
+    assert!(carried.broken > 0 && carried.repeated > 0, "{carried:?}");
+    t.holds();
+}
+
+#[test]
+fn a_full_disk_takes_no_new_promise_and_stops_nothing_else() {
+    let mut t = trial(3);
+    let (kept, bytes) = t.served(0);
+    t.rig.disk_full(0, true);
+    for _ in 0..3 {
+        let id = t.id();
+        let end = t.checkout(0, &id);
+        assert!(matches!(end, Some(Final::Served(_))) || is_refused(&end) || in_doubt(&end), "{end:?}");
+        let (id, caller) = (t.id(), t.caller(0));
+        assert!(matches!(t.end(caller.read(&id, 4, WITHIN)), Some(Final::Served(_))));
+    }
+    t.comes_to_serve(1);
+    assert_eq!(t.checkout(2, &kept), Some(Final::Served(bytes)));
+    t.rig.disk_full(0, false);
+    t.rig.kill(0);
+    t.rig.begin(0).expect("a router");
+    t.serves(0);
+    t.comes_to_serve(0);
+    assert_eq!(t.rig.history.count(|s| matches!(s, Seen::Lost(_))), 0);
+    t.holds();
+}
--- /dev/null
+++ b/crates/node/tests/fleet/purges.rs
@@ -0,0 +1,38 @@
+//! A purge that one router heard is kept by all, whoever restarts.
+
+use crate::common::until;
+use crate::trial::{trial, Trial, WITHIN};
+use basaltgw_emulator::rig::{Final, Limits, Seen};
+use std::sync::atomic::Ordering;
+
+fn read(t: &mut Trial, router: usize, object: u64) -> Option<Final> {
+    let (id, caller) = (t.id(), t.caller(router));
+    t.end(caller.read(&id, object, WITHIN))
+}
+
+#[test]
+fn a_purge_heard_by_one_router_that_then_dies_holds_after_all_restart_without_discovery() {
+    let mut t = trial(3);
+    assert!(matches!(read(&mut t, 1, 5), Some(Final::Served(_))));
+    let kept = |t: &Trial| t.rig.counters(0).get("holds_kept").copied().unwrap_or(0.0);
+    let before = kept(&t);
+    t.rig.purge(5, &[0]);
+    until("it is kept", || kept(&t) > before);
+    t.rig.logs.iter().for_each(|l| l.down.store(true, Ordering::SeqCst));
+    t.rig.kill_wiped(0).expect("a folder");
+    t.rig.kill(1);
+    t.rig.kill(2);
+    for r in [1, 2, 0] {
+        t.rig.begin(r).expect("a router");
+    }
+    (0..3).for_each(|r| t.serves(r));
+    until("it is to be heeded", || {
+        let (events, _) = t.rig.history.events();
+        let told = events.iter().find(|e| matches!(e.seen, Seen::Purged { .. })).map(|e| e.at);
+        told.is_some_and(|at| t.rig.history.now() > at + Limits::default().heed_ms)
+    });
+    for r in [2, 1, 0] {
+        assert!(matches!(read(&mut t, r, 5), Some(Final::Served(_))));
+    }
+    assert_eq!(t.holds().purged_reads, 3);
+}
--- /dev/null
+++ b/crates/node/tests/fleet/trial.rs
@@ -0,0 +1,109 @@
+//! What the tests of the fleet share: a rig whose routers keep each other's word, and requests made through it.
+
+use crate::common::{binary, until, PATIENCE};
+use basaltgw_emulator::rig::{check, Ask, Caller, Counted, Final, Limits, Rig, Spec};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How long clients wait, in milliseconds.
+pub const WITHIN: u64 = 4_000;
+
+/// A rig, and the ids that it has given out.
+pub struct Trial {
+    pub rig: Rig,
+    ids: u64,
+}
+
+pub fn trial(routers: usize) -> Trial {
+    trial_of(Spec::new(binary(), routers))
+}
+
+pub fn trial_of(spec: Spec) -> Trial {
+    let rig = Rig::start(spec).expect("a rig");
+    let trial = Trial { rig, ids: 0xf1ee7 << 32 };
+    (0..trial.rig.len()).for_each(|r| trial.serves(r));
+    trial
+}
+
+impl Trial {
+    /// An id that nobody has used.
+    pub fn id(&mut self) -> String {
+        self.ids += 1;
+        format!("{:016x}", self.ids)
+    }
+
+    /// Waits until a router serves.
+    pub fn serves(&self, router: usize) {
+        let serves = self.rig.serves(router, PATIENCE);
+        assert!(serves, "router {router} does not serve: {}", tail(&self.rig.seats[router].text()));
+    }
+
+    pub fn effects_take(&self, ms: u64) {
+        self.rig.archive.effect_ms.store(ms, Ordering::SeqCst);
+    }
+
+    pub fn caller(&self, router: usize) -> Caller {
+        self.rig.caller(router).expect("a connection")
+    }
+
+    /// The end of a request: `None` if its connection was lost.
+    pub fn end(&self, ask: Ask) -> Option<Final> {
+        self.rig.history.end(ask, PATIENCE).expect("an end")
+    }
+
+    /// Presents a checkout to a router, and gives its end.
+    pub fn checkout(&self, router: usize, id: &str) -> Option<Final> {
+        let caller = self.caller(router);
+        self.end(caller.checkout(id, WITHIN))
+    }
+
+    /// Presents new checkouts to a router until one is served; gives its id and bytes.
+    pub fn comes_to_serve(&mut self, router: usize) -> (String, Vec<u8>) {
+        let begun = std::time::Instant::now();
+        loop {
+            let id = self.id();
+            match self.checkout(router, &id) {
+                Some(Final::Served(bytes)) => return (id, bytes),
+                end => assert!(begun.elapsed() < PATIENCE, "router {router} never serves again: {end:?}"),
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Presents one checkout to a router, which has to be served.
+    pub fn served(&mut self, router: usize) -> (String, Vec<u8>) {
+        let id = self.id();
+        match self.checkout(router, &id) {
+            Some(Final::Served(bytes)) => (id, bytes),
+            end => panic!("router {router} did not serve {id}: {end:?}"),
+        }
+    }
+
+    /// Waits until an effect has arrived at the archive.
+    pub fn runs(&self, id: &str) {
+        until("the effect runs", || self.rig.archive.runs(id) == 1);
+    }
+
+    /// Nothing that was promised was broken.
+    pub fn holds(&self) -> Counted {
+        let (events, left_out) = self.rig.history.events();
+        let (broken, counted) = check(&events, left_out, &Limits::default());
+        assert!(broken.is_empty(), "{broken:#?}");
+        counted
+    }
+}
+
+/// The last lines of a text.
+fn tail(text: &str) -> String {
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(8)..].join("\n")
+}
+
+/// It was said to be in doubt, or to have failed: nothing that invites a repeat.
+pub fn in_doubt(end: &Option<Final>) -> bool {
+    matches!(end, Some(Final::Failed(_)))
+}
+
+pub fn is_refused(end: &Option<Final>) -> bool {
+    matches!(end, Some(Final::Refused(Some(_))))
+}
