Lab: experiments on a fleet of real routers, with faults drawn from the seed and a baseline alone

An experiment with `on: fleet` has its own schema: routers with branch and machine, load, faults scripted or dealt from a deck drawn from the seed (each kind once before any again, each mended before the next), what must hold and what must have been provoked. The emulator's rig gets faults, open-loop clients that resend a checkout elsewhere when no word came or they were turned away, and a last look at every promise. holds.yaml plays five routers, and the same seed, load and faults without a fleet section.

--- a/crates/emulator/src/rig/checker.rs
+++ b/crates/emulator/src/rig/checker.rs
@@ -76,6 +76,8 @@
     pub ran: u64,
     /// See `ran`.
     pub ran_again: u64,
+    /// Of the latter, those that were never presented twice at once: each time the one before had ended, or its time was up.
+    pub ran_again_resent: u64,
     /// Reads served from a copy made after a purge of the object.
     pub purged_reads: u64,
 }
@@ -216,6 +218,12 @@
         routers.sort_unstable();
         routers.dedup();
         counted.served_again += u64::from(routers.len() > 1);
+        if runs.get(id).is_some_and(|r| r.len() > 1) {
+            let over =
+                |one: &One<'_>| one.end().map(|(at, _)| at).or(one.lost).unwrap_or(one.asked + one.within);
+            let apart = presented.windows(2).all(|two| over(two[0]) <= two[1].asked);
+            counted.ran_again_resent += u64::from(apart);
+        }
         outcomes(id, presented, ran, &apart, &mut break_rule);
         refusals(id, presented, ran, &apart, &mut break_rule);
         if !linearizable(presented, ran, &apart) {
--- /dev/null
+++ b/crates/emulator/src/rig/faults.rs
@@ -0,0 +1,354 @@
+//! Faults of links and processes: scripted, or drawn from a seed, one after another, each mended before the next.
+
+use super::relay::Once;
+use super::{Final, Limits, Rig};
+use crate::standin::comes;
+use basaltgw_model::{draw, rng};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// A router has to serve again within this time after a fault is mended.
+const MENDED: Duration = Duration::from_secs(15);
+/// Pieces broken or repeated, and resets, in one fault.
+const TIMES: usize = 6;
+/// Bytes for each tick of a link that drips.
+const DRIP: usize = 48;
+/// Milliseconds of a slow link.
+const SLOW: (f64, f64) = (10.0, 90.0);
+/// The users' numbers of what is drawn here.
+const DRAWS: u64 = 9_001;
+
+/// A fault.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// A router is killed, and started again.
+    Kill,
+    /// It is killed with its folder wiped, and started with an empty one.
+    Wipe,
+    /// It is killed and returns at another address.
+    Elsewhere,
+    /// It is stopped, and woken.
+    Stop,
+    /// Half of all routers are killed at once, and started again.
+    Half,
+    /// Its disk is full.
+    DiskFull,
+    /// It is cut off from all other routers.
+    Cut,
+    /// What it sends another router is cut.
+    OneWay,
+    /// What it and another router send each other vanishes.
+    Hole,
+    /// The link to another drips.
+    Drip,
+    /// The link to another is slow.
+    Slow,
+    /// Pieces that it sends another get a byte changed.
+    Break,
+    /// Pieces that it sends another come twice.
+    Repeat,
+    /// Its connections with another are reset.
+    Reset,
+    /// A purge is told to it alone; then it dies with its disk, and all restart while discovery is down.
+    Dark,
+    /// The rules' file is replaced at all routers, which read it again.
+    Rules,
+}
+
+impl What {
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kill => "kill",
+            Self::Wipe => "wipe",
+            Self::Elsewhere => "elsewhere",
+            Self::Stop => "stop",
+            Self::Half => "half",
+            Self::DiskFull => "disk_full",
+            Self::Cut => "cut",
+            Self::OneWay => "one_way",
+            Self::Hole => "hole",
+            Self::Drip => "drip",
+            Self::Slow => "slow",
+            Self::Break => "break",
+            Self::Repeat => "repeat",
+            Self::Reset => "reset",
+            Self::Dark => "dark",
+            Self::Rules => "rules",
+        }
+    }
+}
+
+/// A fault at a time.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Moment {
+    /// When it begins, in milliseconds; later if the one before it is not mended yet.
+    pub at_ms: f64,
+    /// Which.
+    pub what: What,
+    /// At which router, counted from 0.
+    #[serde(default)]
+    pub router: usize,
+    /// On its link to which other; the next one if not said.
+    pub other: Option<usize>,
+    /// How long it lasts, in milliseconds.
+    #[serde(default = "second")]
+    pub for_ms: f64,
+    /// The new rules, for [`What::Rules`].
+    pub rules: Option<String>,
+}
+
+fn second() -> f64 {
+    1_000.0
+}
+
+/// Faults drawn from the seed.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Draws {
+    /// From the end of one to the beginning of the next, in milliseconds.
+    pub gap_ms: [f64; 2],
+    /// How long each lasts.
+    pub for_ms: [f64; 2],
+    /// Which: all of them come once before one comes again, in an order that is drawn.
+    pub kinds: Vec<What>,
+}
+
+/// All faults of a run, in order of time.
+pub fn plan(
+    script: &[Moment],
+    draws: Option<&Draws>,
+    routers: usize,
+    length_ms: f64,
+    seed: u64,
+) -> Vec<Moment> {
+    let mut all = script.to_vec();
+    let mut rng = rng(seed, DRAWS);
+    let mut between = |[least, most]: [f64; 2]| least + (most - least).max(0.0) * draw(&mut rng);
+    if let Some(draws) = draws.filter(|d| !d.kinds.is_empty()) {
+        let (mut at, mut deck) = (0.0, Vec::new());
+        loop {
+            at += between(draws.gap_ms);
+            let for_ms = between(draws.for_ms);
+            if at + for_ms > length_ms {
+                break;
+            }
+            if deck.is_empty() {
+                deck.clone_from(&draws.kinds);
+            }
+            let what = deck.swap_remove(between([0.0, deck.len() as f64]) as usize);
+            let router = between([0.0, routers as f64]) as usize;
+            let other = (router + 1 + between([0.0, (routers - 1) as f64]) as usize) % routers;
+            all.push(Moment { at_ms: at, what, router, other: Some(other), for_ms, rules: None });
+            at += for_ms;
+        }
+    }
+    all.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    all
+}
+
+/// Plays faults on a rig.
+pub struct Player<'a> {
+    rig: &'a mut Rig,
+    /// What was provoked, by name.
+    pub done: BTreeMap<&'static str, u64>,
+    /// What did not mend, in words.
+    pub unmended: Vec<String>,
+    /// Objects that [`What::Dark`] purges: the load reads none of them.
+    object: u64,
+    ids: u64,
+}
+
+/// Where the ids and objects of faults begin, away from those of the load.
+const OWN_IDS: u64 = 0xfa_u64 << 48;
+
+impl<'a> Player<'a> {
+    /// For this rig.
+    pub fn new(rig: &'a mut Rig) -> Self {
+        Self { rig, done: BTreeMap::new(), unmended: Vec::new(), object: OWN_IDS, ids: OWN_IDS }
+    }
+
+    /// The rig.
+    pub fn rig(&mut self) -> &mut Rig {
+        self.rig
+    }
+
+    fn begin(&mut self, router: usize) {
+        if let Err(e) = self.rig.begin(router) {
+            self.unmended.push(e);
+        }
+    }
+
+    fn serves(&mut self, router: usize) {
+        if !self.rig.serves(router, MENDED) {
+            self.unmended.push(format!("router {router} does not serve again"));
+        }
+    }
+
+    /// Has a fault happen, last, and mended.
+    pub fn play(&mut self, m: &Moment) {
+        *self.done.entry(m.what.name()).or_insert(0) += 1;
+        let (n, a) = (self.rig.len(), m.router % self.rig.len());
+        let b = m.other.map_or((a + 1) % n, |b| b % n);
+        let b = if a == b { (a + 1) % n } else { b };
+        let lasts = || std::thread::sleep(Duration::from_secs_f64(m.for_ms.max(0.0) / 1000.0));
+        let words = |rig: &Rig| rig.fault(format!("{} between routers {a} and {b}", m.what.name()));
+        match m.what {
+            What::Kill | What::Wipe | What::Elsewhere => {
+                let done = match m.what {
+                    What::Wipe => self.rig.kill_wiped(a),
+                    _ => {
+                        self.rig.kill(a);
+                        if m.what == What::Elsewhere {
+                            self.rig.moves(a)
+                        } else {
+                            Ok(())
+                        }
+                    }
+                };
+                self.unmended.extend(done.err());
+                lasts();
+                self.begin(a);
+                self.serves(a);
+            }
+            What::Half => {
+                let lost: Vec<usize> = (0..n / 2).map(|i| (a + i) % n).collect();
+                lost.iter().for_each(|r| self.rig.kill(*r));
+                lasts();
+                lost.iter().for_each(|r| self.begin(*r));
+                lost.iter().for_each(|r| self.serves(*r));
+            }
+            What::Stop => {
+                self.rig.stop(a);
+                lasts();
+                self.rig.wake(a);
+                self.serves(a);
+            }
+            What::DiskFull => {
+                self.rig.disk_full(a, true);
+                lasts();
+                self.rig.disk_full(a, false);
+                // What a full disk made of its store is met at the next start.
+                self.rig.kill(a);
+                self.begin(a);
+                self.serves(a);
+            }
+            What::Cut => {
+                let others: Vec<usize> = (0..n).filter(|o| *o != a).collect();
+                self.rig.cut(a, &others);
+                lasts();
+                self.rig.heal();
+            }
+            What::OneWay => {
+                self.rig.cut_one_way(a, b);
+                lasts();
+                self.rig.heal();
+            }
+            What::Hole | What::Drip | What::Slow => {
+                words(self.rig);
+                for flow in [self.rig.between(a, b), self.rig.between(b, a)] {
+                    flow.shape(|s| match m.what {
+                        What::Hole => s.hole = true,
+                        What::Drip => s.drip = Some(DRIP),
+                        _ => s.delay = SLOW,
+                    });
+                }
+                lasts();
+                self.rig.heal();
+            }
+            What::Break | What::Repeat => {
+                words(self.rig);
+                let what = if m.what == What::Break { Once::Break } else { Once::Repeat };
+                (0..TIMES).for_each(|_| self.rig.between(a, b).once(what));
+                lasts();
+            }
+            What::Reset => {
+                words(self.rig);
+                for _ in 0..TIMES {
+                    self.rig.between(a, b).reset();
+                    std::thread::sleep(Duration::from_secs_f64(m.for_ms.max(0.0) / 1000.0 / TIMES as f64));
+                }
+            }
+            What::Dark => self.dark(a),
+            What::Rules => {
+                let text = m.rules.clone().unwrap_or_default();
+                if let Err(e) = self.rig.rules(&text) {
+                    self.unmended.push(e);
+                }
+                lasts();
+            }
+        }
+    }
+
+    /// Reads an object through a router; whether it was served.
+    fn reads(&mut self, router: usize, object: u64) -> bool {
+        self.ids += 1;
+        let Ok(caller) = self.rig.caller(router) else { return false };
+        let ask = caller.read(&format!("{:016x}", self.ids), object, 3_000);
+        matches!(self.rig.history.end(ask, MENDED), Some(Some(Final::Served(_))))
+    }
+
+    fn dark(&mut self, a: usize) {
+        let n = self.rig.len();
+        self.object += 1;
+        let object = self.object;
+        if !self.reads((a + 1) % n, object) {
+            self.unmended.push("an object was not read before its purge".into());
+        }
+        let kept = |rig: &Rig| rig.counters(a).get("holds_kept").copied();
+        let before = kept(self.rig);
+        self.rig.purge(object, &[a]);
+        let told = self.rig.history.now();
+        if self.rig.spec.fleet && before.is_some() {
+            let rig = &*self.rig;
+            if !comes(MENDED, || kept(rig) > before) {
+                self.unmended.push(format!("router {a} does not keep a purge"));
+            }
+        }
+        // From here on it holds, as for any client.
+        let heeded = (told + Limits::default().heed_ms).saturating_sub(self.rig.history.now());
+        std::thread::sleep(Duration::from_millis(heeded));
+        self.rig.logs.iter().for_each(|l| l.down.store(true, Ordering::SeqCst));
+        let gone = self.rig.kill_wiped(a);
+        self.unmended.extend(gone.err());
+        (0..n).filter(|r| *r != a).for_each(|r| self.rig.kill(r));
+        (0..n).for_each(|r| self.begin(r));
+        (0..n).for_each(|r| self.serves(r));
+        for r in 0..n {
+            if !self.reads(r, object) {
+                self.unmended.push(format!("router {r} does not read after it restarted without discovery"));
+            }
+        }
+        self.rig.logs.iter().for_each(|l| l.down.store(false, Ordering::SeqCst));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_same_seed_draws_the_same_faults_and_each_kind_once_before_any_again() {
+        let kinds = vec![What::Kill, What::Wipe, What::Cut, What::Stop];
+        let draws = Draws { gap_ms: [300.0, 500.0], for_ms: [500.0, 700.0], kinds: kinds.clone() };
+        let scripted =
+            Moment { at_ms: 10.0, what: What::Rules, router: 0, other: None, for_ms: 1.0, rules: None };
+        let of = |seed| plan(std::slice::from_ref(&scripted), Some(&draws), 5, 30_000.0, seed);
+        let one = of(3);
+        assert_eq!(one, of(3));
+        assert_ne!(one, of(4));
+        assert_eq!(one[0], scripted);
+        for round in one[1..].chunks_exact(kinds.len()) {
+            let mut drawn: Vec<What> = round.iter().map(|m| m.what).collect();
+            drawn.sort_unstable();
+            let mut all = kinds.clone();
+            all.sort_unstable();
+            assert_eq!(drawn, all);
+        }
+        assert!(one.iter().skip(1).all(|m| m.router < 5 && m.other.is_some_and(|o| o < 5 && o != m.router)));
+    }
+}
--- a/crates/emulator/src/rig/mod.rs
+++ b/crates/emulator/src/rig/mod.rs
@@ -5,13 +5,17 @@
 //! - [`relay`]: links that delay, cut, drop, drip, repeat, break and reset;
 //! - [`seat`]: a router's process, its folder, its address, and faults of both;
 //! - [`archive`], [`caller`]: what routers stand before, and who asks them;
-//! - [`history`], [`checker`]: what was seen, and whether it is what was promised.
+//! - [`history`], [`checker`]: what was seen, and whether it is what was promised;
+//! - [`faults`], [`load`], [`play`]: faults scripted or drawn from a seed, clients at a rate, and a whole run of both.
 
 pub mod archive;
 pub mod caller;
 pub mod checker;
+pub mod faults;
 pub mod files;
 pub mod history;
+pub mod load;
+pub mod play;
 mod register;
 pub mod relay;
 pub mod seat;
@@ -57,6 +61,8 @@
     pub seats: Vec<Seat>,
     flows: BTreeMap<(Party, Party), Flow>,
     told: Vec<u64>,
+    usual: (f64, f64),
+    rules: Option<PathBuf>,
     _relays: Relays,
     _dir: TempDir,
 }
@@ -118,8 +124,21 @@
             let folder = dir.path().join(files::name(r));
             seats.push(Seat::new(r, folder, rules.clone(), peers?, &servers?, clients, log.address, &spec)?);
         }
-        let told = vec![1; n];
-        Ok(Self { spec, archive, history, caches, logs, seats, flows, told, _relays: relays, _dir: dir })
+        let (told, usual) = (vec![1; n], (0.0, 0.0));
+        Ok(Self {
+            spec,
+            archive,
+            history,
+            caches,
+            logs,
+            seats,
+            flows,
+            told,
+            usual,
+            rules,
+            _relays: relays,
+            _dir: dir,
+        })
     }
 
     /// Routers in it.
@@ -254,14 +273,24 @@
         self.apart();
     }
 
-    /// All links between routers carry at once again.
+    /// All links between routers carry as usual again.
     pub fn heal(&self) {
         self.fault("links between routers are healed".into());
-        let routers = self.flows.iter().filter(|(p, _)| matches!(p, (Party::Router(_), Party::Router(_))));
-        routers.for_each(|(_, flow)| flow.shape(|s| *s = Shape::default()));
+        self.routers().for_each(|flow| flow.shape(|s| *s = Shape { delay: self.usual, ..Shape::default() }));
         self.apart();
     }
 
+    /// What a piece takes on every link between routers, in milliseconds, unless a fault says otherwise.
+    pub fn usual_delay(&mut self, delay: (f64, f64)) {
+        self.usual = delay;
+        self.routers().for_each(|flow| flow.shape(|s| s.delay = delay));
+    }
+
+    fn routers(&self) -> impl Iterator<Item = &Flow> {
+        let both = |(a, b): &(Party, Party)| matches!((a, b), (Party::Router(_), Party::Router(_)));
+        self.flows.iter().filter(move |(pair, _)| both(pair)).map(|(_, flow)| flow)
+    }
+
     /// Keeps which routers reach no majority both ways.
     fn apart(&self) {
         for r in 0..self.len() {
@@ -277,16 +306,13 @@
     /// What all links between routers did, added up.
     pub fn carried(&self) -> relay::Carried {
         let mut all = relay::Carried::default();
-        for (pair, flow) in &self.flows {
-            if let (Party::Router(_), Party::Router(_)) = pair {
-                let c = flow.carried();
-                all.bytes += c.bytes;
-                all.dropped += c.dropped;
-                all.repeated += c.repeated;
-                all.broken += c.broken;
-                all.resets += c.resets;
-                all.held += c.held;
-            }
+        for c in self.routers().map(Flow::carried) {
+            all.bytes += c.bytes;
+            all.dropped += c.dropped;
+            all.repeated += c.repeated;
+            all.broken += c.broken;
+            all.resets += c.resets;
+            all.held += c.held;
         }
         all
     }
@@ -313,6 +339,18 @@
         unix
     }
 
+    /// Replaces the rules' file, and has all routers read it.
+    ///
+    /// # Errors
+    /// If there is no rules' file, or it can't be written.
+    pub fn rules(&mut self, text: &str) -> Result<(), String> {
+        let file = self.rules.as_ref().ok_or("this rig has no rules' file")?;
+        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        self.fault("the rules' file is replaced".into());
+        self.seats.iter_mut().for_each(Seat::reload);
+        Ok(())
+    }
+
     /// Keeps a fault in the history.
     pub fn fault(&self, words: String) {
         self.history.see(Seen::Fault(words));
--- a/crates/emulator/src/rig/seat.rs
+++ b/crates/emulator/src/rig/seat.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Has it read its own settings again, with this change of the section `fleet`.
+    /// Has it read its files again.
     pub fn reload(&mut self) {
         self.signal("HUP");
     }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -18,6 +18,8 @@
     AtOnce,
     /// Nodes do not heed trails.
     Blind,
+    /// The same seed, load and faults with routers that have no section `fleet`.
+    Alone,
 }
 
 impl Variant {
@@ -28,6 +30,7 @@
             Self::Still => "still",
             Self::AtOnce => "at_once",
             Self::Blind => "blind",
+            Self::Alone => "alone",
         }
     }
 }
@@ -41,6 +44,8 @@
     Simulated,
     /// On loopback sockets, with real router processes.
     Sockets,
+    /// The same, with faults between routers that keep each other's word: see [`crate::fleet`].
+    Fleet,
 }
 
 /// Something that must hold.
@@ -204,7 +209,7 @@
             (On::Sockets, _) => {
                 basaltgw_hierarchy::Settings { proofs: 2, idle: 500.0, quiet: 500.0, ..usual }
             }
-            (On::Simulated, _) => usual,
+            (On::Simulated | On::Fleet, _) => usual,
         };
         let cold = basaltgw_hierarchy::Cold {
             share: fleet.rules.cold_parent.share,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,10 +2,11 @@
 #![forbid(unsafe_code)]
 
 mod experiment;
+mod fleet;
 mod out;
 mod runs;
 
-use experiment::{Experiment, OWN};
+use experiment::{Experiment, Must, Variant, OWN};
 use out::{chart, csv, report, Line, Origin};
 use runs::{all, held, Done};
 use std::path::{Path, PathBuf};
@@ -80,6 +81,13 @@
                     Err(e) => return bad(e.to_string()),
                 }
             }
+            for (name, _) in fleet::OWN {
+                match fleet::find(name) {
+                    Ok(Some((e, _))) => println!("{name}: {}", e.about),
+                    Ok(None) => return bad(format!("{name}: expected `on: fleet`")),
+                    Err(e) => return bad(e.to_string()),
+                }
+            }
         }
         Ok(Command::Run { name, quick, seed, out }) => match play(&name, quick, seed, out.as_deref()) {
             Ok(true) => {}
@@ -103,7 +111,72 @@
 
 /// Plays an experiment; true if all that must hold did. Its last line sums it up.
 fn play(name: &str, quick: bool, seed: Option<u64>, out: Option<&Path>) -> Result<bool, String> {
-    let (experiment, text) = Experiment::find(name).map_err(|e| e.to_string())?;
+    let (played, text) = match fleet::find(name).map_err(|e| e.to_string())? {
+        Some((experiment, text)) => (of_fleet(&experiment, quick, seed)?, text),
+        None => {
+            let (experiment, text) = Experiment::find(name).map_err(|e| e.to_string())?;
+            (of_model(&experiment, quick, seed)?, text)
+        }
+    };
+    let Played { name, seed, done, must, figures, shown } = played;
+    let mut sizes: Vec<usize> = done.iter().map(|d| d.routers).collect();
+    sizes.dedup();
+    let (mut good, mut count) = (0, 0);
+    for routers in &sizes {
+        let runs: Vec<&Done> = done.iter().filter(|d| d.routers == *routers).collect();
+        for must in &must {
+            let (holds, line) = held(must, &runs)?;
+            count += 1;
+            good += usize::from(holds);
+            println!("  {} {line}", if holds { "held  " } else { "FAILED" });
+        }
+    }
+    if let Some(dir) = out {
+        let file = format!("{:016x}", basaltgw::hash::address(&text));
+        let cores = std::thread::available_parallelism().map_or(0, usize::from);
+        keep(dir, &name, shown, &done, &Origin { seed, commit: commit(), cores, file })?;
+    }
+    let last = done.iter().rev().find(|d| d.variant == Variant::Described);
+    let figures: Vec<String> =
+        figures.iter().filter_map(|n| Some(format!("{n} {}", out::short(*last?.row.get(n)?)))).collect();
+    println!("{name}: {good} of {count} held; {}", figures.join(", "));
+    Ok(good == count)
+}
+
+/// What was played, and what is said and kept of it.
+struct Played {
+    name: String,
+    seed: u64,
+    done: Vec<Done>,
+    must: Vec<Must>,
+    /// Of the last line.
+    figures: Vec<String>,
+    /// What the chart by second shows.
+    shown: (&'static str, &'static str),
+}
+
+fn of_fleet(experiment: &fleet::Experiment, quick: bool, seed: Option<u64>) -> Result<Played, String> {
+    let seed = seed.unwrap_or(experiment.seed);
+    println!("{}: {} Seed {seed}.", experiment.name, experiment.about);
+    let told = |d: &Done| {
+        let figure = |n: &String| d.row.get(n).copied().unwrap_or(f64::NAN);
+        let shown: Vec<String> =
+            experiment.shown.iter().map(|n| format!("{n} {}", out::short(figure(n)))).collect();
+        println!("  {} routers, {:9}: {}", d.routers, d.variant.name(), shown.join(", "));
+        d.words.iter().for_each(|w| println!("      {w}"));
+    };
+    let done = fleet::all(experiment, quick, seed, told)?;
+    Ok(Played {
+        name: experiment.name.clone(),
+        seed,
+        done,
+        must: experiment.must.clone(),
+        figures: experiment.shown.clone(),
+        shown: ("checkouts served", "share of those first presented"),
+    })
+}
+
+fn of_model(experiment: &Experiment, quick: bool, seed: Option<u64>) -> Result<Played, String> {
     let seed = seed.unwrap_or(experiment.seed);
     println!("{}: {} Seed {seed}.", experiment.name, experiment.about);
     let told = |d: &Done| {
@@ -123,36 +196,28 @@
         );
         d.words.iter().for_each(|w| println!("      {w}"));
     };
-    let done = all(&experiment, quick, seed, told)?;
-    let mut sizes: Vec<usize> = done.iter().map(|d| d.routers).collect();
-    sizes.dedup();
-    let (mut good, mut count) = (0, 0);
-    for routers in &sizes {
-        let runs: Vec<&Done> = done.iter().filter(|d| d.routers == *routers).collect();
-        for must in &experiment.must {
-            let (holds, line) = held(must, &runs)?;
-            count += 1;
-            good += usize::from(holds);
-            println!("  {} {line}", if holds { "held  " } else { "FAILED" });
-        }
-    }
-    if let Some(dir) = out {
-        let file = format!("{:016x}", basaltgw::hash::address(&text));
-        let cores = std::thread::available_parallelism().map_or(0, usize::from);
-        keep(dir, &experiment, &done, &Origin { seed, commit: commit(), cores, file })?;
-    }
-    let last = done.iter().rev().find(|d| d.variant == experiment::Variant::Described);
+    let done = all(experiment, quick, seed, told)?;
     let figures = ["worth", "loops_offered", "loops_carried", "archive_fetched_again", "rules_broken"];
-    let figures: Vec<String> =
-        figures.iter().filter_map(|n| Some(format!("{n} {:.4}", last?.row.get(*n)?))).collect();
-    println!("{}: {good} of {count} held; {}", experiment.name, figures.join(", "));
-    Ok(good == count)
+    Ok(Played {
+        name: experiment.name.clone(),
+        seed,
+        done,
+        must: experiment.must.clone(),
+        figures: figures.map(str::to_string).to_vec(),
+        shown: ("worth in time", "share of the worth asked"),
+    })
 }
 
-fn keep(dir: &Path, experiment: &Experiment, done: &[Done], origin: &Origin) -> Result<(), String> {
+fn keep(
+    dir: &Path,
+    name: &str,
+    (shown, unit): (&str, &str),
+    done: &[Done],
+    origin: &Origin,
+) -> Result<(), String> {
     let say = |e: std::io::Error| format!("{}: {e}", dir.display());
     std::fs::create_dir_all(dir).map_err(say)?;
-    std::fs::write(dir.join(format!("{}.csv", experiment.name)), csv(done, origin)).map_err(say)?;
+    std::fs::write(dir.join(format!("{name}.csv")), csv(done, origin)).map_err(say)?;
     let most = done.iter().map(|d| d.routers).max().unwrap_or(0);
     let lines: Vec<Line> = done
         .iter()
@@ -162,24 +227,14 @@
             (d.variant.name().to_string(), points.collect())
         })
         .collect();
-    let title = format!("{}, {most} routers, seed {}: worth in time", experiment.name, origin.seed);
-    chart(
-        &dir.join(format!("{}-worth.svg", experiment.name)),
-        &title,
-        ("second", "share of the worth asked"),
-        &lines,
-    )?;
-    let described: Vec<&Done> = done.iter().filter(|d| d.variant == experiment::Variant::Described).collect();
+    let title = format!("{name}, {most} routers, seed {}: {shown}", origin.seed);
+    chart(&dir.join(format!("{name}-worth.svg")), &title, ("second", unit), &lines)?;
+    let described: Vec<&Done> = done.iter().filter(|d| d.variant == Variant::Described).collect();
     if described.len() > 1 {
         let points = described.iter().filter_map(|d| Some((d.routers as f64, *d.row.get("decision_us")?)));
         let lines = [("a decision".to_string(), points.collect())];
-        let title = format!("{}: time of a decision", experiment.name);
-        chart(
-            &dir.join(format!("{}-decision.svg", experiment.name)),
-            &title,
-            ("routers", "microseconds"),
-            &lines,
-        )?;
+        let title = format!("{name}: time of a decision");
+        chart(&dir.join(format!("{name}-decision.svg")), &title, ("routers", "microseconds"), &lines)?;
     }
     Ok(())
 }
--- a/crates/lab/src/out.rs
+++ b/crates/lab/src/out.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// A figure as it is said in a line.
+pub fn short(value: f64) -> String {
+    if value.fract() == 0.0 && value.abs() >= 10.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.4}")
+    }
+}
+
 const COLOURS: [RGBColor; 4] =
     [RGBColor(0, 90, 160), RGBColor(120, 120, 120), RGBColor(200, 80, 0), RGBColor(150, 0, 100)];
 
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -9,6 +9,7 @@
 use basaltgw_model::sim::{run, Decide, Figures, Setup};
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -66,13 +67,19 @@
 /// The generator may be so late before a run on sockets tells of the machine and not of the routers.
 const LATE_MS: f64 = 50.0;
 
-/// Plays one run on sockets; once more if the machine was late.
-pub fn play_on_sockets(setup: &Setup, variant: Variant) -> Result<Done, String> {
+/// The router's program: the one beside this one.
+pub fn binary() -> Result<PathBuf, String> {
     let here = std::env::current_exe().map_err(|e| e.to_string())?;
     let binary = here.with_file_name("basaltgw");
-    if !binary.exists() {
-        return Err(format!("{}: no such file; cargo build --release makes it", binary.display()));
+    match binary.exists() {
+        true => Ok(binary),
+        false => Err(format!("{}: no such file; cargo build --release makes it", binary.display())),
     }
+}
+
+/// Plays one run on sockets; once more if the machine was late.
+pub fn play_on_sockets(setup: &Setup, variant: Variant) -> Result<Done, String> {
+    let binary = binary()?;
     let dir = std::env::temp_dir().join(format!("basaltgw-lab-{}-{}", std::process::id(), variant.name()));
     let mut tries = 0;
     let (sockets, wall) = loop {
@@ -218,6 +225,7 @@
             let one = match experiment.on {
                 On::Simulated => play(&setup, *variant)?,
                 On::Sockets => play_on_sockets(&setup, *variant)?,
+                On::Fleet => return Err("an experiment on a fleet has another form".into()),
             };
             told(&one);
             done.push(one);
