--- a/crates/emulator/src/rig/relay.rs
+++ b/crates/emulator/src/rig/relay.rs
@@ -60,7 +60,7 @@
     pub broken: u64,
     /// Connections reset.
     pub resets: u64,
-    /// Pieces that waited for a cut to heal.
+    /// Pieces, and connections that were to come up, that waited for a cut to heal.
     pub held: u64,
 }
 
@@ -258,6 +258,9 @@
         let _ = near.get_ref().set_nodelay(true);
         let carried = async {
             // A first message through a cut never comes: the connection stays silent.
+            if self.forth.now().cut {
+                self.forth.state().carried.held += 1;
+            }
             self.forth.until(|s| (!s.shape.cut && !s.shape.hole).then_some(())).await;
             let Some(target) = self.target() else { return true };
             let Ok(far) = Async::<TcpStream>::connect(target).await else { return true };
--- /dev/null
+++ b/crates/emulator/src/world/clients.rs
@@ -0,0 +1,212 @@
+//! What comes due, and what clients ask and get.
+
+use super::*;
+
+impl<'a> World<'a> {
+    pub(super) fn advance(&mut self, told: &mut Vec<Told>) {
+        let now = self.now();
+        self.fleet.advance(now, told);
+        for t in told.drain(..) {
+            match t {
+                Told::Answer(id, reply) => self.replied(now, id, reply),
+                Told::Effect(effect) => self.checker.see(now, Seen::Effect(effect)),
+                Told::Fell(node) => {
+                    self.down(node);
+                    self.checker.see(now, Seen::Fell(node));
+                }
+            }
+        }
+    }
+
+    pub(super) async fn events(&mut self) -> Result<(), String> {
+        let now = self.now();
+        while let Some(Reverse((_, no))) =
+            self.due.peek().copied().filter(|Reverse((at, _))| *at <= (now * 1000.0) as u64)
+        {
+            self.due.pop();
+            let Some(ev) = self.evs.remove(&no) else { continue };
+            match ev {
+                Ev::Arrive(r) => {
+                    if let Some(what) = self.seats[r].next.take() {
+                        let worth = self.setup.load.classes[what.class].worth;
+                        self.out.asked += 1;
+                        self.out.seconds[(what.at / 1000.0) as usize].0 += worth;
+                        self.lags.saturating_record(((now - what.at).max(0.0) * 1000.0) as u64 + 1);
+                        self.take(now, r, Member { what, tries: 0 }).await;
+                    }
+                    self.draw(r);
+                }
+                Ev::Again(r, member) => self.take(now, r, member).await,
+                Ev::Due(no) => self.time_up(now, no),
+                Ev::Left(no) => {
+                    if let Some(r) = self.requests.remove(&no) {
+                        self.checker.see(now, Seen::Left((r.router, no)));
+                    }
+                }
+                Ev::Script(i) => self.moment(now, i)?,
+                Ev::Tell(r, kind, payload, seen) => {
+                    self.seats[r].told += 1;
+                    let number = self.seats[r].told;
+                    self.seats[r].frames.borrow_mut().push((number, frame(number, kind, &payload)));
+                    seen.into_iter().for_each(|seen| self.checker.see(now, seen));
+                }
+                Ev::Hup(r, text) => self.seats[r].process.plan(&text)?,
+                Ev::Start(node) => self.started(now, node),
+                Ev::Talk(node) => self.statuses[node.0].talks.set(true),
+                Ev::Purges => {
+                    let class = (self.between([0.0, self.setup.load.classes.len() as f64]) as usize)
+                        .min(self.setup.load.classes.len() - 1);
+                    let most = self.setup.load.classes[class].objects.clamp(1, 200);
+                    let rank = self.between([0.0, most as f64]) as u64;
+                    self.purge(now, Some(object_of(class, rank)), 0);
+                    let gap = self.between([0.5, 1.5]) * 1000.0 / self.setup.load.purges_per_s;
+                    if now + gap < self.setup.length_ms {
+                        self.at(now + gap, Ev::Purges);
+                    }
+                }
+                Ev::Tidy => {
+                    self.checker.tidy(now);
+                    self.at(now + 1_000.0, Ev::Tidy);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    // ---- Clients ----
+
+    pub(super) async fn take(&mut self, now: Ms, r: usize, member: Member) {
+        let free = |s: &Seat| {
+            (0..s.clients.len())
+                .filter(|c| s.clients[*c].open.len() < OPEN)
+                .min_by_key(|c| s.clients[*c].open.len())
+        };
+        if free(&self.seats[r]).is_none() && self.seats[r].clients.len() < MOST_CONNS {
+            self.connect(r).await;
+        }
+        let Some(c) = free(&self.seats[r]) else { return };
+        self.requests_ever += 1;
+        let no = self.requests_ever;
+        let what = &member.what;
+        let class = &self.setup.load.classes[what.class];
+        let due = what.at + class.deadline_ms;
+        let unsafe_ = class.effect == EffectSpec::Unsafe;
+        let client = &mut self.seats[r].clients[c];
+        client.tag += 1;
+        let (conn, tag) = (client.conn, client.tag);
+        client.open.insert(tag, no);
+        let mut fields = FieldList::default();
+        fields.add("i", hex(no));
+        fields.add("d", (due - now).max(1.0) as u64);
+        fields.add("o", hex(what.object));
+        fields.add("nth", what.part);
+        fields.add("batch", what.group);
+        fields.add("m", format!("{:.2}", what.kb));
+        let body: &[u8] = if unsafe_ { b"a loan" } else { b"" };
+        let words =
+            [&b"DO"[..], tag.to_string().as_bytes(), class.name.as_bytes(), fields.text().as_bytes(), body]
+                .map(<[u8]>::to_vec);
+        let words: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
+        let _ = client.out.try_send(encode(&words));
+        self.checker.see(now, Seen::Taken((r, no), unsafe_, what.object, what.group, due));
+        let request = Request { router: r, member, answered: false, attempts: 0, conn, tag };
+        self.requests.insert(no, request);
+        self.at(due, Ev::Due(no));
+    }
+
+    /// The client's time is up: it leaves, and nothing is owed to it.
+    pub(super) fn time_up(&mut self, now: Ms, no: u64) {
+        let Some(r) = self.requests.get_mut(&no) else { return };
+        if !std::mem::replace(&mut r.answered, true) {
+            let (router, conn, tag) = (r.router, r.conn, r.tag);
+            if let Some(c) = self.seats[router].clients.iter_mut().find(|c| c.conn == conn) {
+                c.open.remove(&tag);
+                let _ = c.out.try_send(encode(&[b"UNDO", tag.to_string().as_bytes(), b""]));
+            }
+        }
+        // What is on its way then is no fault.
+        self.at(now + CROSSING_MS, Ev::Left(no));
+    }
+
+    pub(super) fn answer(&mut self, now: Ms, router: usize, conn: ConnId, words: &[Vec<u8>]) {
+        let text = |i: usize| words.get(i).and_then(|w| std::str::from_utf8(w).ok()).unwrap_or_default();
+        let Ok(tag) = text(0).parse::<u64>() else { return };
+        let Some(c) = self.seats[router].clients.iter_mut().find(|c| c.conn == conn) else { return };
+        let Some(no) = c.open.remove(&tag) else { return };
+        let Some(request) = self.requests.get_mut(&no).filter(|r| !r.answered) else { return };
+        request.answered = true;
+        let member = request.member.clone();
+        let what = &member.what;
+        let class = &self.setup.load.classes[what.class];
+        let how = match text(1) {
+            "200" => Final::Served,
+            "503" => Final::Refused,
+            _ => Final::Failed,
+        };
+        self.checker.see(now, Seen::Answered((router, no), how));
+        let took = now - what.at;
+        match how {
+            Final::Served => {
+                self.out.served += 1;
+                let whole = class.effect == EffectSpec::Unsafe
+                    || words
+                        .get(3)
+                        .is_some_and(|b| *b == body(FillKey { object: what.object, part: what.part }));
+                self.out.wrong += u64::from(!whole);
+                self.waits.saturating_record((took.max(0.0) * 1000.0) as u64 + 1);
+                let aim = class.aim_ms + AIM_STRETCH * what.kb / self.setup.fleet.net.pace_kb_per_ms;
+                let worth = class.worth * if took <= aim { 1.0 } else { class.late_worth };
+                self.out.worth_late += worth;
+                if took <= aim {
+                    self.out.seconds[(what.at / 1000.0) as usize].1 += class.worth;
+                }
+            }
+            Final::Refused => self.out.refused += 1,
+            Final::Failed => self.out.failed += 1,
+        }
+        let stay = Fields::read(words.get(2).map_or(&[][..], Vec::as_slice))
+            .and_then(|f| f.decimal("w"))
+            .unwrap_or(0.0);
+        let again = now + self.setup.load.backoff_ms.max(stay);
+        let may = how != Final::Served && (class.effect == EffectSpec::Safe || how == Final::Refused);
+        if may && member.tries < self.setup.load.retries && again < what.at + class.deadline_ms {
+            let tries = member.tries + 1;
+            self.at(again, Ev::Again(router, Member { tries, ..member }));
+        }
+    }
+
+    // ---- Nodes ----
+
+    pub(super) fn input(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Asked { router, node, conn, out, words } => {
+                self.asked(now, (router, node, conn), out, &words)
+            }
+            Input::Closed(conn) => {
+                let lost: Vec<AskId> =
+                    self.asks.iter().filter(|(_, w)| w.conn == conn).map(|(id, _)| *id).collect();
+                lost.into_iter().for_each(|id| self.gone(now, id));
+            }
+            Input::Answer { router, conn, words } => self.answer(now, router, conn, &words),
+            Input::ClientOver { router, conn } => {
+                let Some(at) = self.seats[router].clients.iter().position(|c| c.conn == conn) else { return };
+                let over = self.seats[router].clients.swap_remove(at);
+                for no in over.open.into_values() {
+                    log::warn!("a client's connection to router {router} ended with request {no} open");
+                    self.requests.get_mut(&no).into_iter().for_each(|r| r.answered = true);
+                    self.at(now + CROSSING_MS, Ev::Left(no));
+                }
+            }
+        }
+    }
+
+    /// An attempt whose end nobody hears.
+    pub(super) fn gone(&mut self, now: Ms, id: AskId) {
+        self.fleet.abort(now, id);
+        if let Some(w) = self.asks.remove(&id) {
+            self.by_wire.remove(&(w.conn, w.wire));
+            self.checker.see(now, Seen::Ended((id.router, w.request), w.attempt, Ran::Maybe));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/mod.rs
@@ -0,0 +1,244 @@
+//! The owner of the fleet, the clients and the checker, in real time.
+
+mod clients;
+mod nodes;
+mod start;
+
+use crate::config::{configuration, plan_file, record};
+use crate::net::{change_log, client, frame, serve, ConnId, Frames, Input, Net, Status};
+use crate::process::Process;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use basaltgw::api::{End, Listed, Note, Rank};
+use basaltgw_hierarchy::{FillKey, NodeId, Plan, PlanSpec};
+use basaltgw_model::arrivals::{object as object_of, Arrival, Arrivals};
+use basaltgw_model::checker::{Checker, Final, Ran, Rule, Seen};
+use basaltgw_model::fleet::{nodes, Ask, AskId, Counts, Fleet, NodeInfo, NodeIx, Reply, Told, Trouble};
+use basaltgw_model::sim::{plan, Setup, AIM_STRETCH};
+use basaltgw_model::spec::{EffectSpec, Rules, What};
+use basaltgw_model::{rng, Ms, Rng};
+use basaltgw_resp::{encode, FieldList, Fields};
+use futures_lite::future;
+use hdrhistogram::Histogram;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// On sockets every limit of time is longer by this.
+const SLACK_MS: Ms = 50.0;
+/// Requests open on one client's connection.
+const OPEN: usize = 32;
+/// A client's connections to its router at the start; more are opened when all are full.
+const CONNS: usize = 4;
+const MOST_CONNS: usize = 64;
+/// Inputs taken in one go.
+const ROW: usize = 512;
+/// What a client's leaving may cross on its way.
+const CROSSING_MS: Ms = 200.0;
+
+/// What came of a run on sockets.
+pub struct Sockets {
+    /// Worth in time over worth asked.
+    pub worth: f64,
+    /// The same with late answers at their worth.
+    pub worth_late: f64,
+    /// Requests, members' repeats aside.
+    pub asked: u64,
+    /// Answers as clients got them.
+    pub served: u64,
+    /// See `served`.
+    pub refused: u64,
+    /// See `served`.
+    pub failed: u64,
+    /// Fetches that arrived at nodes.
+    pub attempts: u64,
+    /// Answers whose bytes were not those of the part.
+    pub wrong: u64,
+    /// By second of arrival: worth asked, worth in time.
+    pub seconds: Vec<(f64, f64)>,
+    /// From the intended time to the answer: the median and the 99th of a hundred, in ms.
+    pub p50: f64,
+    /// See `p50`.
+    pub p99: f64,
+    /// How late the generator was, the 99th of a hundred, in ms: the machine's, not the router's.
+    pub late_p99: f64,
+    /// The fleet's counts.
+    pub counts: Counts,
+    /// Rules broken: how often, and the first in words.
+    pub broken: BTreeMap<Rule, (u64, String)>,
+    /// The routers' own counters, added up.
+    pub routers: HashMap<String, f64>,
+}
+
+#[derive(Clone)]
+struct Member {
+    what: Arrival,
+    tries: u32,
+}
+
+struct Request {
+    router: usize,
+    member: Member,
+    answered: bool,
+    attempts: usize,
+    conn: ConnId,
+    tag: u64,
+}
+
+struct ClientConn {
+    conn: ConnId,
+    out: Sender<Vec<u8>>,
+    open: BTreeMap<u64, u64>,
+    tag: u64,
+}
+
+struct Waiting {
+    conn: ConnId,
+    out: Sender<Vec<u8>>,
+    wire: String,
+    request: u64,
+    attempt: usize,
+}
+
+enum Ev {
+    Arrive(usize),
+    Again(usize, Member),
+    Due(u64),
+    Left(u64),
+    Script(usize),
+    Tell(usize, u8, Vec<u8>, Option<Seen>),
+    Hup(usize, String),
+    Start(NodeIx),
+    Talk(NodeIx),
+    Purges,
+    Tidy,
+}
+
+struct Seat {
+    zone: usize,
+    process: Process,
+    arrivals: Arrivals,
+    next: Option<Arrival>,
+    clients: Vec<ClientConn>,
+    frames: Frames,
+    told: u64,
+    addresses: Vec<SocketAddr>,
+}
+
+struct World<'a> {
+    setup: &'a Setup,
+    net: Net,
+    nodes: Vec<NodeInfo>,
+    statuses: Vec<Rc<Status>>,
+    fleet: Fleet,
+    seats: Vec<Seat>,
+    checker: Checker,
+    requests: HashMap<u64, Request>,
+    requests_ever: u64,
+    asks: HashMap<AskId, Waiting>,
+    by_wire: HashMap<(ConnId, String), AskId>,
+    evs: HashMap<u64, Ev>,
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    evs_ever: u64,
+    begun: Instant,
+    unix: f64,
+    rng: Rng,
+    version: u64,
+    /// The plan's text in use at the routers, and the one before.
+    texts: [String; 2],
+    shapes: [usize; 2],
+    out: Sockets,
+    waits: Histogram<u64>,
+    lags: Histogram<u64>,
+}
+
+/// Plays a setup on sockets, with routers of that program; their files are kept in `dir`.
+pub fn run(setup: &Setup, binary: &Path, dir: &Path) -> Result<Sockets, String> {
+    std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    let executor = Rc::new(LocalExecutor::new());
+    let (queue, inputs) = async_channel::bounded(8_192);
+    let net = Net { executor: Rc::clone(&executor), queue, conns: Rc::default() };
+    let mut world = World::new(setup, net, binary, dir)?;
+    async_io::block_on(executor.run(async {
+        world.begin().await?;
+        let longest = setup.load.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        let end = setup.length_ms + longest + 300.0;
+        let mut told = Vec::new();
+        loop {
+            let now = world.now();
+            if now >= end {
+                break;
+            }
+            let own = world.due.peek().map(|Reverse((at, _))| *at as f64 / 1000.0);
+            let next = own.into_iter().chain(world.fleet.next_due()).fold(end, f64::min);
+            if next > now {
+                let wait = async {
+                    Timer::after(Duration::from_secs_f64((next - now) / 1000.0)).await;
+                    None
+                };
+                let first = future::or(async { inputs.recv().await.ok() }, wait).await;
+                first.into_iter().for_each(|input| world.input(input));
+            }
+            for _ in 0..ROW {
+                let Ok(input) = inputs.try_recv() else { break };
+                world.input(input);
+            }
+            world.advance(&mut told);
+            world.events().await?;
+            future::yield_now().await;
+        }
+        Ok::<(), String>(())
+    }))?;
+    Ok(world.finish())
+}
+
+fn hex(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+fn body(key: FillKey) -> Vec<u8> {
+    format!("{:016x}/{}", key.object, key.part).into_bytes()
+}
+
+impl<'a> World<'a> {
+    fn now(&self) -> Ms {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn at(&mut self, at: Ms, ev: Ev) {
+        self.evs_ever += 1;
+        self.evs.insert(self.evs_ever, ev);
+        self.due.push(Reverse(((at.max(0.0) * 1000.0) as u64, self.evs_ever)));
+    }
+
+    fn between(&mut self, [least, most]: [f64; 2]) -> Ms {
+        use basaltgw_model::draw;
+        least + (most - least).max(0.0) * draw(&mut self.rng)
+    }
+
+    fn finish(mut self) -> Sockets {
+        let now = self.now();
+        self.seats.iter().for_each(|s| s.process.end());
+        for seat in &mut self.seats {
+            seat.process.over();
+            for (name, value) in seat.process.last_counters() {
+                *self.out.routers.entry(name).or_insert(0.0) += value;
+            }
+        }
+        self.checker.tidy(now);
+        let asked: f64 = self.out.seconds.iter().map(|s| s.0).sum::<f64>().max(f64::MIN_POSITIVE);
+        self.out.worth = self.out.seconds.iter().map(|s| s.1).sum::<f64>() / asked;
+        self.out.worth_late /= asked;
+        self.out.p50 = self.waits.value_at_quantile(0.5) as f64 / 1000.0;
+        self.out.p99 = self.waits.value_at_quantile(0.99) as f64 / 1000.0;
+        self.out.late_p99 = self.lags.value_at_quantile(0.99) as f64 / 1000.0;
+        self.out.counts = self.fleet.counts.clone();
+        self.out.broken.clone_from(self.checker.report());
+        self.out
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/nodes.rs
@@ -0,0 +1,246 @@
+//! What nodes are asked and answer, and what the script does to them.
+
+use super::*;
+
+impl<'a> World<'a> {
+    pub(super) fn asked(
+        &mut self,
+        now: Ms,
+        (router, node, conn): (usize, NodeIx, ConnId),
+        out: Sender<Vec<u8>>,
+        words: &[Vec<u8>],
+    ) {
+        let text = |i: usize| words.get(i).and_then(|w| std::str::from_utf8(w).ok()).unwrap_or_default();
+        let wire = text(1).to_string();
+        if text(0) == "abort" {
+            if let Some(id) = self.by_wire.get(&(conn, wire)).copied() {
+                self.gone(now, id);
+            }
+            return;
+        }
+        let fields = words.get(2).and_then(|w| Fields::read(w));
+        let request = u64::from_str_radix(&wire, 16).ok();
+        let found = request.and_then(|no| self.requests.get_mut(&no).map(|r| (no, r)));
+        let (Some((no, request)), Some(fields)) = (found, fields.filter(|_| text(0) == "fetch")) else {
+            let _ = out.try_send(encode(&[wire.as_bytes(), b"error", b"-", b""]));
+            return;
+        };
+        let attempt = request.attempts;
+        request.attempts += 1;
+        self.out.attempts += 1;
+        let what = &request.member.what;
+        let class = &self.setup.load.classes[what.class];
+        let mode: Vec<&str> = fields.get("mode").unwrap_or_default().split('+').collect();
+        let oldest = fields.decimal("oldest").filter(|o| *o > 0.0);
+        let fresh = Some(class.fresh_ms).filter(|f| *f > 0.0);
+        let source = fields.get("from").and_then(|id| self.fleet.find(&NodeId::new(id)));
+        let id = AskId { router, number: no << 4 | (attempt as u64).min(15) };
+        let ask = Ask {
+            id,
+            key: FillKey { object: what.object, part: what.part },
+            group: what.group,
+            kb: what.kb,
+            from: source,
+            rank: match fields.get("rank") {
+                Some("1") => Rank::Low,
+                Some("2") => Rank::Middle,
+                Some("3") => Rank::Top,
+                _ => Rank::None,
+            },
+            max_age: oldest.or(fresh),
+            grace: if oldest.is_none() && mode.contains(&"swr") { class.grace_ms } else { 0.0 },
+            join: mode.contains(&"share"),
+            held_only: mode.contains(&"peek"),
+            effect: (class.effect == EffectSpec::Unsafe).then_some(no),
+            wait: fields.decimal("w").unwrap_or(class.deadline_ms),
+        };
+        self.checker.see(now, Seen::Sent((router, no), attempt, node, source));
+        let zone = self.seats[router].zone;
+        self.by_wire.insert((conn, wire.clone()), id);
+        self.asks.insert(id, Waiting { conn, out, wire, request: no, attempt });
+        self.fleet.ask(now, zone, node, ask);
+    }
+
+    pub(super) fn replied(&mut self, now: Ms, id: AskId, reply: Reply) {
+        let Some(w) = self.asks.remove(&id) else { return };
+        self.by_wire.remove(&(w.conn, w.wire.clone()));
+        let request = self.requests.get(&w.request);
+        let key = request.map(|r| FillKey { object: r.member.what.object, part: r.member.what.part });
+        let unsafe_ = request
+            .is_some_and(|r| self.setup.load.classes[r.member.what.class].effect == EffectSpec::Unsafe);
+        let ran = match reply.end {
+            End::Served => Ran::Served((!unsafe_).then_some(reply.born)),
+            End::Full | End::Miss | End::NotSent => Ran::Never,
+            End::Error | End::Late | End::Broken | End::Cancelled | End::NoConnection => Ran::Maybe,
+        };
+        self.checker.see(now, Seen::Ended((id.router, w.request), w.attempt, ran));
+        let note = match reply.note {
+            Note::Untold => None,
+            Note::Hit => Some("hit"),
+            Note::FilledBySource => Some("filled"),
+            Note::FilledByOrigin => Some("via_origin"),
+            Note::Joined => Some("joined"),
+            Note::Old => Some("stale"),
+            Note::SourceRefused => Some("src_refused"),
+            Note::SourceFailed => Some("src_broke"),
+            Note::SourceLacks => Some("src_lacks"),
+            Note::NoFillPlace => Some("no_slot"),
+            Note::OriginFailed => Some("origin_failed"),
+            Note::Looped => Some("src_looped"),
+        };
+        let word: &[u8] = match reply.end {
+            End::Served => b"ok",
+            End::Miss => b"nothing",
+            End::Full => b"refused",
+            End::NotSent => b"stale",
+            End::Error | End::Late | End::Cancelled => b"error",
+            // The connection ends with its node; it says nothing more.
+            End::Broken | End::NoConnection => return,
+        };
+        let mut fields = FieldList::default();
+        if reply.end == End::Served {
+            fields.add("ver", hex(reply.born.to_bits()));
+            fields.add("born", (self.unix + reply.born).max(0.0) as u64);
+        }
+        note.into_iter().for_each(|n| fields.add("note", n));
+        fields.add("waited", format!("{:.2}", reply.waited.max(0.0)));
+        let bytes = match key.filter(|_| reply.end == End::Served && !unsafe_) {
+            Some(key) => body(key),
+            None => Vec::new(),
+        };
+        let _ = w.out.try_send(encode(&[w.wire.as_bytes(), word, fields.text().as_bytes(), &bytes]));
+    }
+
+    // ---- The script ----
+
+    pub(super) fn down(&mut self, node: NodeIx) {
+        let status = &self.statuses[node.0];
+        status.up.set(false);
+        status.life.set(status.life.get() + 1);
+    }
+
+    pub(super) fn started(&mut self, now: Ms, node: NodeIx) {
+        self.fleet.start(now, node);
+        let status = &self.statuses[node.0];
+        status.life.set(status.life.get() + 1);
+        status.up.set(true);
+        status.talks.set(true);
+        self.listed(now, node, Listed::Up, Some(now));
+    }
+
+    pub(super) fn listed(&mut self, now: Ms, node: NodeIx, listed: Listed, started: Option<Ms>) {
+        let started = started.map_or(0, |t| (self.unix + t) as u64);
+        for r in 0..self.seats.len() {
+            let info = &self.nodes[node.0];
+            if info.zone != 0 && info.zone != self.seats[r].zone {
+                continue;
+            }
+            let payload = record(info, self.seats[r].addresses[node.0], listed, started);
+            let seen = Seen::Drained(r, node, listed != Listed::Up);
+            let after = self.between(self.setup.fleet.news.list_ms);
+            self.at(now + after, Ev::Tell(r, 2, payload, Some(seen)));
+        }
+    }
+
+    pub(super) fn purge(&mut self, now: Ms, object: Option<u64>, group: u64) {
+        self.fleet.purge(now, object, group);
+        let time = ((self.unix + now) as u64).to_be_bytes();
+        let (kind, payload) = match object {
+            Some(object) => (3, [&object.to_be_bytes()[..], &time].concat()),
+            None => (4, [&(group as u16).to_be_bytes()[..], &time].concat()),
+        };
+        for r in 0..self.seats.len() {
+            let seen = Seen::Purged(r, object, group, now);
+            let after = self.between(self.setup.fleet.news.purge_ms);
+            self.at(now + after, Ev::Tell(r, kind, payload.clone(), Some(seen)));
+        }
+    }
+
+    /// A plan comes out: caches and routers hear of it each at their own moment.
+    pub(super) fn plan_out(&mut self, now: Ms, spec: &PlanSpec, text: &str) -> Result<(), String> {
+        let checked = Plan::check(spec.clone()).map_err(|e| e.to_string())?;
+        self.fleet.plan(now, &Arc::new(checked), self.setup.fleet.news.plan_ms);
+        for r in 0..self.seats.len() {
+            let after = self.between(self.setup.fleet.news.plan_ms);
+            self.at(now + after, Ev::Hup(r, text.to_string()));
+        }
+        Ok(())
+    }
+
+    pub(super) fn moment(&mut self, now: Ms, i: usize) -> Result<(), String> {
+        let m = self.setup.script[i].clone();
+        let until = now + m.for_ms;
+        let find = |name: &Option<String>| {
+            let name = name.as_deref().ok_or_else(|| format!("script[{i}]: expected a node"))?;
+            self.fleet.named(name).ok_or_else(|| format!("script[{i}]: unknown node {name}"))
+        };
+        match m.what {
+            What::MassPurge => {
+                let groups = (m.factor * self.setup.load.groups as f64).round() as u64;
+                (0..groups).for_each(|g| self.purge(now, None, g));
+            }
+            What::StaleList => return Err(format!("script[{i}]: stale_list is not played on sockets")),
+            What::Plan => {
+                let name = m.plan.as_deref().unwrap_or_default();
+                let found = self.setup.plans.iter().position(|p| p.name == name);
+                let shape = found.ok_or_else(|| format!("script[{i}]: unknown plan {name:?}"))?;
+                self.version += 1;
+                let spec = plan(&self.setup.plans[shape], self.version, &self.nodes);
+                let text = plan_file(&spec, &self.setup.tree);
+                (self.shapes, self.texts) = ([shape, self.shapes[0]], [text.clone(), self.texts[0].clone()]);
+                self.plan_out(now, &spec, &text)?;
+            }
+            What::TakeBack => {
+                // Routers get the old file again; caches the old tree under a new number.
+                self.shapes.swap(0, 1);
+                self.texts.swap(0, 1);
+                self.version += 1;
+                let spec = plan(&self.setup.plans[self.shapes[0]], self.version, &self.nodes);
+                let text = self.texts[0].clone();
+                self.plan_out(now, &spec, &text)?;
+            }
+            What::Crash => {
+                let node = find(&m.node)?;
+                self.fleet.trouble(now, node, Trouble::Crash);
+                self.down(node);
+                match m.for_ms > 0.0 {
+                    true => self.at(until, Ev::Start(node)),
+                    false => self.listed(now, node, Listed::Gone, None),
+                }
+            }
+            What::Vanish => {
+                let node = find(&m.node)?;
+                self.fleet.trouble(now, node, Trouble::Vanish);
+                self.statuses[node.0].talks.set(false);
+                self.at(until, Ev::Start(node));
+            }
+            What::Hang => {
+                let node = find(&m.node)?;
+                self.fleet.trouble(now, node, Trouble::Hang(until));
+                self.statuses[node.0].talks.set(false);
+                self.at(until, Ev::Talk(node));
+            }
+            What::Start => self.started(now, find(&m.node)?),
+            What::Drain => {
+                let node = find(&m.node)?;
+                self.listed(now, node, Listed::Draining, None);
+            }
+            What::Stop => {
+                let node = find(&m.node)?;
+                self.listed(now, node, Listed::Gone, None);
+                self.fleet.trouble(now, node, Trouble::Crash);
+                self.down(node);
+            }
+            What::Slow => self.fleet.trouble(now, find(&m.node)?, Trouble::Slow(m.factor, until)),
+            What::RefuseFills => self.fleet.trouble(now, find(&m.node)?, Trouble::RefuseFills(until)),
+            What::LoseAnswers => {
+                self.fleet.trouble(now, find(&m.node)?, Trouble::LoseAnswers(m.factor, until))
+            }
+            What::WrongSource => {
+                let (node, to) = (find(&m.node)?, find(&m.to)?);
+                self.fleet.trouble(now, node, Trouble::WrongSource(to, until));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -238,7 +238,8 @@
         for (name, text) in OWN {
             let (experiment, _) = Experiment::find(name).expect("an experiment");
             assert_eq!(experiment.name, name);
-            let path = std::env::temp_dir().join(format!("basaltgw-lab-{}-{name}.yaml", std::process::id()));
+            let dir = tempfile::tempdir().expect("a folder");
+            let path = dir.path().join("wrong.yaml");
             let wrong = |from: &str, to: &str| {
                 assert!(text.contains(from), "{from}");
                 std::fs::write(&path, text.replacen(from, to, 1)).expect("a file");
@@ -249,7 +250,6 @@
             assert!(wrong("figure: loops_carried", "figur: loops_carried").contains("must["));
             let text = wrong("zones:", "zonse:");
             assert!(text.contains("fleet: ") && text.contains("zon"), "{text}");
-            let _ = std::fs::remove_file(&path);
         }
     }
 
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -80,11 +80,11 @@
 /// Plays one run on sockets; once more if the machine was late.
 pub fn play_on_sockets(setup: &Setup, variant: Variant) -> Result<Done, String> {
     let binary = binary()?;
-    let dir = std::env::temp_dir().join(format!("basaltgw-lab-{}-{}", std::process::id(), variant.name()));
+    let dir = tempfile::tempdir().map_err(|e| format!("a folder for routers: {e}"))?;
     let mut tries = 0;
     let (sockets, wall) = loop {
         let begun = Instant::now();
-        let sockets = basaltgw_emulator::run(setup, &binary, &dir)?;
+        let sockets = basaltgw_emulator::run(setup, &binary, dir.path())?;
         tries += 1;
         if sockets.late_p99 <= LATE_MS {
             break (sockets, begun.elapsed());
@@ -96,7 +96,6 @@
             ));
         }
     };
-    let _ = std::fs::remove_dir_all(&dir);
     let mut row = of_sockets(&sockets);
     row.insert("wall_s".into(), wall.as_secs_f64());
     let seconds =
--- a/crates/lab/tests/command_line.rs
+++ b/crates/lab/tests/command_line.rs
@@ -1,17 +1,15 @@
 //! The lab from the command line: how it ends, what it says last, and that the same file and seed give the same figures.
 
-use std::path::PathBuf;
 use std::process::Command;
+use tempfile::TempDir;
 
 const OWN: &str = include_str!("../experiments/reshape-simulated.yaml");
 
-struct Dir(PathBuf);
+struct Dir(TempDir);
 
 impl Dir {
-    fn new(name: &str) -> Self {
-        let dir = std::env::temp_dir().join(format!("basaltgw-lab-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&dir).expect("a folder");
-        Self(dir)
+    fn new() -> Self {
+        Self(tempfile::tempdir().expect("a folder"))
     }
 
     /// An experiment of a few seconds, with something replaced.
@@ -23,18 +21,12 @@
                     runs: [described, still]\n\nmust:\n  - {figure: loops_carried, is: 0}\n  - {figure: rules_broken, is: 0}\n";
         let text = format!("{head}\n{tail}");
         assert!(text.contains(from), "{from}");
-        let file = self.0.join("short.yaml");
+        let file = self.0.path().join("short.yaml");
         std::fs::write(&file, text.replacen(from, to, 1)).expect("a file");
         file.display().to_string()
     }
 }
 
-impl Drop for Dir {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn lab(args: &[&str]) -> (Option<i32>, String, String) {
     let out = Command::new(env!("CARGO_BIN_EXE_basaltgw-lab")).args(args).output().expect("a process");
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -43,7 +35,7 @@
 
 #[test]
 fn it_ends_by_what_held_and_says_so_in_its_last_line() {
-    let dir = Dir::new("ends");
+    let dir = Dir::new();
     let (code, said, _) = lab(&["run", &dir.experiment("is: 0}", "is: 0}"), "--seed", "4"]);
     let last = said.lines().last().expect("a line");
     assert_eq!(code, Some(0), "{said}");
@@ -56,7 +48,7 @@
 
 #[test]
 fn bad_input_is_named_and_ends_with_two() {
-    let dir = Dir::new("bad");
+    let dir = Dir::new();
     let file = dir.experiment("zipf: 0.8", "zipf: -1");
     let (code, _, said) = lab(&["run", &file]);
     assert_eq!(code, Some(2));
@@ -72,10 +64,10 @@
 
 #[test]
 fn the_same_file_and_seed_give_the_same_table_but_for_the_machine() {
-    let dir = Dir::new("same");
+    let dir = Dir::new();
     let file = dir.experiment("is: 0}", "is: 0}");
     let table = |out: &str, seed: &str| {
-        let out = dir.0.join(out);
+        let out = dir.0.path().join(out);
         let (code, said, wrong) = lab(&["run", &file, "--seed", seed, "--out", &out.display().to_string()]);
         assert_eq!(code, Some(0), "{said}{wrong}");
         let csv = std::fs::read_to_string(out.join("reshape-simulated.csv")).expect("a table");
@@ -92,8 +84,8 @@
     assert_eq!(one, again);
     assert_ne!(one, other);
     assert_eq!(one.len(), 3, "names and two runs");
-    let (code, said, _) = lab(&["report", &dir.0.join("one").display().to_string()]);
+    let (code, said, _) = lab(&["report", &dir.0.path().join("one").display().to_string()]);
     assert_eq!(code, Some(0), "{said}");
-    let page = std::fs::read_to_string(dir.0.join("one/index.html")).expect("a page");
+    let page = std::fs::read_to_string(dir.0.path().join("one/index.html")).expect("a page");
     assert!(page.contains("<svg") && page.contains("loops_offered"));
 }
--- a/crates/node/tests/carry.rs
+++ b/crates/node/tests/carry.rs
@@ -5,21 +5,20 @@
 use common::*;
 use serde_json::{json, Value};
 use std::path::PathBuf;
+use tempfile::TempDir;
 
 struct Files {
     yaml: PathBuf,
     learnt: PathBuf,
+    _dir: TempDir,
 }
 
 impl Files {
-    fn new(name: &str) -> Self {
-        let file = |end: &str| {
-            std::env::temp_dir().join(format!("basaltgw-carry-{}-{name}.{end}", std::process::id()))
-        };
-        let files = Self { yaml: file("yaml"), learnt: file("learnt") };
-        std::fs::write(&files.yaml, format!("carry: {{file: {}}}\n", files.learnt.display()))
-            .expect("a file");
-        files
+    fn new() -> Self {
+        let dir = tempfile::tempdir().expect("a folder");
+        let (yaml, learnt) = (dir.path().join("own.yaml"), dir.path().join("learnt"));
+        std::fs::write(&yaml, format!("carry: {{file: {}}}\n", learnt.display())).expect("a file");
+        Self { yaml, learnt, _dir: dir }
     }
 
     fn start(&self, config: &Value) -> Process {
@@ -27,12 +26,6 @@
     }
 }
 
-impl Drop for Files {
-    fn drop(&mut self) {
-        let _ = (std::fs::remove_file(&self.yaml), std::fs::remove_file(&self.learnt));
-    }
-}
-
 /// A zone with a slow cache and a quick one.
 struct Zone {
     slow: Cache,
@@ -86,7 +79,7 @@
 
 #[test]
 fn the_first_requests_after_a_switch_spare_what_was_slow_before_it() {
-    let (zone, files) = (Zone::new(), Files::new("switch"));
+    let (zone, files) = (Zone::new(), Files::new());
     let mut router = files.start(&zone.config());
     assert!(router.said("nothing was left at"));
     // A file that never had a plan is none that has lost it.
@@ -111,7 +104,7 @@
 
 #[test]
 fn what_was_left_and_cannot_be_used_is_said_and_left_out() {
-    let (zone, files) = (Zone::new(), Files::new("bad"));
+    let (zone, files) = (Zone::new(), Files::new());
     let mut router = files.start(&zone.config());
     router.signal("TERM");
     assert!(router.ended().success());
@@ -134,7 +127,7 @@
 
 #[test]
 fn a_server_that_has_started_anew_is_as_unknown_as_before() {
-    let (zone, files) = (Zone::new(), Files::new("anew"));
+    let (zone, files) = (Zone::new(), Files::new());
     let mut router = files.start(&zone.config());
     let mut client = router.client();
     at_the_slow_one(&mut client, &zone, 1..40);
--- a/crates/node/tests/command_line.rs
+++ b/crates/node/tests/command_line.rs
@@ -44,7 +44,8 @@
 fn check_config_says_what_is_wrong() {
     let out = run(&["check-config"], None);
     assert!(!out.status.success() && text(&out.stderr).contains("field GW_CONFIG:"));
-    let file = std::env::temp_dir().join(format!("basaltgw-check-{}.json", std::process::id()));
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("router.json");
     let path = file.display().to_string();
     let mut config = configuration(&[], ChangeLog::start().address);
     std::fs::write(&file, config.to_string()).expect("a file");
@@ -52,7 +53,6 @@
     config["limits"]["sockets"] = "many".into();
     std::fs::write(&file, config.to_string()).expect("a file");
     let (bad, serve) = (run(&["check-config"], Some(&path)), run(&["serve"], Some(&path)));
-    std::fs::remove_file(&file).expect("removed");
     assert!(good.status.success());
     assert_eq!(text(&good.stdout), "n1: 1 events known, listens at 127.0.0.1:0\n");
     for out in [bad, serve] {
--- /dev/null
+++ b/crates/node/tests/service/main.rs
@@ -0,0 +1,136 @@
+//! The router in service: new configurations, clients and peers that misbehave. Each request gets one answer.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod clients;
+mod servers;
+
+use basaltgw_node::resp::encode;
+use common::*;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A router before an edge cache, a parent and an origin, which all hold everything unless told otherwise.
+struct Rig {
+    edge: Cache,
+    log: ChangeLog,
+    config: Value,
+    router: Process,
+}
+
+fn rig_of(edge: Cache, change: impl FnOnce(&mut Value)) -> Rig {
+    let log = ChangeLog::start();
+    let mut config = configuration(&three(&edge, &Cache::full(), &Cache::full()), log.address);
+    change(&mut config);
+    let router = router(&config);
+    Rig { edge, log, config, router }
+}
+
+fn rig() -> Rig {
+    rig_of(Cache::full(), |_| {})
+}
+
+fn purge(object: u64) -> Vec<u8> {
+    [object.to_be_bytes(), unix_ms().to_be_bytes()].concat()
+}
+
+fn serves(client: &mut Client, tag: u64) {
+    client.ask(tag, "pages", tag, "", b"");
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+}
+
+/// The time within which what misbehaves is owed a close.
+const OWED: Duration = Duration::from_secs(3);
+
+fn few(sockets: u64) -> impl FnOnce(&mut Value) {
+    move |c| c["limits"]["sockets"] = json!(sockets)
+}
+
+// ---- New configurations ----
+
+#[test]
+fn sighup_has_the_change_log_followed_at_its_new_address_from_the_last_event() {
+    let mut rig = rig();
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    rig.log.tell(2, 3, &purge(77));
+    until("an event is told", || rig.router.counter("purges") == 1);
+    let moved = ChangeLog::start();
+    moved.tell(2, 3, &purge(77));
+    moved.tell(3, 3, &purge(5));
+    rig.config["changelog"] = json!(moved.address.to_string());
+    rig.router.rewrite(&rig.config.to_string());
+    rig.router.signal("HUP");
+    until("the next event is told", || rig.router.counter("purges") == 2);
+    assert_eq!(moved.asked.lock().expect("lock")[..], [2], "from the last event on");
+    // Open connections go on, and what was told holds.
+    serves(&mut client, 5);
+    assert!(rig.edge.all()[1].field("oldest").is_some());
+    // Any number of signals; the last file holds, also when its change log is not there yet.
+    rig.config["changelog"] = json!("127.0.0.1:1");
+    rig.router.rewrite(&rig.config.to_string());
+    (0..5).for_each(|_| rig.router.signal("HUP"));
+    until("it was read", || rig.router.counter("log_lost") >= 3);
+    rig.config["changelog"] = json!(rig.log.address.to_string());
+    rig.router.rewrite(&rig.config.to_string());
+    rig.router.signal("HUP");
+    rig.log.tell(4, 3, &purge(6));
+    rig.log.tell(3, 3, &purge(6));
+    until("it is followed where it was", || rig.log.asked.lock().expect("lock").contains(&3));
+    until("event 4 is told", || rig.router.counter("purges") == 3);
+    serves(&mut client, 6);
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_bad_file_at_sighup_is_named_and_changes_nothing() {
+    let mut rig = rig();
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    for (text, fault) in [
+        ("{", "GW_CONFIG"),
+        (&rig.config.to_string().replace("\"changelog\"", "\"other\""), "field changelog"),
+    ] {
+        let refused = rig.router.counter("reloads_refused");
+        rig.router.rewrite(text);
+        rig.router.signal("HUP");
+        until("it is refused", || rig.router.counter("reloads_refused") == refused + 1);
+        assert!(rig.router.said(fault), "{fault}");
+    }
+    rig.log.tell(2, 3, &purge(1));
+    until("the change log is still followed", || rig.router.counter("purges") == 1);
+    // What only a new start can take is named and left.
+    rig.config["limits"]["sockets"] = json!(512);
+    rig.router.rewrite(&rig.config.to_string());
+    rig.router.signal("HUP");
+    until("it is read", || rig.router.counter("reloads") == 1);
+    assert!(rig.router.said("limits can't change"));
+    serves(&mut client, 2);
+    assert_eq!(client.settle(), []);
+    assert_eq!(rig.router.counter("log_lost"), 0);
+}
+
+// ---- The end ----
+
+#[test]
+fn clients_that_misbehave_do_not_hold_up_the_end() {
+    let slow = Cache::start(|s| Do::Later(1200, content(s)));
+    let mut rig = rig_of(slow, |_| {});
+    let mut good = rig.router.client();
+    let silent: Vec<Client> = (0..100).map(|_| rig.router.client()).collect();
+    let mut half: Vec<Client> = (0..100).map(|_| rig.router.client()).collect();
+    half.iter_mut().for_each(|c| c.write(b"*5\r\n$2\r\nDO\r\n"));
+    good.ask(1, "pages", 1, "", b"");
+    until("it is open", || rig.router.counter("requests") == 1);
+    let asked = Instant::now();
+    rig.router.signal("TERM");
+    assert_eq!(good.must().word, "200");
+    assert!(rig.router.ended().success());
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+    drop((silent, half));
+}
--- /dev/null
+++ b/crates/node/tests/service/servers.rs
@@ -0,0 +1,158 @@
+//! Servers and change logs that misbehave.
+
+use crate::common::*;
+use crate::*;
+
+#[test]
+fn what_follows_a_good_answer_is_dropped_and_so_is_what_comes_before_under_another_id() {
+    let edge = Cache::start(|s| match s.field("k") {
+        Some("0000000000000001") => Do::Twice(content(s)),
+        Some("0000000000000002") => Do::Ahead(content(s)),
+        _ => Do::Ok(content(s)),
+    });
+    let rig = rig_of(edge, |_| {});
+    let mut client = rig.router.client();
+    for tag in 1..=3 {
+        client.ask(tag, "pages", tag, "", b"");
+        let got = client.must();
+        assert_eq!((got.tag, got.body), (tag, format!("{tag:016x}/0").into_bytes()));
+    }
+    assert_eq!(client.settle(), []);
+    assert_eq!((rig.router.counter("late_answers"), rig.router.counter("conns")), (2, 1));
+}
+
+#[test]
+fn an_answer_is_never_taken_for_that_of_a_later_attempt() {
+    // Its second copy must not speak for the attempt that follows the first.
+    let first = AtomicBool::new(true);
+    let edge = Cache::start(move |s| match first.swap(false, Ordering::SeqCst) {
+        true => Do::TwiceWord("nothing"),
+        false => Do::Later(300, content(s)),
+    });
+    let rig = rig_of(edge, |_| {});
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    assert_eq!(client.settle(), []);
+    assert_eq!((rig.edge.count(), rig.router.counter("attempts_miss")), (2, 1));
+    assert_eq!(rig.router.counter("late_answers"), 1);
+}
+
+#[test]
+fn a_spoilt_or_unfinished_answer_ends_its_connection_and_the_others_on_it_go_elsewhere() {
+    let spoilt: [fn() -> Do; 6] = [
+        || Do::Word("ok", "-"),
+        || Do::Raw(b"*4\r\n$16\r\n"),
+        || Do::Raw(b"*4\r\n$1\r\nx\r\n$2\r\nok\r\n$-5\r\n"),
+        || Do::Raw(b"*4\r\n$1\r\nx\r\n$2\r\nok\r\n$1\r\n-\r\n$3000000000\r\nabc"),
+        || Do::Word("ok", "bé,=,noise"),
+        || Do::Raw(b"\0\x01\x02 noise"),
+    ];
+    for act in spoilt {
+        // The first connection goes bad with its second request and says nothing more.
+        let edge = Cache::start(move |s| match (s.conn, s.field("k")) {
+            (1, Some("0000000000000002")) => act(),
+            (1, _) => Do::Silent,
+            _ => Do::Ok(content(s)),
+        });
+        let second = Cache::full();
+        let rig = rig_of(edge, |c| with_second(c, &second));
+        let mut client = rig.router.client();
+        let start = Instant::now();
+        client.ask(1, "pages", 1, "", b"");
+        client.ask(2, "pages", 2, "", b"");
+        let answers = [client.must(), client.must()];
+        assert!(answers.iter().all(|g| g.word == "200"), "{answers:?}");
+        assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+        assert_eq!(client.settle(), []);
+    }
+}
+
+#[test]
+fn a_connection_that_does_not_prove_itself_gets_no_request() {
+    // The first of all is mute from its start; the machine behind it may be gone.
+    let mute = |first: Arc<AtomicBool>| {
+        move |_| if first.swap(false, Ordering::SeqCst) { Proof::Mute } else { Proof::Yes }
+    };
+    let first = Arc::new(AtomicBool::new(true));
+    let other = Arc::clone(&first);
+    let edge = Cache::start_as(mute(first), |s| Do::Ok(content(s)));
+    let second = Cache::start_as(mute(other), |s| Do::Ok(content(s)));
+    let rig = rig_of(edge, |c| with_second(c, &second));
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    assert_eq!(rig.edge.count() + second.count(), 1);
+    assert_eq!(rig.router.counter("attempts_no_connection"), 1);
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_write_never_shares_a_connection_with_what_may_break_it() {
+    let origin = Cache::start(|s| Do::Later(200, content(s)));
+    let log = ChangeLog::start();
+    let edge = Cache::full();
+    let router = router(&configuration(&three(&edge, &Cache::full(), &origin), log.address));
+    let mut client = router.client();
+    for tag in 1..=8 {
+        client.ask(tag, "loan", tag, "", b"borrow");
+    }
+    let answers: Vec<Got> = (0..8).map(|_| client.must()).collect();
+    assert!(answers.iter().all(|g| g.word == "200"));
+    let mut conns: Vec<usize> = origin.all().iter().map(|s| s.conn).collect();
+    conns.sort_unstable();
+    conns.dedup();
+    assert_eq!((origin.count(), conns.len()), (8, 8), "each on one of its own");
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_write_that_meets_the_end_of_a_connection_that_was_new_or_idle_never_ran() {
+    let origin =
+        Cache::start_as(|conn| if conn == 1 { Proof::Cut } else { Proof::Yes }, |s| Do::Ok(content(s)));
+    let parent = Cache::full();
+    let log = ChangeLog::start();
+    let router = router(&configuration(&three(&Cache::full(), &parent, &origin), log.address));
+    let mut client = router.client();
+    client.ask(1, "loan", 1, "", b"borrow");
+    assert_eq!(client.must().word, "200", "sent again, since it provably never ran");
+    assert_eq!((parent.count(), origin.count()), (1, 0));
+    assert_eq!((router.counter("attempts_broken"), router.counter("attempts_not_sent")), (0, 1));
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn a_change_log_that_breaks_in_mid_event_or_repeats_itself_tells_each_event_once() {
+    let rig = rig();
+    until("it is followed", || !rig.log.asked.lock().expect("lock").is_empty());
+    *rig.log.cut.lock().expect("lock") = Some(3);
+    for (number, object) in [(2, 1), (2, 1), (3, 2), (4, 3), (4, 3)] {
+        rig.log.tell(number, 3, &purge(object));
+    }
+    until("all are told", || rig.router.counter("purges") >= 3);
+    until("it was asked again after the break", || rig.log.asked.lock().expect("lock").contains(&2));
+    rig.log.tell(5, 3, &purge(4));
+    until("the next is told", || rig.router.counter("purges") >= 4);
+    assert_eq!((rig.router.counter("purges"), rig.router.counter("log_lost")), (4, 1));
+    let mut client = rig.router.client();
+    (1..=5).for_each(|tag| serves(&mut client, tag));
+    assert_eq!(client.settle(), []);
+    let bound = rig.edge.all().iter().filter(|s| s.field("oldest").is_some()).count();
+    assert_eq!(bound, 4);
+}
+
+#[test]
+fn servers_that_come_and_go_leave_nothing() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    let address = rig.edge.address;
+    for round in 0..40u32 {
+        let ids = (0..50).map(|n| 0x1000 + 50 * round + n);
+        let all = |state: u8| ids.clone().flat_map(|id| record(id, address, state, 0)).collect::<Vec<u8>>();
+        rig.log.tell(u64::from(2 + 2 * round), 2, &all(0));
+        rig.log.tell(u64::from(3 + 2 * round), 2, &all(2));
+    }
+    until("2,000 came and went", || rig.router.counter("lists") == 81);
+    assert_eq!(rig.router.counter("servers_now"), 3);
+    serves(&mut client, 2);
+    assert_eq!(client.settle(), []);
+}
--- /dev/null
+++ b/crates/node/tests/sockets/limits.rs
@@ -0,0 +1,172 @@
+//! Descriptors, memory, time, and bytes that make no sense.
+
+use crate::common::*;
+use crate::*;
+
+#[test]
+fn without_descriptors_clients_wait_and_are_served_later() {
+    let (edge, parent, origin, log) = (Cache::full(), Cache::full(), Cache::full(), ChangeLog::start());
+    let config = configuration(&three(&edge, &parent, &origin), log.address);
+    let router = router_by(&config, "ulimit -n 40; exec \"$0\" serve");
+    let mut first = router.client();
+    first.ask(1, "pages", 1, "", b"");
+    assert_eq!(first.must().word, "200");
+    // More than there are descriptors for; each is served once those before it have gone.
+    let waiting: Vec<Client> = (0..60).map(|_| router.client()).collect();
+    for (n, mut client) in waiting.into_iter().enumerate() {
+        client.ask(1, "pages", n as u64, "", b"");
+        assert_eq!(client.must().word, "200", "client {n}");
+    }
+    first.ask(2, "pages", 2, "", b"");
+    assert_eq!(first.must().tag, 2);
+    assert_eq!(first.settle(), []);
+    assert_eq!(router.counter("served"), 62);
+}
+
+#[test]
+fn no_more_clients_are_taken_than_servers_leave_room_for() {
+    let few = |c: &mut Value| c["limits"]["sockets"] = json!(60);
+    let rig = rig_of(Cache::full(), Cache::full(), Cache::full(), few);
+    let router = &rig.router;
+    let waiting: Vec<Client> = (0..40).map(|_| router.client()).collect();
+    until("the places are taken", || router.counter("clients_now") == 24);
+    for mut client in waiting {
+        // One that was closed for others had said nothing.
+        client.try_ask(1, "pages", 5);
+        if let Some(got) = client.next() {
+            assert_eq!(got.word, "200");
+        }
+        assert!(router.counter("clients_now") <= 24);
+    }
+}
+
+#[test]
+fn unparseable_bytes_close_that_connection_alone() {
+    let rig = rig(Cache::full());
+    let mut good = rig.router.client();
+    for bytes in [
+        &b"*1\r\n+PING\r\n"[..],
+        b"*99999999999\r\n",
+        b"*2\r\n$4\r\nPING\r\n$1\r\nx\r\n",
+        b"\0\0\0\0\0",
+        b"*0\r\n",
+    ] {
+        let mut bad = rig.router.client();
+        bad.write(bytes);
+        assert_eq!(bad.next(), None, "{bytes:?}");
+    }
+    // A request that has a tag and no sense fails, and its connection goes on.
+    good.write(b"*4\r\n$2\r\nDO\r\n$1\r\n4\r\n$5\r\npages\r\n$6\r\nnofish\r\n");
+    let got = good.must();
+    assert_eq!((got.tag, got.word.as_str()), (4, "500"));
+    good.ask(5, "unheard-of", 1, "", b"");
+    assert_eq!(good.must().word, "500");
+    good.ask(6, "pages", 1, "", b"");
+    assert_eq!(good.must().word, "200");
+    assert_eq!(good.settle(), []);
+}
+
+/// A read whose first attempt ends in that way is served by the next.
+fn served_by_the_next(act: fn() -> Do) -> Rig {
+    let act = once(act);
+    let (edge, second) = (Cache::start(act.clone()), Cache::start(act));
+    let rig = rig_of(edge, Cache::full(), Cache::full(), |c| with_second(c, &second));
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    assert_eq!(client.must().word, "200");
+    assert_eq!(client.settle(), []);
+    rig
+}
+
+#[test]
+fn a_cache_that_talks_nonsense_loses_its_connection_and_no_request() {
+    let rig = served_by_the_next(|| Do::Raw(b"HTTP/1.1 200 OK\r\n\r\n"));
+    assert_eq!((rig.router.counter("attempts_broken"), rig.router.counter("conns_now")), (1, 1));
+}
+
+#[test]
+fn an_answer_with_an_unknown_word_is_an_error_of_that_attempt_alone() {
+    let rig = served_by_the_next(|| Do::Word("what", "note=hit"));
+    assert_eq!((rig.router.counter("attempts_error"), rig.router.counter("conns_now")), (1, 2));
+}
+
+#[test]
+fn a_slow_reader_holds_up_no_one_else() {
+    let rig = rig(Cache::start(|_| Do::Ok(vec![b'x'; 240_000])));
+    let mut slow = rig.router.client();
+    (1..=30).for_each(|t| {
+        slow.ask(t, "pages", t, "", b"");
+    });
+    until("all is there for the slow one", || rig.router.counter("served") == 30);
+    let mut quick = rig.router.client();
+    quick.ask(1, "pages", 99, "", b"");
+    assert_eq!(quick.must().body.len(), 240_000);
+    assert!(rig.router.counter("held") > 1_000_000, "the slow one's answers are still held");
+    let answers: Vec<Got> = (0..30).map(|_| slow.must()).collect();
+    assert_eq!(tags(&answers), (1..=30).collect::<Vec<_>>());
+    assert!(answers.iter().all(|g| g.body.len() == 240_000));
+    assert_eq!(slow.settle(), []);
+    until("all is given back", || rig.router.counter("held") == 0);
+}
+
+#[test]
+fn answers_that_wait_for_a_slow_reader_never_fill_the_memory() {
+    let edge = Cache::start(|_| Do::Ok(vec![b'x'; 240_000]));
+    let little = |c: &mut Value| c["limits"]["memory_mb"] = json!(4);
+    let rig = rig_of(edge, Cache::full(), Cache::full(), little);
+    let router = &rig.router;
+    let mut slow: Vec<Client> = (0..3).map(|_| router.client()).collect();
+    for client in &mut slow {
+        (1..=30).for_each(|t| {
+            client.ask(t, "pages", t, "", b"");
+        });
+    }
+    until("all came from the cache", || router.counter("attempts_served") == 90);
+    until("little is held", || router.counter("held") < 1_600_000);
+    let mut quick = router.client();
+    quick.ask(1, "pages", 99, "", b"");
+    assert_eq!(quick.must().word, "200");
+    assert_eq!(quick.settle(), []);
+    for client in &mut slow {
+        let answers: Vec<Got> = (0..30).map(|_| client.must()).collect();
+        assert_eq!(tags(&answers), (1..=30).collect::<Vec<_>>());
+        let whole =
+            |g: &Got| (g.word == "200" && g.body.len() == 240_000) || (g.word == "500" && g.body.is_empty());
+        assert!(answers.iter().all(whole));
+        assert_eq!(client.settle(), []);
+    }
+    assert!(router.counter("withheld") > 0);
+}
+
+#[test]
+fn a_router_started_while_its_predecessor_still_listens_waits_for_the_address() {
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = json!(held.local_addr().expect("an address").to_string());
+    let waiting = thread::spawn(|| {
+        rig_of(Cache::full(), Cache::full(), Cache::full(), |c: &mut Value| c["listen"] = at)
+    });
+    thread::sleep(Duration::from_millis(300));
+    drop(held);
+    let rig = waiting.join().expect("a router that listens");
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    assert_eq!(client.must().word, "200");
+    assert_eq!(client.settle(), []);
+}
+
+#[test]
+fn an_attempt_to_a_machine_that_never_answers_ends_before_the_clients_time() {
+    let silent = || Cache::start(|_| Do::Silent);
+    let rig = rig_of(silent(), silent(), silent(), |_| {});
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    client.ask(2, "loan", 2, "", b"borrow");
+    let answers = [client.must(), client.must()];
+    assert_eq!(tags(&answers), [1, 2]);
+    // The write may have run, so it is failed and not refused.
+    let word = |tag| answers.iter().find(|g| g.tag == tag).map(|g| g.word.as_str());
+    assert_eq!((word(1), word(2)), (Some("503"), Some("500")));
+    assert_eq!(client.settle(), []);
+    assert_eq!(rig.origin.count(), 1);
+    assert_eq!((rig.router.counter("attempts_late"), rig.router.counter("attempts_cancelled")), (2, 0));
+}
--- a/crates/node/tests/tree.rs
+++ b/crates/node/tests/tree.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
+use tempfile::TempDir;
 
 const PARENT_2: u32 = 0x0e;
 
@@ -30,23 +31,21 @@
     )
 }
 
-struct Own(PathBuf);
+struct Own {
+    file: PathBuf,
+    _dir: TempDir,
+}
 
 impl Own {
-    fn new(name: &str, text: &str) -> Self {
-        let file = std::env::temp_dir().join(format!("basaltgw-own-{}-{name}.yaml", std::process::id()));
+    fn new(text: &str) -> Self {
+        let dir = tempfile::tempdir().expect("a folder");
+        let file = dir.path().join("own.yaml");
         std::fs::write(&file, text).expect("a file");
-        Self(file)
+        Self { file, _dir: dir }
     }
 
     fn write(&self, text: &str) {
-        std::fs::write(&self.0, text).expect("a file");
-    }
-}
-
-impl Drop for Own {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
+        std::fs::write(&self.file, text).expect("a file");
     }
 }
 
@@ -68,7 +67,7 @@
 }
 
 fn start(config: &Value, own: &Own) -> Process {
-    router_by(config, &format!("exec \"$0\" serve --with {}", own.0.display()))
+    router_by(config, &format!("exec \"$0\" serve --with {}", own.file.display()))
 }
 
 /// Asks for objects one after another; the sources that the edge cache was told since then.
@@ -85,7 +84,7 @@
 fn a_plan_is_kept_to_reloaded_by_portions_and_taken_back() {
     let edge = Cache::start(filled);
     let log = ChangeLog::start();
-    let own = Own::new("kept", &plan(1, &[PARENT]));
+    let own = Own::new(&plan(1, &[PARENT]));
     let router = start(&config(&edge, &log), &own);
     let mut client = router.client();
     assert_eq!(sources(&mut client, &edge, 1..40), BTreeSet::from([id(PARENT)]));
@@ -123,7 +122,7 @@
     let log = ChangeLog::start();
     let old =
         plan(1, &[PARENT]).replace("proofs: 1", "proofs: 10000").replace("idle_ms: 200", "idle_ms: 60000");
-    let own = Own::new("back", &old);
+    let own = Own::new(&old);
     let router = start(&config(&edge, &log), &own);
     let mut client = router.client();
     sources(&mut client, &edge, 1..3);
@@ -148,7 +147,7 @@
         false => filled(s),
     });
     let log = ChangeLog::start();
-    let own = Own::new("loop", &plan(1, &[PARENT, PARENT_2]));
+    let own = Own::new(&plan(1, &[PARENT, PARENT_2]));
     let router = start(&config(&edge, &log), &own);
     let mut client = router.client();
     client.ask(1, "pages", 7, "", b"");
@@ -163,7 +162,8 @@
 fn a_file_that_cannot_be_used_is_named_with_line_and_key_and_the_router_does_not_start() {
     let edge = Cache::start(filled);
     let log = ChangeLog::start();
-    let file = std::env::temp_dir().join(format!("basaltgw-own-{}.json", std::process::id()));
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("router.json");
     std::fs::write(&file, config(&edge, &log).to_string()).expect("a file");
     let run = |args: &[&str]| {
         let program = env!("CARGO_BIN_EXE_basaltgw");
@@ -173,16 +173,16 @@
             String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr),
         )
     };
-    let own = Own::new("bad", &plan(1, &[PARENT]).replace("tier: 3", "tier: 12"));
-    let path = own.0.display().to_string();
+    let own = Own::new(&plan(1, &[PARENT]).replace("tier: 3", "tier: 12"));
+    let path = own.file.display().to_string();
     for command in [&["serve", "--with", &path][..], &["check-config", "--with", &path], &["plan", &path]] {
         let (code, said) = run(command);
         assert_eq!(code, Some(1), "{said}");
         assert!(said.contains(&format!("{path}:8: hierarchy.plan.nodes[3].tier: 12")), "{said}");
     }
     own.write(&plan(2, &[PARENT, PARENT_2]));
-    let before = Own::new("before", &plan(1, &[PARENT]));
-    let (code, said) = run(&["plan", &path, "--from", &before.0.display().to_string()]);
+    let before = Own::new(&plan(1, &[PARENT]));
+    let (code, said) = run(&["plan", &path, "--from", &before.file.display().to_string()]);
     assert_eq!(code, Some(0), "{said}");
     assert!(
         said.contains("plan 2: 4 nodes, no fault found") && said.contains("from plan 1: 1 steps"),
