--- /dev/null
+++ b/crates/gather/src/latency.rs
@@ -0,0 +1,122 @@
+//! A site's latencies: a histogram in steps of a fixed ratio, in which old answers fade. Its size never changes.
+//!
+//! Sketches of the libraries (HDR histogram, t-digest) keep all that they were given; what is needed here is the last few dozen answers, and room for
+//! answers that were given up on, which are known only to take longer.
+
+use basaltgw_ids::Ms;
+
+/// Steps: 0.25 ms times 1.25 to the 72nd is some 40 minutes.
+const STEPS: usize = 72;
+/// The upper end of the first step, in milliseconds: less is a memory's answer.
+const FIRST: Ms = 0.25;
+/// Ratio of a step's ends: a quarter is about the spread of a quiet link.
+const RATIO: f64 = 1.25;
+/// Of the weight that there is, this is left at each answer: the last 50 make up two thirds.
+const KEPT: f64 = 0.98;
+/// Weight of the first guess, in answers: a few real ones outweigh it.
+const GUESS: f64 = 3.0;
+
+/// A decayed histogram of latencies.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Latency {
+    steps: [f32; STEPS],
+    total: f64,
+}
+
+fn step(t: Ms) -> usize {
+    let place = (t / FIRST).ln() / RATIO.ln();
+    (place.ceil().max(0.0) as usize).min(STEPS - 1)
+}
+
+fn upper(step: usize) -> Ms {
+    FIRST * RATIO.powi(step as i32)
+}
+
+impl Latency {
+    /// Before anything was measured: around `usual`, wide.
+    pub fn guess(usual: Ms) -> Self {
+        let mut new = Self { steps: [0.0; STEPS], total: 0.0 };
+        for (by, weight) in [(0.5, 1.0), (1.0, 2.0), (2.0, 2.0), (4.0, 1.0)] {
+            new.put(usual * by, weight * GUESS / 6.0);
+        }
+        new
+    }
+
+    fn put(&mut self, t: Ms, weight: f64) {
+        self.steps[step(t)] += weight as f32;
+        self.total += weight;
+    }
+
+    fn fade(&mut self) {
+        self.steps.iter_mut().for_each(|s| *s *= KEPT as f32);
+        self.total = self.steps.iter().map(|s| f64::from(*s)).sum();
+    }
+
+    /// An answer came after `t`, and counts as `weight` of them.
+    pub fn came(&mut self, t: Ms, weight: f64) {
+        (0..weight.ceil() as usize).for_each(|_| self.fade());
+        self.put(t, weight);
+    }
+
+    /// An answer would have come, but was given up on after `t`: it is spread over the latencies above, as they are; if there are none, it is put a
+    /// step above.
+    pub fn longer(&mut self, t: Ms, weight: f64) {
+        self.fade();
+        let from = step(t) + 1;
+        let above: f64 = self.steps.iter().skip(from).map(|s| f64::from(*s)).sum();
+        if above <= weight * 0.5 {
+            return self.put(upper(from), weight);
+        }
+        let by = 1.0 + weight / above;
+        self.steps.iter_mut().skip(from).for_each(|s| *s = (f64::from(*s) * by) as f32);
+        self.total += weight;
+    }
+
+    /// The probability that an answer takes at most `t`; 0 to 1.
+    pub fn within(&self, t: Ms) -> f64 {
+        if t <= 0.0 || self.total <= 0.0 {
+            return 0.0;
+        }
+        let last = step(t);
+        let below: f64 = self.steps.iter().take(last).map(|s| f64::from(*s)).sum();
+        let low = if last == 0 { 0.0 } else { upper(last - 1) };
+        let into = ((t - low) / (upper(last) - low)).clamp(0.0, 1.0);
+        ((below + into * f64::from(self.steps[last])) / self.total).clamp(0.0, 1.0)
+    }
+
+    /// The latency that this share of answers keeps, in milliseconds.
+    pub fn quantile(&self, share: f64) -> Ms {
+        let want = share * self.total;
+        let mut sum = 0.0;
+        for (i, s) in self.steps.iter().enumerate() {
+            sum += f64::from(*s);
+            if sum >= want {
+                return upper(i);
+            }
+        }
+        upper(STEPS - 1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn follows_what_comes_and_what_is_given_up() {
+        let mut l = Latency::guess(30.0);
+        (0..200).for_each(|i| l.came(20.0 + f64::from(i % 10), 1.0));
+        assert!(l.within(35.0) > 0.95 && l.within(10.0) < 0.05, "{} {}", l.within(35.0), l.within(10.0));
+        assert!((20.0..36.0).contains(&l.quantile(0.5)), "{}", l.quantile(0.5));
+        (0..60).for_each(|_| l.longer(100.0, 1.0));
+        assert!(l.within(100.0) < 0.4, "{}", l.within(100.0));
+        (0..60).for_each(|_| l.came(25.0, 1.0));
+        assert!(l.within(100.0) > 0.6, "{}", l.within(100.0));
+        let mut last = 0.0;
+        for t in 0..4_000 {
+            let p = l.within(f64::from(t));
+            assert!(p >= last && p <= 1.0, "{t}: {p} after {last}");
+            last = p;
+        }
+    }
+}
