Peers: tests of bad peers and slow users, and of any bytes as frames

What a link promises when the other side misbehaves was not shown yet.

Garbled, flooding and silent peers, a peer that does not read, strangers, connections that say nothing, full rings: each beside a router in order whose frames go on meanwhile and whose link never goes down. Frames: arbitrary bytes, lengths, pieces and flipped bits. A first form failed once in 12 runs side by side: its raw peer gave no sign of life and was rightly silent after a second; raw peers give them now unless silence is the point.

--- a/crates/peers/tests/common/mod.rs
+++ b/crates/peers/tests/on_loopback/common.rs
@@ -6,7 +6,7 @@
 use basaltgw_peers::{start, Hello, Lane, Limits, Listed, Order, Port, Rest, Told, User, PROTOCOL};
 use bytes::BytesMut;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -134,6 +134,18 @@
         raw
     }
 
+    /// As [`Raw::up`], and gives signs of life until it is dropped.
+    pub fn alive(to: SocketAddr, hello: &Hello, start: u64) -> Self {
+        let raw = Self::up(to, hello, start);
+        let mut stream = raw.stream.try_clone().unwrap();
+        std::thread::spawn(move || {
+            while stream.write_all(&bytes(Kind::Alive, &[])).is_ok() {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        raw
+    }
+
     pub fn write(&mut self, kind: Kind, body: &[u8]) -> std::io::Result<()> {
         self.stream.write_all(&bytes(kind, body))
     }
@@ -155,6 +167,13 @@
     }
 }
 
+impl Drop for Raw {
+    fn drop(&mut self) {
+        // The thread that gives signs of life has the socket too.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
 pub fn bytes(kind: Kind, body: &[u8]) -> BytesMut {
     let mut bytes = BytesMut::new();
     Codec { most: LIMITS.frame }.encode((kind, body), &mut bytes).unwrap();
--- a/crates/peers/tests/links.rs
+++ b/crates/peers/tests/on_loopback/links.rs
@@ -1,11 +1,9 @@
 //! Links between routers in order: both dial, frames, tables, other lives, other addresses, the end.
 
-mod common;
-
+use crate::common::*;
 use basaltgw_ids::{TableHash, TableVersion};
 use basaltgw_peers::frames::Kind;
 use basaltgw_peers::{Lane, Order, Refused, Told, Why};
-use common::*;
 
 #[test]
 fn both_dial_and_one_link_carries_all_lanes() {
@@ -64,12 +62,12 @@
 fn another_life_takes_the_place_of_the_one_before() {
     let mut a = Node::new("a", 1, address(), &[listed("z", address())], LIMITS);
     let (first, second) = (member("z", 1), member("z", 2));
-    let mut old = Raw::up(a.address, &hello("z", 1), 1);
+    let mut old = Raw::alive(a.address, &hello("z", 1), 1);
     up(&mut a.owner, &first);
     // A second connection of the same start is closed, without a word.
     assert_eq!(Raw::dial(a.address, &hello("z", 1), 1).read(), None);
     assert_eq!(a.count("peer_second"), 1);
-    let mut new = Raw::up(a.address, &hello("z", 2), 2);
+    let mut new = Raw::alive(a.address, &hello("z", 2), 2);
     assert_eq!(down(&mut a.owner, &first), Why::Replaced);
     up(&mut a.owner, &second);
     wait("the old connection's end", || old.read().is_none().then_some(()));
--- /dev/null
+++ b/crates/peers/tests/on_loopback/main.rs
@@ -0,0 +1,5 @@
+//! The links with real threads and sockets.
+
+mod bad;
+mod common;
+mod links;
