Tables come into service by the register: offered, checked, both by portions, new

A table had no way into service. The register's content and its changes are pure functions: offers (a table, a replaced member, taking back), the next step by what members said of this very turn, the map of each step. Of two operators one is refused and told who came first. The model check (two operators, four routers, crashes, taking back; 137,980 states in 3 s) found that a keeper which stays may lack what a majority of the others kept: it too is filled before it counts among the new ones. A deliberately broken build is behind a feature.

--- a/crates/placement/src/body.rs
+++ b/crates/placement/src/body.rs
@@ -90,6 +90,19 @@
 }
 
 impl Body {
+    /// The same with its routers in order, and none that keeps nothing.
+    pub fn sorted(mut self) -> Self {
+        let used = |place: u16, all: [&[u16]; 3]| all.iter().any(|list| list.contains(&place));
+        let lists = [&*self.keepers, &*self.root, &*self.founders];
+        let mut order: Vec<u16> = (0..self.routers.len() as u16).filter(|p| used(*p, lists)).collect();
+        let key = |r: &Keeper| (r.name.clone(), r.incarnation);
+        order.sort_by_key(|p| key(&self.routers[usize::from(*p)]));
+        let new = |p: &mut u16| *p = order.iter().position(|o| o == p).unwrap_or_default() as u16;
+        self.keepers.iter_mut().chain(&mut self.root).chain(&mut self.founders).for_each(new);
+        self.routers = order.iter().map(|p| self.routers[usize::from(*p)].clone()).collect();
+        self
+    }
+
     /// Checks what look-ups rely on.
     pub fn check(&self) -> Result<(), BadTable> {
         let need = |ok: bool, what: &'static str| if ok { Ok(()) } else { Err(BadTable::Content(what)) };
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod adoption;
 mod ast;
 mod body;
 mod check;
@@ -16,19 +17,27 @@
 mod homes;
 mod keep;
 mod lex;
+#[cfg(test)]
+mod model;
 mod parse;
 mod place;
+mod register;
 mod share;
 mod smallest;
 mod steps;
 mod table;
+mod written;
 
+pub use adoption::{Action, Adoption, Counters, Ended, Event, OfferNo, MOST_OPEN};
 pub use ast::Missing;
 pub use body::{Origin, MOST_SHARDS, MOST_TABLE};
 pub use compile::{compile, MOST_CACHES, MOST_FILES, MOST_FOUNDERS, MOST_ROUTERS, MOST_RULES, MOST_TEXT};
 pub use explain::{explain, explain_root, explain_shard};
 pub use fault::{At, Fault};
 pub use gather::{GatherRule, MOST_NEEDED, MOST_WAIT_MS};
+#[cfg(any(test, feature = "broken"))]
+pub use register::Broken;
+pub use register::{BadRegister, Evidence, Next, Offer, Refused, Register, Stage, MOST_REGISTER};
 pub use steps::{moves, steps, Moved, Moves};
 pub use table::{Allowed, BadTable, Bounds, CacheNo, Table};
 
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Body, Ids, Keeper, Origin, MOST_TABLE};
 use crate::gather::GatherRule;
+use crate::register::Refused;
 use basaltgw_ids::{
     Domain, Group, Incarnation, Keepers, Member, RouterId, Shard, ShardMap, TableHash, TableVersion,
 };
@@ -164,6 +165,19 @@
         crate::compile(&[], inventory, None)
     }
 
+    /// The next table with one member in another's places, in the same domain.
+    pub(crate) fn replacing(&self, old: &Member, new: &Member) -> Result<Self, Refused> {
+        let Some(place) = self.routers.iter().position(|m| m == old).filter(|_| !self.routers.contains(new))
+        else {
+            return Err(Refused::Replacement(old.clone(), new.clone()));
+        };
+        let mut body = (*self.body).clone();
+        (body.version, body.before, body.founders) = (body.version + 1, self.hash.0, Vec::new());
+        let keeper = &mut body.routers[place];
+        (keeper.name, keeper.incarnation) = (new.router.0.clone(), new.incarnation.0.to_le_bytes());
+        Ok(Self::new(body.sorted())?)
+    }
+
     pub(crate) fn body(&self) -> &Body {
         &self.body
     }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -27,10 +27,10 @@
 }
 
 /// Compiles one file that has no fault.
-pub fn table(text: &str, inventory: &Inventory, before: Option<&Table>) -> Table {
+pub fn table(text: &str, inventory: &Inventory, before: Option<&Table>) -> Arc<Table> {
     let files = [("t.rules".to_string(), text.to_string())];
     match compile(&files, inventory, before) {
-        Ok(table) => table,
+        Ok(table) => Arc::new(table),
         Err(faults) => panic!("{}", faults.iter().map(|f| f.render(&files, false)).collect::<String>()),
     }
 }
