--- a/crates/gather/src/api.rs
+++ b/crates/gather/src/api.rs
@@ -208,7 +208,7 @@
     Again,
     /// An earlier one is out.
     Second,
-    /// The site seems lost; nothing waits for this, and it stays out after the answer.
+    /// The site seems lost or too slow: next to nothing is hoped of this, and it stays out after the answer.
     Probe,
 }
 
--- a/crates/gather/src/engine/mod.rs
+++ b/crates/gather/src/engine/mod.rs
@@ -65,7 +65,7 @@
             wakes: BTreeSet::new(),
             probes: BTreeMap::new(),
             ends: BTreeSet::new(),
-            seconds: 1.0,
+            seconds: 0.0,
             merge: 0.0,
             now: 0.0,
             timer: None,
--- a/crates/gather/src/latency.rs
+++ b/crates/gather/src/latency.rs
@@ -13,14 +13,22 @@
 const RATIO: f64 = 1.25;
 /// Of the weight that there is, this is left at each answer: the last 50 make up two thirds.
 const KEPT: f64 = 0.98;
+/// This share of answers is taken to come later than nearly all that were seen: a few dozen tell nothing of one in a hundred.
+const TAIL: f64 = 0.03;
+/// From this quantile on, to so many times its latency, evenly in the logarithm.
+const TAIL_FROM: (f64, f64) = (0.9, 8.0);
 /// Weight of the first guess, in answers: a few real ones outweigh it.
 const GUESS: f64 = 3.0;
 
 /// A decayed histogram of latencies.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Latency {
+    /// Weight by step.
     steps: [f32; STEPS],
-    total: f64,
+    /// Weight of each step and all below, since it is read far more often than changed.
+    sums: [f32; STEPS],
+    /// Where the tail begins.
+    high: Ms,
 }
 
 fn step(t: Ms) -> usize {
@@ -35,7 +43,7 @@
 impl Latency {
     /// Before anything was measured: around `usual`, wide.
     pub fn guess(usual: Ms) -> Self {
-        let mut new = Self { steps: [0.0; STEPS], total: 0.0 };
+        let mut new = Self { steps: [0.0; STEPS], sums: [0.0; STEPS], high: usual };
         for (by, weight) in [(0.5, 1.0), (1.0, 2.0), (2.0, 2.0), (4.0, 1.0)] {
             new.put(usual * by, weight * GUESS / 6.0);
         }
@@ -44,12 +52,24 @@
 
     fn put(&mut self, t: Ms, weight: f64) {
         self.steps[step(t)] += weight as f32;
-        self.total += weight;
+        self.sum();
+    }
+
+    fn sum(&mut self) {
+        let mut sum = 0.0;
+        for (s, below) in self.steps.iter().zip(&mut self.sums) {
+            sum += s;
+            *below = sum;
+        }
+        self.high = self.quantile(TAIL_FROM.0);
+    }
+
+    fn total(&self) -> f64 {
+        f64::from(self.sums[STEPS - 1])
     }
 
     fn fade(&mut self) {
         self.steps.iter_mut().for_each(|s| *s *= KEPT as f32);
-        self.total = self.steps.iter().map(|s| f64::from(*s)).sum();
     }
 
     /// An answer came after `t`, and counts as `weight` of them.
@@ -63,38 +83,33 @@
     pub fn longer(&mut self, t: Ms, weight: f64) {
         self.fade();
         let from = step(t) + 1;
-        let above: f64 = self.steps.iter().skip(from).map(|s| f64::from(*s)).sum();
+        let above = self.steps.iter().skip(from).map(|s| f64::from(*s)).sum::<f64>();
         if above <= weight * 0.5 {
             return self.put(upper(from), weight);
         }
         let by = 1.0 + weight / above;
         self.steps.iter_mut().skip(from).for_each(|s| *s = (f64::from(*s) * by) as f32);
-        self.total += weight;
+        self.sum();
     }
 
     /// The probability that an answer takes at most `t`; 0 to 1.
     pub fn within(&self, t: Ms) -> f64 {
-        if t <= 0.0 || self.total <= 0.0 {
+        if t <= 0.0 || self.total() <= 0.0 {
             return 0.0;
         }
         let last = step(t);
-        let below: f64 = self.steps.iter().take(last).map(|s| f64::from(*s)).sum();
-        let low = if last == 0 { 0.0 } else { upper(last - 1) };
+        let (low, below) =
+            if last == 0 { (0.0, 0.0) } else { (upper(last - 1), f64::from(self.sums[last - 1])) };
         let into = ((t - low) / (upper(last) - low)).clamp(0.0, 1.0);
-        ((below + into * f64::from(self.steps[last])) / self.total).clamp(0.0, 1.0)
+        let seen = ((below + into * f64::from(self.steps[last])) / self.total()).clamp(0.0, 1.0);
+        let tail = ((t / self.high).ln() / TAIL_FROM.1.ln()).clamp(0.0, 1.0);
+        (1.0 - TAIL) * seen + TAIL * tail
     }
 
     /// The latency that this share of answers keeps, in milliseconds.
     pub fn quantile(&self, share: f64) -> Ms {
-        let want = share * self.total;
-        let mut sum = 0.0;
-        for (i, s) in self.steps.iter().enumerate() {
-            sum += f64::from(*s);
-            if sum >= want {
-                return upper(i);
-            }
-        }
-        upper(STEPS - 1)
+        let want = (share * self.total()) as f32;
+        upper(self.sums.iter().position(|s| *s >= want).unwrap_or(STEPS - 1))
     }
 }
 
--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -6,6 +6,7 @@
 //! of one object; a lower tier's part counted as whole.
 //!
 //! - [`Gathers`]: the decisions; [`Event`] in, [`Action`] out, one [`Verdict`] for each gather;
+//! - [`baselines`]: three plainer ways behind the same trait [`Decide`]; [`sim`]: all four in simulated time, from a seed;
 //! - [`Settings`]: bounds and prices, with units; [`Counters`]: all that was left out, refused, voided, by cause;
 //!
 //! `docs/gather.md` has the reasons, what is promised and what is not.
@@ -13,12 +14,14 @@
 #![warn(missing_docs)]
 
 mod api;
+pub mod baselines;
 mod broken;
 mod counters;
 mod engine;
 mod latency;
 mod open;
 mod settings;
+pub mod sim;
 mod site;
 mod sites;
 mod weigh;
--- a/crates/gather/src/open.rs
+++ b/crates/gather/src/open.rs
@@ -264,6 +264,11 @@
         self.parts.iter().zip(&choice.of).filter_map(lacks).collect()
     }
 
+    /// A part's attempts that are out, probes too: little is hoped of those.
+    pub fn hoped(&self, part: usize) -> impl Iterator<Item = (&AttemptNo, &Attempt)> {
+        self.attempts.iter().filter(move |(_, a)| a.part == part && a.bytes.is_none())
+    }
+
     /// A part's attempts that are out, probes not counted.
     pub fn out(&self, part: usize) -> impl Iterator<Item = (&AttemptNo, &Attempt)> {
         self.attempts
--- a/crates/gather/src/settings.rs
+++ b/crates/gather/src/settings.rs
@@ -36,6 +36,8 @@
     pub least_hope: f64,
     /// In what time what is known of a lost or found site fades to how it usually is, in milliseconds.
     pub fade: Ms,
+    /// A site that answered here within this time is not left out on others' word alone, in milliseconds.
+    pub seen: Ms,
     /// Time between two probes of a site that seems lost, at first, in milliseconds; each that fails makes it longer by half.
     pub probe_every: Ms,
     /// The longest time between two, in milliseconds.
@@ -88,6 +90,7 @@
             leave_out: 0.5,
             least_hope: 0.1,
             fade: 10_000.0,
+            seen: 250.0,
             probe_every: 150.0,
             probe_most: 4_000.0,
             probe_wait: 2_000.0,
@@ -130,6 +133,7 @@
             ("leave_out", inner(self.leave_out), "above 0, below 1"),
             ("least_hope", share(self.least_hope), SHARE),
             ("fade", above(self.fade), ABOVE),
+            ("seen", span(self.seen), SPAN),
             ("probe_every", above(self.probe_every), ABOVE),
             ("probe_most", above(self.probe_most), ABOVE),
             ("probe_wait", above(self.probe_wait), ABOVE),
--- a/crates/gather/src/site.rs
+++ b/crates/gather/src/site.rs
@@ -6,7 +6,7 @@
 use basaltgw_ids::{Ms, RouterId};
 
 /// A site that just answered is lost with this probability: it may have gone since.
-const FOUND: f64 = 0.01;
+const FOUND: f64 = 0.005;
 /// No evidence makes a site surely lost, so that one answer brings it back.
 const SUREST: f64 = 0.995;
 /// An answer so late that all before it came sooner is still possible with this probability.
@@ -22,17 +22,17 @@
 /// Other routers whose words on a site are kept; the oldest goes first.
 const TELLERS: usize = 8;
 /// So many attempts make another router's word a full one.
-const FULL_WORD: f64 = 3.0;
+const FULL_WORD: f64 = 2.0;
 /// A full word that a site is lost multiplies the odds by e to this, all words together at most by e to [`ALL_WORDS`].
 const ONE_WORD: f64 = 1.5;
 /// See [`ONE_WORD`].
-const ALL_WORDS: f64 = 5.0;
-/// A site that answered here within this part of the fading time is seen answering.
-const SEEN: f64 = 0.2;
+const ALL_WORDS: f64 = 6.0;
 /// A probe's answer counts as so many: few are made.
 const PROBE_WEIGHT: f64 = 4.0;
 /// Probes of a site that may be out at once: one that vanished must not hold up the next.
 const PROBES_OUT: u32 = 4;
+/// Doublings of a site's share without another answer.
+const UNPROVEN: f64 = 2.0;
 /// A failed probe makes the time to the next longer by this.
 const BACK_OFF: f64 = 1.5;
 /// Weight of a new measurement of travel, as in TCP's smoothed round trip.
@@ -99,6 +99,7 @@
     /// The share of its parts that it gets; 0 while only probes go there.
     pub share: f64,
     pub step_at: Ms,
+    pub step_len: Ms,
     pub probe_at: Ms,
     pub probe_gap: Ms,
     pub probes_out: u32,
@@ -126,6 +127,7 @@
             away: 0.0,
             share: 1.0,
             step_at: now,
+            step_len: set.portion_step,
             probe_at: now,
             probe_gap: set.probe_every,
             probes_out: 0,
@@ -142,7 +144,7 @@
     pub fn admit(&mut self, now: Ms, left: Ms, draws: (f64, f64), set: &Settings, routers: usize) -> Admit {
         self.doubt(now, set, routers, draws.1);
         let slow = (1.0 - self.lost(now, set)) * self.latency.within(left) < set.least_hope;
-        match self.share {
+        match self.share(now) {
             _ if now < self.away => Admit::No,
             s if s <= 0.0 || slow => match self.due(now) {
                 true => Admit::Probe,
@@ -163,7 +165,7 @@
         set: &Settings,
         routers: usize,
     ) -> Change {
-        let before = self.share;
+        let before = self.share(now);
         if probe {
             self.probes_out = self.probes_out.saturating_sub(1);
         }
@@ -205,8 +207,8 @@
             self.missed = self.missed.saturating_add(1);
             if probe {
                 self.probe_gap = (self.probe_gap * BACK_OFF).min(set.probe_most);
-            } else if self.share > 0.0 && self.share < 1.0 {
-                self.share /= 2.0;
+            } else if before > 0.0 && before < 1.0 {
+                self.set_share(now, before / 2.0, draws.0, set);
                 if self.share < set.portion / 2.0 {
                     self.out(now, set, routers, draws.1);
                 }
@@ -215,7 +217,7 @@
         self.doubt(now, set, routers, draws.1);
         match self.share <= 0.0 {
             out if out != (before <= 0.0) => Change::Turned,
-            out if (out && missed) || self.share > before => Change::News,
+            out if (out && missed) || (before < 1.0 && self.share >= 1.0) => Change::News,
             _ => Change::None,
         }
     }
@@ -256,11 +258,13 @@
     /// The probability that it is lost, by all that is known.
     pub fn lost(&self, now: Ms, set: &Settings) -> f64 {
         let own = self.own(now, set);
+        // What was heard before its last answer here is void.
         let lean = |w: &Word| w.lean * (1.0 - (now - w.at) / set.hearsay).max(0.0) * ONE_WORD;
-        let words: f64 = self.words.iter().map(lean).sum();
+        let newer = self.words.iter().filter(|w| self.seen.is_none_or(|t| t < w.at));
+        let words: f64 = newer.map(lean).sum();
         let odds = own / (1.0 - own) * words.clamp(-ALL_WORDS, ALL_WORDS).exp();
         let all = (odds / (1.0 + odds)).clamp(FOUND, SUREST);
-        match self.seen.is_some_and(|t| now - t < set.fade * SEEN) {
+        match self.seen.is_some_and(|t| now - t < set.seen) {
             true => all.min(own.max(set.leave_out * 0.9)),
             false => all,
         }
@@ -283,13 +287,25 @@
         self.probe_at = now + gap(set, routers) * (0.5 + jitter);
     }
 
-    /// It answered in time: its share grows, by steps of a time of each router's own.
+    /// The share of its parts that it gets: it doubles with time, but only so far without another answer.
+    pub fn share(&self, now: Ms) -> f64 {
+        let steps = ((now - self.step_at) / self.step_len).clamp(0.0, UNPROVEN);
+        (self.share * steps.exp2()).min(1.0)
+    }
+
+    /// It answered in time: its share grows on, in a time of each router's own.
     fn grow(&mut self, now: Ms, draw: f64, probe: bool, set: &Settings) {
         self.probe_gap = set.probe_every;
-        if self.share >= 1.0 || (self.share <= 0.0 && !probe) || (self.share > 0.0 && now < self.step_at) {
-            return;
+        let share = self.share(now);
+        if share > 0.0 {
+            self.set_share(now, share, draw, set);
+        } else if probe {
+            self.set_share(now, set.portion, draw, set);
         }
-        self.share = if self.share <= 0.0 { set.portion } else { (self.share * 2.0).min(1.0) };
-        self.step_at = now + set.portion_step * (1.0 + draw);
+    }
+
+    fn set_share(&mut self, now: Ms, share: f64, draw: f64, set: &Settings) {
+        (self.share, self.step_at) = (share, now);
+        self.step_len = set.portion_step * (1.0 + draw);
     }
 }
--- a/crates/gather/src/sites.rs
+++ b/crates/gather/src/sites.rs
@@ -118,7 +118,7 @@
         }
         state.told = Some(now);
         // What is told leans to how the site stands now.
-        let (missed, answered) = match state.share <= 0.0 {
+        let (missed, answered) = match state.share(now) <= 0.0 {
             true => (state.missed.max(1), 0),
             false => (0, state.answered.max(1)),
         };
--- a/crates/gather/src/weigh.rs
+++ b/crates/gather/src/weigh.rs
@@ -55,7 +55,7 @@
         let place = |site| p.sites().position(|s| s == site).unwrap_or(0);
         let lost = |site| self.sites.get(site).map_or(1.0, |s| s.lost(self.now, self.set));
         let mut out: Vec<(Ms, f64, usize)> =
-            self.open.out(part).map(|(_, a)| (a.asked, lost(&a.site), place(&a.site))).collect();
+            self.open.hoped(part).map(|(_, a)| (a.asked, lost(&a.site), place(&a.site))).collect();
         out.extend(p.again.map(|at| (at, lost(&p.spec.site), 0)));
         Hope { worth: p.spec.worth, needed: p.needed, part, out }
     }
--- /dev/null
+++ b/crates/gather/tests/sites.rs
@@ -0,0 +1,63 @@
+//! Sites in trouble, in simulated time: worth in time beside the three baselines, and how a site is left and met again.
+
+use basaltgw_gather::sim::{beside, faults, run, Figures, Setup, Trouble, Way};
+
+fn setup(routers: usize, length: f64, trouble: Trouble, seed: u64) -> Setup {
+    Setup { length, ..Setup::new(routers, trouble, seed) }
+}
+
+/// Under each trouble better than each baseline, and on a calm day as good, whatever the seed.
+fn holds(routers: usize, length: f64, seeds: std::ops::Range<u64>) {
+    for (seed, trouble) in seeds.flat_map(|s| Trouble::ALL.map(|t| (s, t))) {
+        let setup = setup(routers, length, trouble, seed);
+        let lines = beside(&setup).expect("settings");
+        assert_eq!(faults(&lines), Vec::<String>::new());
+        let ours = &lines[0].figures;
+        assert!(
+            ours.seconds <= setup.settings.second_share,
+            "{trouble:?}, seed {seed}: {} second",
+            ours.seconds
+        );
+        assert!(trouble == Trouble::Calm || ours.part > 0, "{trouble:?}, seed {seed}: nothing in part");
+        let answered = ours.whole + ours.part + ours.refused + ours.failed;
+        assert_eq!(ours.asked, answered, "{trouble:?}, seed {seed}");
+    }
+}
+
+#[test]
+fn better_than_each_baseline_at_30_routers() {
+    holds(30, 12_000.0, 1..13);
+}
+
+#[test]
+fn better_than_each_baseline_at_300_routers() {
+    holds(300, 6_000.0, 101..102);
+}
+
+fn ours(setup: &Setup) -> Figures {
+    run(setup, Way::Weighed).expect("settings")
+}
+
+#[test]
+fn others_words_spare_waits_for_a_lost_site() {
+    for seed in 1..4 {
+        let with = setup(100, 12_000.0, Trouble::Lost, seed);
+        let without = Setup { gossip: false, ..with.clone() };
+        let (with, without) = (ours(&with), ours(&without));
+        assert!(
+            with.waits < 0.8 * without.waits,
+            "seed {seed}: {} with, {} without",
+            with.waits,
+            without.waits
+        );
+    }
+}
+
+#[test]
+fn a_site_that_returns_is_met_by_portions() {
+    for seed in 1..4 {
+        let f = ours(&setup(200, 12_000.0, Trouble::Lost, seed));
+        assert!(f.met < 0.7, "seed {seed}: at once {} of the usual asks", f.met);
+        assert!(f.met_most < 1.4, "seed {seed}: up to {} times the usual asks", f.met_most);
+    }
+}
