Roster: tests of who is not heard, and of evidence that can't be

Need: two guards could be taken out without a test noticing: that a life which has not put itself after the known one is told of it instead of being heard, and that evidence is checked before anything of its message is used.

Change: a test of each.

--- a/crates/roster/src/talk.rs
+++ b/crates/roster/src/talk.rs
@@ -221,3 +221,61 @@
 fn is_news(known: Option<&Known>, of: &Swim) -> bool {
     known.is_none_or(|k| k.life != of.header.src || k.state != State::Alive)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Event, Evidence, Settings};
+    use basaltgw_ids::{Domain, Incarnation};
+    use foca::{Header, Message};
+
+    fn presence(name: &str, incarnation: u128) -> Presence {
+        let member = Member { router: RouterId(name.into()), incarnation: Incarnation(incarnation) };
+        let domain = Domain { branch: "b".into(), machine: name.into() };
+        Presence { member, address: ([127, 0, 0, 1], 7101).into(), domain }
+    }
+
+    /// What r0, which knows the first life of r1, makes of a message of some life of it.
+    fn said(life: &Life, evidence: Vec<Item>) -> (Roster, Result<(), Bad>, Vec<Action>) {
+        let settings = Settings { listed: [RouterId("r1".into())].into(), ..Settings::default() };
+        let mut roster = Roster::new(presence("r0", 1), settings, 1).expect("a roster");
+        let (first, mut out) = (Life::new(presence("r1", 1)), Vec::new());
+        let hello = Wire::Hello(Box::new(Hello { me: first.clone(), known: None })).write();
+        roster.handle(0.0, Event::Bytes(first.member().clone(), hello), &mut out).expect("met");
+        let (dst, message) = (Life::new(presence("r0", 1)), Message::Ping(1));
+        let header = Header { src: life.clone(), src_incarnation: 0, dst, message };
+        let bytes = Swim { header, updates: Vec::new(), counted: false }.write().expect("a message");
+        out.clear();
+        let event = Event::Bytes(life.member().clone(), Wire::Swim { bytes, evidence }.write());
+        let done = roster.handle(1.0, event, &mut out);
+        (roster, done, out)
+    }
+
+    #[test]
+    fn a_life_that_does_not_put_itself_after_the_known_one_is_told_of_it_and_not_heard() {
+        let known = |r: &Roster| r.others().map(|(p, _)| p.member.incarnation.0).collect::<Vec<_>>();
+        let new = Life { generation: 9, ..Life::new(presence("r1", 7)) };
+        let (roster, done, out) = said(&new, Vec::new());
+        assert_eq!((done, known(&roster), roster.counters().not_current), (Ok(()), vec![1], 1));
+        let [Action::Send(to, bytes)] = &out[..] else { panic!("{out:?}") };
+        let Ok(Wire::Hello(hello)) = Wire::read(bytes, 1000) else { panic!("no hello") };
+        let told = hello.known.map(|(life, down)| (life.member().incarnation.0, down));
+        assert_eq!((to, told), (new.member(), Some((1, false))));
+        let after = new.above(&Life::new(presence("r1", 1))).expect("above");
+        let (roster, done, _) = said(&after, Vec::new());
+        assert_eq!((done, known(&roster), roster.counters().not_current), (Ok(()), vec![7], 0));
+    }
+
+    #[test]
+    fn evidence_that_can_not_be_refuses_the_message_as_a_whole() {
+        let sender = Life::new(presence("r1", 1));
+        let item = |latency| {
+            let evidence = Evidence { site: "east".into(), missed: 1, answered: 0, latency, age: 0.0 };
+            Item { origin: sender.member().clone(), start: 1, serial: 1, evidence }
+        };
+        let (_, done, out) = said(&sender, vec![item(1.0)]);
+        assert!(done.is_ok() && out.iter().any(|a| matches!(a, Action::Told(..))), "{out:?}");
+        let (_, done, out) = said(&sender, vec![item(1.0), item(f64::NAN)]);
+        assert!(matches!(done, Err(Bad::Evidence("latency", _))) && out.is_empty(), "{done:?} {out:?}");
+    }
+}
--- a/crates/roster/src/wire.rs
+++ b/crates/roster/src/wire.rs
@@ -59,7 +59,7 @@
     pub header: Header<Life>,
     pub updates: Vec<Member<Life>>,
     /// Whether there is a count of updates at all: some kinds of messages have none.
-    counted: bool,
+    pub counted: bool,
 }
 
 impl Swim {
