A machine that returns with an empty folder takes its place by the table's register

Need: a machine lost with its disk has to be made up for: who comes back under its name with another folder may not vouch as its former self, and the shards it kept need their copies again.

Change: the table's owner goes by placement's adoption (offered, checked, both by portions, new). Every change of the register is one compare-and-swap of the holds; what was adopted is on the disk before the map changes hands and before anyone is told. The first of the table's members that are met offers a replacement for a member that is back with another folder, and another table without one that is not reached for the time the settings name; new rules are compiled and offered; a table that does not come on is taken back. In the holds every member of a moving shard's new group fills, also those that kept it before: with the lost one gone they may lack what the majority had, and are counted.

--- a/crates/holds/src/fill.rs
+++ b/crates/holds/src/fill.rs
@@ -76,9 +76,10 @@
             let older = now.groups.first().is_some_and(|g| g.members.contains(me));
             let kept = before.and_then(|m| keepers(m, place)).is_some_and(|k| among(k, me));
             match (older, newer) {
-                (false, true) => fill.push(Task::Fill(place)),
-                (true, _) if !kept => catch_up.push(Task::CatchUp(place)),
-                (true, _) | (false, false) => {}
+                // Also who kept it before may lack what a majority of the others kept, and is counted among the newer.
+                (_, true) => fill.push(Task::Fill(place)),
+                (true, false) if !kept => catch_up.push(Task::CatchUp(place)),
+                (true, false) | (false, false) => {}
             }
         }
         self.filling.portion = None;
--- a/crates/node/src/fleet/copies/act.rs
+++ b/crates/node/src/fleet/copies/act.rs
@@ -49,10 +49,8 @@
                 holds::Action::Behind(_, who) => self.say(&who, &Word::TableWanted),
                 holds::Action::Filled(Some(_)) => {}
                 holds::Action::Filled(None) => {
-                    let epoch = self.parts.table.epoch();
-                    self.say_all(&Word::Filled { epoch });
-                    let me = self.parts.me.clone();
-                    let steps = self.parts.table.filled(now, &me, epoch);
+                    let epoch = self.parts.holds.epoch();
+                    let steps = self.parts.table.filled(now, epoch);
                     self.steps(now, steps);
                 }
                 holds::Action::Report(text) => log::info!("{text}"),
@@ -144,9 +142,7 @@
                 roster::Action::Send(to, body) => self.send(0, to, Lane::Roster, body),
                 roster::Action::Timer(after, token) => self.timer(now + after, Due::Roster(token)),
                 roster::Action::State(presence, state) => {
-                    log::info!("router {} is {state:?}", presence.member);
-                    let steps = self.parts.table.heard(now, &presence, state);
-                    self.steps(now, steps);
+                    log::info!("router {} is {state:?}", presence.member)
                 }
                 roster::Action::Told(..) => {}
                 roster::Action::Report(text) => log::info!("{text}"),
@@ -154,10 +150,16 @@
         }
     }
 
-    /// What the table's owner wants.
+    /// What the table's owner wants. What follows on something that has to last waits for the commit at the turn's end.
     pub(super) fn steps(&mut self, now: Ms, steps: Vec<Step>) {
-        for step in steps {
+        let mut steps = steps.into_iter();
+        while let Some(step) = steps.next() {
             match step {
+                Step::Keep(serial, body) => {
+                    self.to_adopt = Some((serial, body));
+                    self.after_commit.extend(steps);
+                    return;
+                }
                 Step::Map(map) => {
                     let table = (map.version, map.hash);
                     (self.counts.table_version, self.counts.table_epoch) = (map.version.0, map.epoch);
@@ -166,9 +168,11 @@
                     self.tell(Told::Table(table.0, table.1));
                 }
                 Step::Ask(key, change, within) => self.ask(now, Asker::Table, (key, change), within),
-                Step::Keep(serial, body) => self.to_adopt = Some((serial, body)),
-                Step::Say(to, word) => self.say(&to, &word),
                 Step::SayAll(word) => self.say_all(&word),
+                Step::Own(word) => {
+                    let me = self.parts.me.clone();
+                    self.word(now, &me, word);
+                }
                 Step::Adopted => self.counts.tables_adopted += 1,
                 Step::TakenBack => self.counts.tables_taken_back += 1,
                 Step::Refused => self.counts.tables_refused += 1,
--- a/crates/node/src/fleet/copies/hear.rs
+++ b/crates/node/src/fleet/copies/hear.rs
@@ -87,8 +87,8 @@
                 let steps = self.parts.table.learn(now, serial, &body);
                 self.steps(now, steps);
             }
-            Word::Checked { serial, table } => {
-                let steps = self.parts.table.checked(now, from, serial, table);
+            Word::Checked { turn } => {
+                let steps = self.parts.table.said(now, from, turn, false);
                 self.steps(now, steps);
             }
             Word::Still { key, turn } => {
@@ -96,8 +96,8 @@
                     self.doubt(now, key, turn);
                 }
             }
-            Word::Filled { epoch } => {
-                let steps = self.parts.table.filled(now, from, epoch);
+            Word::Filled { turn } => {
+                let steps = self.parts.table.said(now, from, turn, true);
                 self.steps(now, steps);
             }
         }
--- a/crates/node/src/fleet/copies/mod.rs
+++ b/crates/node/src/fleet/copies/mod.rs
@@ -8,7 +8,7 @@
 mod out;
 
 use super::purges::{Purge, Purges};
-use super::table::TableKeeper;
+use super::table::{Step, TableKeeper};
 use super::words::Word;
 use super::{FleetCounts, Question, Told};
 use crate::clock::Clock;
@@ -129,6 +129,8 @@
     to_keep: Vec<Purge>,
     /// The table's register as it was adopted.
     to_adopt: Option<(u64, Vec<u8>)>,
+    /// What waits until that is on the disk.
+    after_commit: Vec<Step>,
     waiting: VecDeque<Told>,
     reached: BTreeMap<RouterId, Member>,
     /// Since when a router is not reached.
@@ -180,6 +182,7 @@
             to_store: Vec::new(),
             to_keep: Vec::new(),
             to_adopt: None,
+            after_commit: Vec::new(),
             waiting: VecDeque::new(),
             reached: BTreeMap::new(),
             lost: BTreeMap::new(),
@@ -269,10 +272,7 @@
                     self.say_all(&Word::Purges { some: vec![purge], last: false });
                 }
             }
-            Question::Rules(name, text) => {
-                let steps = self.parts.table.rules(now, &name, &text);
-                self.steps(now, steps);
-            }
+            Question::Rules(name, text) => self.parts.table.rules(name, text),
             Question::End => self.ended = true,
         }
     }
--- a/crates/node/src/fleet/copies/out.rs
+++ b/crates/node/src/fleet/copies/out.rs
@@ -64,7 +64,7 @@
     pub(super) fn commit(&mut self, now: Ms) -> bool {
         std::mem::take(&mut self.unsent).into_iter().for_each(|no| self.holds(now, holds::Event::Unsent(no)));
         let (batches, purges) = (std::mem::take(&mut self.to_store), std::mem::take(&mut self.to_keep));
-        let adopted = self.to_adopt.take();
+        let adopted = self.to_adopt.clone();
         if batches.is_empty() && purges.is_empty() && adopted.is_none() {
             return false;
         }
@@ -85,14 +85,21 @@
         }
         let done = self.parts.store.commit(&writes);
         match &done {
-            Ok(()) => self.counts.commits += 1,
+            Ok(()) => {
+                self.counts.commits += 1;
+                self.to_adopt = None;
+            }
             Err(e) => {
                 self.counts.commits_failed += 1;
                 log::error!("nothing new is promised, the disk takes nothing: {e}");
             }
         }
         batches.into_iter().for_each(|(no, _)| self.holds(now, holds::Event::Stored(no, done.is_ok())));
-        true
+        if done.is_ok() {
+            let steps = std::mem::take(&mut self.after_commit);
+            self.steps(now, steps);
+        }
+        done.is_ok()
     }
 
     pub(super) fn tidy(&mut self, now: Ms) {
--- a/crates/node/src/fleet/start.rs
+++ b/crates/node/src/fleet/start.rs
@@ -3,7 +3,7 @@
 use super::copies::{Copies, Parts, ADOPTED, HOLDS, PURGES};
 use super::port::{Fleet, Terms};
 use super::purges::{Purge, Purges};
-use super::table::{Founder, TableKeeper};
+use super::table::{Founder, Given, TableKeeper};
 use super::FleetCounts;
 use basaltgw_config::fleet::Fleet as FleetConfig;
 use basaltgw_config::NodeConfig;
@@ -178,7 +178,14 @@
         }
         None => None,
     };
-    TableKeeper::new(me.clone(), founders, set.limits.holds as u64, rules(set), kept).map_err(wrong)
+    let given = Given {
+        me: me.clone(),
+        founders,
+        capacity: set.limits.holds as u64,
+        rules: rules(set),
+        replace_after: set.limits.replace_after_ms,
+    };
+    TableKeeper::new(given, kept).map_err(wrong)
 }
 
 /// The rules of the file, or those that the section itself amounts to.
--- /dev/null
+++ b/crates/node/src/fleet/table/offers.rs
@@ -0,0 +1,122 @@
+//! When a table is due, and what becomes of one that does not come on.
+
+use super::{Step, TableKeeper};
+use crate::fleet::words::Word;
+use basaltgw_ids::{Member, Ms};
+use basaltgw_placement::{moves, Event, Offer, OfferNo, Register, Stage, Table};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// What is open is asked for again after so long without a word.
+const AGAIN_MS: Ms = 1_000.0;
+/// Between two offers of this router: a fleet that settles is not to be asked for a table with each router that comes.
+const OFFER_MS: Ms = 1_500.0;
+/// A table that is on its way in and has not come on for so long is taken back: one whom it needs is lost.
+const STUCK_MS: Ms = 6_000.0;
+impl TableKeeper {
+    /// New rules: compiled and offered with the next tick.
+    pub fn rules(&mut self, name: String, text: String) {
+        self.given.rules = vec![(name, text)];
+        self.rules_offered = false;
+    }
+
+    fn offer(&mut self, now: Ms, offer: Offer) -> Vec<Step> {
+        self.offers += 1;
+        self.offered = now;
+        self.handle(now, Event::Asked(OfferNo(self.offers), offer))
+    }
+
+    /// What is to be tried again, and what has become due.
+    pub fn tick(&mut self, now: Ms) -> Vec<Step> {
+        let mut steps = self.found(now);
+        if now < self.again + AGAIN_MS {
+            return steps;
+        }
+        self.again = now;
+        let Some(register) = self.adoption.register().cloned() else { return steps };
+        for (member, _) in register.table().routers().filter(|(m, _)| !self.met.contains_key(&m.router)) {
+            self.lost.entry(member.router.clone()).or_insert(now);
+        }
+        if register.next().is_some() {
+            // What was said of this turn may have been lost on its way.
+            let turn = register.turn();
+            let (checked, filled) = self.adoption.heard();
+            let me = &self.given.me;
+            let word = match (checked.contains(me), filled.contains(me)) {
+                (_, true) => Some(Word::Filled { turn }),
+                (true, false) => Some(Word::Checked { turn }),
+                (false, false) => None,
+            };
+            steps.extend(word.map(Step::SayAll));
+            if now >= self.changed + STUCK_MS && self.first() && !self.asking {
+                log::warn!("the table on its way in has not come on and is taken back: {register}");
+                steps.extend(self.offer(now, Offer::TakeBack));
+                self.changed = now;
+            }
+            steps.extend(self.handle(now, Event::Again));
+        } else if now >= self.offered + OFFER_MS && !self.asking && *register.stage() == Stage::Idle {
+            steps.extend(self.due(now, &register));
+        }
+        steps
+    }
+
+    /// Among those of the table that are met, this one speaks for all.
+    fn first(&self) -> bool {
+        let Some(register) = self.adoption.register() else { return false };
+        let mut there = register.table().routers().filter(|(m, _)| self.met.values().any(|met| met == *m));
+        there.next().is_some_and(|(m, _)| *m == self.given.me)
+    }
+
+    /// Offers what is due: new rules by whoever has them, other routers by the first of those that are met.
+    fn due(&mut self, now: Ms, register: &Register) -> Vec<Step> {
+        let table = register.table();
+        let held: BTreeSet<Member> = table.routers().map(|(m, _)| m.clone()).collect();
+        let mut wanted: BTreeSet<Member> = self.met.values().cloned().collect();
+        for member in &held {
+            let gone = self.lost.get(&member.router).is_some_and(|at| now >= at + self.given.replace_after);
+            if !gone && !self.met.contains_key(&member.router) {
+                wanted.insert(member.clone());
+            }
+        }
+        if !self.rules_offered && self.is_member() {
+            self.rules_offered = true;
+            return self.next(now, wanted, table, true);
+        }
+        let same = held.is_subset(&wanted) && (wanted == self.considered || wanted == held);
+        if same || !self.first() {
+            return Vec::new();
+        }
+        let missing: Vec<&Member> = held.difference(&wanted).collect();
+        let back = missing.iter().find_map(|old| {
+            let new = self.met.get(&old.router)?;
+            Some(((*old).clone(), new.clone()))
+        });
+        match back {
+            Some((old, new)) => {
+                log::info!("{old} has come back as {new}, and takes its place");
+                let mut steps = self.offer(now, Offer::Replace { old, new });
+                steps.push(Step::Replaced);
+                steps
+            }
+            None => self.next(now, wanted, table, false),
+        }
+    }
+
+    fn next(&mut self, now: Ms, members: BTreeSet<Member>, table: &Table, rules: bool) -> Vec<Step> {
+        let made = self.compile(&members, Some(table));
+        self.considered = members;
+        match made {
+            // Who comes and keeps nothing is no reason for another table.
+            Ok(next) if !rules && moves(table, &next).copies() == 0 => {
+                self.offered = now;
+                Vec::new()
+            }
+            Ok(next) => self.offer(now, Offer::Next(Arc::new(next))),
+            Err(faults) => {
+                self.offered = now;
+                log::error!("the table stays as it is:\n{faults}");
+                vec![Step::Refused]
+            }
+        }
+    }
+}
--- a/crates/node/src/fleet/words.rs
+++ b/crates/node/src/fleet/words.rs
@@ -2,7 +2,6 @@
 
 use super::purges::Purge;
 use basaltgw_holds::HoldKey;
-use basaltgw_ids::{TableHash, TableVersion};
 use serde::{Deserialize, Serialize};
 
 /// Purges in one message.
@@ -29,12 +28,10 @@
         /// Its content.
         body: Vec<u8>,
     },
-    /// The offered table was compiled or read here, with this hash.
+    /// The register's content of a turn was read here and is on the disk; no map before it is vouched by any more.
     Checked {
-        /// The register's serial at that.
-        serial: u64,
-        /// What it is here.
-        table: (TableVersion, TableHash),
+        /// The turn.
+        turn: u64,
     },
     /// Have you still got this out? If not, say so to its keepers.
     Still {
@@ -43,10 +40,10 @@
         /// Under which turn.
         turn: u32,
     },
-    /// All shards that this router keeps under this epoch are filled.
+    /// Besides, all holds are here that this router is to keep by it.
     Filled {
-        /// The epoch.
-        epoch: u64,
+        /// The turn.
+        turn: u64,
     },
 }
 
@@ -89,7 +86,7 @@
             Word::PurgesWanted,
             Word::Purges { some: vec![purge], last: true },
             Word::TableIs { serial: 3, body: vec![1, 2] },
-            Word::Filled { epoch: 9 },
+            Word::Filled { turn: 9 },
         ] {
             assert_eq!(Word::read(&word.bytes()), Some(word));
         }
