Gather: others' words make no room for themselves; travel is reckoned with its spread

Cause: a word on an unknown site made an entry as fresh as one in use, so a flood of them could push out sites that are asked; and the time handed down was short of travel on average only, so half of the answers that used it up would have come late.

Change: words make sites known up to half of the room, as the first to be forgotten, with the latency they name; times handed down leave two mean deviations of travel.

--- a/crates/gather/src/site.rs
+++ b/crates/gather/src/site.rs
@@ -35,6 +35,8 @@
 const UNPROVEN: f64 = 2.0;
 /// A failed probe makes the time to the next longer by this.
 const BACK_OFF: f64 = 1.5;
+/// Travel is reckoned as so many mean deviations longer than on average.
+pub(crate) const TRAVEL_ROOM: f64 = 2.0;
 /// Weight of a new measurement of travel, as in TCP's smoothed round trip.
 const TRAVEL: f64 = 0.125;
 
@@ -104,6 +106,7 @@
     pub probe_gap: Ms,
     pub probes_out: u32,
     pub travel: Ms,
+    pub travel_off: Ms,
     pub words: Vec<Word>,
     pub missed: u32,
     pub answered: u32,
@@ -132,6 +135,7 @@
             probe_gap: set.probe_every,
             probes_out: 0,
             travel: 0.0,
+            travel_off: 0.0,
             words: Vec::new(),
             missed: 0,
             answered: 0,
@@ -174,7 +178,9 @@
         match sign {
             Sign::Answered { latency, took, in_time } => {
                 self.latency.came(latency, weight);
-                self.travel += TRAVEL * ((latency - took).clamp(0.0, latency) - self.travel);
+                let off = (latency - took).clamp(0.0, latency) - self.travel;
+                self.travel += TRAVEL * off;
+                self.travel_off += TRAVEL * (off.abs() - self.travel_off);
                 self.believe(now, FOUND);
                 self.usual = (self.usual - self.usual / USUAL_OVER).max(USUAL.0);
                 self.seen = Some(now);
--- a/crates/gather/src/sites.rs
+++ b/crates/gather/src/sites.rs
@@ -4,8 +4,9 @@
 //! the site usually is. Other routers' words move it too, but not over the bound at which a site that answers here would be left out.
 
 use crate::api::{Evidence, Site};
-use crate::settings::Settings;
-use crate::site::{gap, State};
+use crate::latency::Latency;
+use crate::settings::{Settings, MOST_MS};
+use crate::site::{gap, State, TRAVEL_ROOM};
 pub(crate) use crate::site::{Admit, Change, Sign};
 use basaltgw_ids::{Ms, RouterId};
 use basaltgw_structures::hash::{mix, unit};
@@ -92,13 +93,21 @@
     /// Another router's word. False if it is not taken.
     pub fn hear(&mut self, now: Ms, from: RouterId, word: &Evidence) -> bool {
         let set = Arc::clone(&self.set);
-        let known = self.sites.contains_key(&word.site) || self.sites.len() < set.sites;
+        // Others' words make no site known here beyond half of the room, and push none out.
+        let new = !self.sites.contains_key(&word.site);
+        let known = !new || self.sites.len() < set.sites / 2;
         if !known || (word.missed, word.answered) == (0, 0) || !(0.0..set.hearsay).contains(&word.age) {
             return false;
         }
         let jitter = self.draw();
         let gap = gap(&set, self.routers);
-        let state = self.at(now, &word.site);
+        let state = self.sites.entry(word.site.clone()).or_insert_with(|| State::new(now, &set));
+        if new {
+            state.used = 0.0;
+            if (set.tick..MOST_MS).contains(&word.latency) {
+                state.latency = Latency::guess(word.latency);
+            }
+        }
         if !state.hear(now, from, word, &set) {
             return false;
         }
@@ -132,9 +141,9 @@
         self.sites.get(site).map_or(0.0, |s| (1.0 - s.lost(now, &self.set)) * s.latency.within(left))
     }
 
-    /// Its measured travel, there and back, in milliseconds.
+    /// Its measured travel, there and back, with room for what it varies, in milliseconds.
     pub fn travel(&self, site: &Site) -> Ms {
-        self.sites.get(site).map_or(0.0, |s| s.travel)
+        self.sites.get(site).map_or(0.0, |s| s.travel + TRAVEL_ROOM * s.travel_off)
     }
 
     /// Until when it turns requests away, if it does.
