Tables measured beside plain rendezvous and a sorted list; fewer moves at ten routers

At ten uneven routers a lost one moved 1.115 of the least: the last empty places were filled by taking keepers that could have stayed.

--- /dev/null
+++ b/crates/placement/benches/table.rs
@@ -0,0 +1,69 @@
+//! Look-up of a shard's keepers: the table beside plain rendezvous over all routers and a sorted list.
+
+use basaltgw_ids::{Domain, Incarnation, Member, RouterId, Shard};
+use basaltgw_placement::{compile, Inventory, RouterEntry, Table};
+use basaltgw_structures::hash::{address, rendezvous};
+use divan::{black_box, Bencher};
+use std::sync::Arc;
+
+fn main() {
+    divan::main();
+}
+
+const SIZES: [usize; 3] = [10, 300, 3000];
+const SHARDS: u16 = 256;
+
+fn fleet(n: usize) -> Inventory {
+    let router = |i: usize| RouterEntry {
+        member: Member { router: RouterId(Arc::from(format!("r{i}"))), incarnation: Incarnation(i as u128) },
+        domain: Domain { branch: Arc::from("b"), machine: Arc::from(format!("m{i}")) },
+        capacity: 1000,
+        stays: true,
+    };
+    Inventory { routers: (0..n).map(router).collect(), ..Inventory::default() }
+}
+
+fn table(n: usize) -> Table {
+    let founded = compile(&[], &fleet(10), None).unwrap_or_else(|f| panic!("{}", f[0]));
+    compile(&[], &fleet(n), Some(&founded)).unwrap_or_else(|f| panic!("{}", f[0]))
+}
+
+#[divan::bench(args = SIZES)]
+fn look_up_table(bencher: Bencher<'_, '_>, n: usize) {
+    let (table, mut shard) = (table(n), 0);
+    bencher.bench_local(|| {
+        shard = (shard + 1) % SHARDS;
+        black_box(table.keepers(Shard(shard)).map(|g| g.need))
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn look_up_rendezvous(bencher: Bencher<'_, '_>, n: usize) {
+    let hashes: Vec<u64> = fleet(n).routers.iter().map(|r| address(&r.member.router.0)).collect();
+    let mut shard = 0;
+    bencher.bench_local(|| {
+        shard = (shard + 1) % u64::from(SHARDS);
+        let mut scores: Vec<(f64, usize)> =
+            hashes.iter().enumerate().map(|(i, h)| (rendezvous(shard, *h, 1.0), i)).collect();
+        scores.select_nth_unstable_by(2, |a, b| b.0.total_cmp(&a.0));
+        black_box(scores.first().copied())
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn look_up_sorted_list(bencher: Bencher<'_, '_>, n: usize) {
+    let mut names: Vec<RouterId> = fleet(n).routers.into_iter().map(|r| r.member.router).collect();
+    names.sort();
+    let mut shard = 0;
+    bencher.bench_local(|| {
+        shard = (shard + 1) % usize::from(SHARDS);
+        black_box((0..3).map(|c| &names[(shard + c) % names.len()]).map(|r| r.0.len()).sum::<usize>())
+    });
+}
+
+#[divan::bench(args = SIZES, sample_count = 10)]
+fn compile_again_after_a_loss(bencher: Bencher<'_, '_>, n: usize) {
+    let (before, mut after) = (table(n), fleet(n));
+    after.routers.remove(n / 2);
+    bencher.bench_local(|| black_box(compile(&[], &after, Some(&before)).map(|t| t.hash())));
+}
--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -83,7 +83,7 @@
     }
 
     /// Fills empty places. False if there is one that nobody may take.
-    fn fill(&mut self) -> bool {
+    fn fill(&mut self, before: &[Vec<usize>]) -> bool {
         for shard in 0..self.wanted.shards {
             while self.shards[shard].len() < self.wanted.copies {
                 let open = |r: &usize| self.load[*r] < self.quotas[*r].most;
@@ -94,7 +94,7 @@
                     .max_by_key(|r| (short(r), score(shard, self.candidates[*r].hash)));
                 match best {
                     Some(router) => self.put(shard, router),
-                    None if self.fill_around(shard) => {}
+                    None if self.fill_around(shard, before) => {}
                     None => match self.overfull(shard) {
                         Some(router) => self.put(shard, router),
                         None if self.afresh(shard) => {}
@@ -106,18 +106,24 @@
         true
     }
 
-    /// Fills a place by one who is taken from another shard, where one with room may take over.
-    fn fill_around(&mut self, shard: usize) -> bool {
+    /// Fills a place by one who is taken from another shard, where one with room may take over. Who came to that shard only now is taken first: that
+    /// costs no further move.
+    fn fill_around(&mut self, shard: usize, before: &[Vec<usize>]) -> bool {
+        let new = |s: usize, k: usize| before.get(s).is_none_or(|kept| !kept.contains(&k));
         let roomy: Vec<usize> =
             (0..self.candidates.len()).filter(|r| self.load[*r] < self.quotas[*r].most).collect();
-        let found = (0..self.wanted.shards).filter(|s| *s != shard).find_map(|other| {
-            self.shards[other].iter().copied().filter(|k| self.fits(&self.shards[shard], None, *k)).find_map(
-                |keeper| {
-                    let heir = roomy.iter().find(|r| self.fits(&self.shards[other], Some(keeper), **r));
-                    heir.map(|heir| (other, keeper, *heir))
-                },
-            )
-        });
+        let find = |newly: bool| {
+            (0..self.wanted.shards).filter(|s| *s != shard).find_map(|other| {
+                let here = self.shards[other].iter().copied();
+                here.filter(|k| new(other, *k) == newly && self.fits(&self.shards[shard], None, *k)).find_map(
+                    |keeper| {
+                        let heir = roomy.iter().find(|r| self.fits(&self.shards[other], Some(keeper), **r));
+                        heir.map(|heir| (other, keeper, *heir))
+                    },
+                )
+            })
+        };
+        let found = find(true).or_else(|| find(false));
         if let Some((other, keeper, heir)) = found {
             self.swap(other, keeper, heir);
             self.put(shard, keeper);
@@ -243,7 +249,7 @@
         shards: vec![Vec::new(); wanted.shards],
     };
     places.keep(before);
-    if !places.fill() {
+    if !places.fill(before) {
         return None;
     }
     places.level();
