--- a/crates/placement/src/fault.rs
+++ b/crates/placement/src/fault.rs
@@ -122,7 +122,7 @@
         let mut out = Vec::new();
         let sources = ariadne::sources(files.iter().map(|(name, text)| (name.clone(), text.clone())));
         match report.finish().write(sources, &mut out) {
-            Ok(()) => String::from_utf8_lossy(&out).into_owned(),
+            Ok(()) => String::from_utf8_lossy(&out).lines().map(|l| format!("{}\n", l.trim_end())).collect(),
             Err(_) => format!("Error: {self}\n"),
         }
     }
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -5,6 +5,7 @@
 use crate::fault::{found, At};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 /// The longest that a gather may wait for parts, in milliseconds: beyond it every caller has left.
@@ -39,6 +40,22 @@
     }
 }
 
+impl fmt::Display for GatherRule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let needed: Vec<String> = self.needed.iter().map(u32::to_string).collect();
+        let needed = if needed.is_empty() { "none alone".into() } else { needed.join(", ") };
+        let missing = match self.missing {
+            Missing::Owed => "owed",
+            Missing::Dropped => "dropped",
+            Missing::Refused => "refused",
+        };
+        let second = if self.second_copies { "yes" } else { "no" };
+        writeln!(f, "gathers of class {}: parts needed: {needed}", self.class)?;
+        writeln!(f, "  at least {}% of parts and {}% of worth", self.least_parts, self.least_worth)?;
+        writeln!(f, "  wait {} ms, missing {missing}, second copies {second}", self.wait_ms)
+    }
+}
+
 /// Compiles all rules of gathers; of a class there is one at most.
 pub(crate) fn gathers(items: &[Item], check: &mut Check<'_>) -> Vec<GatherRule> {
     let mut rules: BTreeMap<String, (At, GatherRule)> = BTreeMap::new();
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -2,7 +2,7 @@
 
 use crate::table::Table;
 use basaltgw_ids::{Group, Keepers, Member, Shard, ShardMap, TableVersion};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// A shard that moves.
@@ -89,9 +89,13 @@
         if !left.is_empty() || !joined.is_empty() {
             writeln!(f, "root: {} to {}", names(left), names(joined))?;
         }
-        self.shards
-            .iter()
-            .try_for_each(|m| writeln!(f, "shard {}: {} to {}", m.shard.0, names(&m.left), names(&m.joined)))
+        // Shards that go the same way stand together.
+        let mut ways: BTreeMap<(String, String), Vec<String>> = BTreeMap::new();
+        for m in &self.shards {
+            ways.entry((names(&m.left), names(&m.joined))).or_default().push(m.shard.0.to_string());
+        }
+        let mut ways = ways.iter();
+        ways.try_for_each(|((left, joined), all)| writeln!(f, "{left} to {joined}: shards {}", all.join(" ")))
     }
 }
 
