--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -215,7 +215,7 @@
         (fault, _) => fault,
     };
     let data = Data::open(&path).map_err(cut)?;
-    let tally = data.check().map_err(cut)?;
+    let tally = data.check()?;
     if tally.incarnation != life.incarnation {
         let why = format!("of the life {}, expected {}", tally.incarnation, life.incarnation);
         return Err(Fault::foreign(&path, why));
