--- a/crates/node/src/fleet/copies/act.rs
+++ b/crates/node/src/fleet/copies/act.rs
@@ -47,9 +47,8 @@
                 },
                 holds::Action::Timer(after, token) => self.timer(now + after, Due::Holds(token)),
                 holds::Action::Behind(_, who) => self.say(&who, &Word::TableWanted),
-                holds::Action::Filled(Some(_)) => {}
-                holds::Action::Filled(None) => {
-                    let epoch = self.parts.holds.epoch();
+                holds::Action::Filled(_, Some(_)) => {}
+                holds::Action::Filled(epoch, None) => {
                     let steps = self.parts.table.filled(now, epoch);
                     self.steps(now, steps);
                 }
