The fleet's hard cases run as tests: three routers and more, with faults between them

The section fleet is wired on main, so the tests of checkouts, cuts and purges become a test program.

--- a/crates/emulator/src/rig/mod.rs
+++ b/crates/emulator/src/rig/mod.rs
@@ -307,6 +307,7 @@
     pub fn carried(&self) -> relay::Carried {
         let mut all = relay::Carried::default();
         for c in self.routers().map(Flow::carried) {
+            all.taken += c.taken;
             all.bytes += c.bytes;
             all.dropped += c.dropped;
             all.repeated += c.repeated;
--- a/crates/emulator/src/rig/relay.rs
+++ b/crates/emulator/src/rig/relay.rs
@@ -50,6 +50,8 @@
 /// What a flow did.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Carried {
+    /// Bytes that were sent into it.
+    pub taken: u64,
     /// Bytes written on.
     pub bytes: u64,
     /// Bytes that vanished.
@@ -140,6 +142,7 @@
     fn takes(&self, piece: &mut Vec<u8>) -> Option<Instant> {
         let mut state = self.state();
         let s = &mut *state;
+        s.carried.taken += piece.len() as u64;
         if s.shape.hole {
             s.carried.dropped += piece.len() as u64;
             return None;
--- /dev/null
+++ b/crates/node/tests/fleet/main.rs
@@ -0,0 +1,9 @@
+//! Routers that keep each other's word: several processes, with faults between them.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod checkouts;
+mod cuts;
+mod purges;
+mod trial;
--- /dev/null
+++ b/crates/node/tests/fleet/stopped.rs
@@ -0,0 +1,27 @@
+//! A router that was stopped while it asked for a promise.
+
+use crate::common::until;
+use crate::trial::{trial, WITHIN};
+
+#[test]
+fn a_router_stopped_while_it_asks_for_a_promise_and_woken_sends_nothing_that_others_took() {
+    let mut t = trial(3);
+    // Its keepers' answers take long: it is stopped before it has the promise, and finds it when it wakes.
+    t.rig.between(1, 0).shape(|s| s.delay = (400.0, 400.0));
+    t.rig.between(2, 0).shape(|s| s.delay = (400.0, 400.0));
+    let (id, caller) = (t.id(), t.caller(0));
+    let before = t.rig.between(0, 1).carried().taken;
+    let ask = caller.checkout(&id, WITHIN);
+    until("its keepers are asked", || t.rig.between(0, 1).carried().taken > before);
+    t.rig.stop(0);
+    let ends = [1, 2].map(|router| t.checkout(router, &id));
+    assert!(ends.iter().all(Option::is_some), "{ends:?}");
+    t.rig.wake(0);
+    t.rig.heal();
+    t.serves(0);
+    let own = t.end(ask);
+    t.comes_to_serve(0);
+    let runs = t.rig.archive.runs(&id);
+    assert!(runs <= 1, "{own:?} {ends:?}");
+    t.holds();
+}
