Lost keepers' places are handed on along the shortest row, so that fewer shards move

With 32 shards on nine uneven routers a lost one moved 20 copies of 18: the last empty place was filled by taking a keeper that could have stayed. Now those who came only in this table hand on what they got (an augmenting path), and who is short is filled from them first.

--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -5,6 +5,7 @@
 
 use crate::share::{quotas, Quota};
 use basaltgw_structures::hash::mix;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A router that may keep shards.
 #[derive(Clone, Debug)]
@@ -32,6 +33,7 @@
 struct Places<'a> {
     candidates: &'a [Candidate],
     wanted: Wanted,
+    before: &'a [Vec<usize>],
     quotas: Vec<Quota>,
     load: Vec<u32>,
     shards: Vec<Vec<usize>>,
@@ -70,8 +72,8 @@
     }
 
     /// What the table before says, as far as it may stay.
-    fn keep(&mut self, before: &[Vec<usize>]) {
-        for (shard, kept) in before.iter().enumerate().take(self.wanted.shards) {
+    fn keep(&mut self) {
+        for (shard, kept) in self.before.iter().enumerate().take(self.wanted.shards) {
             for &router in kept {
                 if self.shards[shard].len() < self.wanted.copies
                     && self.fits(&self.shards[shard], None, router)
@@ -83,7 +85,7 @@
     }
 
     /// Fills empty places. False if there is one that nobody may take.
-    fn fill(&mut self, before: &[Vec<usize>]) -> bool {
+    fn fill(&mut self) -> bool {
         for shard in 0..self.wanted.shards {
             while self.shards[shard].len() < self.wanted.copies {
                 let open = |r: &usize| self.load[*r] < self.quotas[*r].most;
@@ -94,7 +96,7 @@
                     .max_by_key(|r| (short(r), score(shard, self.candidates[*r].hash)));
                 match best {
                     Some(router) => self.put(shard, router),
-                    None if self.fill_around(shard, before) => {}
+                    None if self.hand_on(shard) || self.fill_around(shard) => {}
                     None => match self.overfull(shard) {
                         Some(router) => self.put(shard, router),
                         None if self.afresh(shard) => {}
@@ -106,24 +108,54 @@
         true
     }
 
-    /// Fills a place by one who is taken from another shard, where one with room may take over. Who came to that shard only now is taken first: that
-    /// costs no further move.
-    fn fill_around(&mut self, shard: usize, before: &[Vec<usize>]) -> bool {
-        let new = |s: usize, k: usize| before.get(s).is_none_or(|kept| !kept.contains(&k));
+    /// True if a router came to a shard only now: moving it on costs no further move.
+    fn fresh(&self, shard: usize, router: usize) -> bool {
+        self.before.get(shard).is_none_or(|kept| !kept.contains(&router))
+    }
+
+    /// Fills a place by the shortest row of routers that each hand a shard they came to only now to the next, the last to one with room
+    /// (an augmenting path, Berge 1957).
+    fn hand_on(&mut self, shard: usize) -> bool {
+        /// How a shard came to need a keeper: who left it, and for which shard.
+        type Step = Option<(usize, usize)>;
+        let mut steps: BTreeMap<usize, Step> = BTreeMap::from([(shard, None)]);
+        let mut queue = VecDeque::from([shard]);
+        while let Some(needs) = queue.pop_front() {
+            let left = steps[&needs].map(|(router, _)| router);
+            let fits = |r: &usize| self.fits(&self.shards[needs], left, *r);
+            let takers: Vec<usize> = (0..self.candidates.len()).filter(fits).collect();
+            if let Some(&last) = takers.iter().find(|r| self.load[**r] < self.quotas[**r].most) {
+                let (mut at, mut taker) = (needs, last);
+                while let Some((router, to)) = steps[&at] {
+                    self.swap(at, router, taker);
+                    (at, taker) = (to, router);
+                }
+                self.put(at, taker);
+                return true;
+            }
+            for other in 0..self.wanted.shards {
+                let kept = &self.shards[other];
+                let handed = kept.iter().find(|k| takers.contains(k) && self.fresh(other, **k));
+                if let (Some(&router), false) = (handed, steps.contains_key(&other)) {
+                    steps.insert(other, Some((router, needs)));
+                    queue.push_back(other);
+                }
+            }
+        }
+        false
+    }
+
+    /// Fills a place by one who is taken from another shard, where one with room may take over.
+    fn fill_around(&mut self, shard: usize) -> bool {
         let roomy: Vec<usize> =
             (0..self.candidates.len()).filter(|r| self.load[*r] < self.quotas[*r].most).collect();
-        let find = |newly: bool| {
-            (0..self.wanted.shards).filter(|s| *s != shard).find_map(|other| {
-                let here = self.shards[other].iter().copied();
-                here.filter(|k| new(other, *k) == newly && self.fits(&self.shards[shard], None, *k)).find_map(
-                    |keeper| {
-                        let heir = roomy.iter().find(|r| self.fits(&self.shards[other], Some(keeper), **r));
-                        heir.map(|heir| (other, keeper, *heir))
-                    },
-                )
+        let found = (0..self.wanted.shards).filter(|s| *s != shard).find_map(|other| {
+            let here = self.shards[other].iter().copied();
+            here.filter(|k| self.fits(&self.shards[shard], None, *k)).find_map(|keeper| {
+                let heir = roomy.iter().find(|r| self.fits(&self.shards[other], Some(keeper), **r));
+                heir.map(|heir| (other, keeper, *heir))
             })
-        };
-        let found = find(true).or_else(|| find(false));
+        });
         if let Some((other, keeper, heir)) = found {
             self.swap(other, keeper, heir);
             self.put(shard, keeper);
@@ -154,18 +186,18 @@
 
     /// Moves one shard to `to` from whoever has more than its quota's `from`; the one that is worth least to it there. False if there is none.
     fn pull(&mut self, to: usize, from: impl Fn(&Quota) -> u32) -> bool {
-        let mut best: Option<(u32, u64, usize, usize)> = None;
+        let mut best: Option<(u32, bool, u64, usize, usize)> = None;
         for (shard, kept) in self.shards.iter().enumerate() {
             for &keeper in kept {
                 let limit = from(&self.quotas[keeper]);
                 if self.load[keeper] > limit && self.fits(kept, Some(keeper), to) {
                     let over = self.load[keeper].saturating_sub(self.quotas[keeper].most);
                     let worth = score(shard, self.candidates[to].hash);
-                    best = best.max(Some((over, worth, shard, keeper)));
+                    best = best.max(Some((over, self.fresh(shard, keeper), worth, shard, keeper)));
                 }
             }
         }
-        if let Some((_, _, shard, keeper)) = best {
+        if let Some((_, _, _, shard, keeper)) = best {
             self.swap(shard, keeper, to);
         }
         best.is_some()
@@ -244,12 +276,13 @@
     let mut places = Places {
         candidates,
         wanted,
+        before,
         quotas,
         load: vec![0; candidates.len()],
         shards: vec![Vec::new(); wanted.shards],
     };
-    places.keep(before);
-    if !places.fill(before) {
+    places.keep();
+    if !places.fill() {
         return None;
     }
     places.level();
