The rig knows which routers a fleet misses, and waits until copies are made up and links are up

A refusal by a router that can't know better was told from a wrong one by cuts alone; after wiped disks, stops and restarts the same holds, and drawn faults came faster than their mending.

A router is apart while it misses more others than the copies make up for (cut, down, stopped, full, or wiped and not made up). Healing waits for links, a wiped machine for its place in a settled table, and a run for the founding; what does not come in time is said as unmended.

--- a/crates/emulator/src/rig/checker.rs
+++ b/crates/emulator/src/rig/checker.rs
@@ -29,8 +29,8 @@
     Once,
     /// What was served runs, and has the same bytes at every router.
     SameOutcome,
-    /// What was answered `200` is later answered so or with a failure, never refused. A refusal of a router that was cut off from most
-    /// others tells of that presentation alone, since it can know of no other; it counts as [`Counted::refused_apart`].
+    /// What was answered `200` is later answered so or with a failure, never refused. A refusal of a router that was [`Seen::Apart`]
+    /// tells of that presentation alone, since it can know of no other; it counts as [`Counted::refused_apart`].
     KeptWord,
     /// What was refused never ran, neither before the refusal nor by it.
     RefusedNeverRan,
@@ -60,7 +60,7 @@
     pub served: u64,
     /// Answered `503`.
     pub refused: u64,
-    /// Refused by a router that was cut off from most others.
+    /// Refused by a router that was [`Seen::Apart`].
     pub refused_apart: u64,
     /// Answered with another word.
     pub failed: u64,
--- a/crates/emulator/src/rig/faults.rs
+++ b/crates/emulator/src/rig/faults.rs
@@ -59,6 +59,26 @@
 }
 
 impl What {
+    /// All of them.
+    pub const ALL: [Self; 16] = [
+        Self::Kill,
+        Self::Wipe,
+        Self::Elsewhere,
+        Self::Stop,
+        Self::Half,
+        Self::DiskFull,
+        Self::Cut,
+        Self::OneWay,
+        Self::Hole,
+        Self::Drip,
+        Self::Slow,
+        Self::Break,
+        Self::Repeat,
+        Self::Reset,
+        Self::Dark,
+        Self::Rules,
+    ];
+
     /// Its name in tables.
     pub fn name(self) -> &'static str {
         match self {
@@ -189,6 +209,20 @@
         }
     }
 
+    fn heals(&mut self) {
+        if !self.rig.heal() {
+            self.unmended.push("links between routers are not up again".into());
+        }
+    }
+
+    fn made_up(&mut self, router: usize, before: &BTreeMap<usize, u64>) {
+        if self.rig.spec.fleet && !self.rig.made_up(router, before) {
+            let (now, holds) = (self.rig.epochs(), self.rig.counters(router).get("holds").copied());
+            let words = format!("what router {router}'s disk had is not made up again: epochs {before:?}, {now:?}, holds {holds:?}");
+            self.unmended.push(words);
+        }
+    }
+
     /// Has a fault happen, last, and mended.
     pub fn play(&mut self, m: &Moment) {
         *self.done.entry(m.what.name()).or_insert(0) += 1;
@@ -199,6 +233,7 @@
         let words = |rig: &Rig| rig.fault(format!("{} between routers {a} and {b}", m.what.name()));
         match m.what {
             What::Kill | What::Wipe | What::Elsewhere => {
+                let before = self.rig.epochs();
                 let done = match m.what {
                     What::Wipe => self.rig.kill_wiped(a),
                     _ => {
@@ -214,6 +249,10 @@
                 lasts();
                 self.begin(a);
                 self.serves(a);
+                if m.what == What::Wipe {
+                    self.made_up(a, &before);
+                }
+                self.heals();
             }
             What::Half => {
                 let lost: Vec<usize> = (0..n / 2).map(|i| (a + i) % n).collect();
@@ -221,12 +260,14 @@
                 lasts();
                 lost.iter().for_each(|r| self.begin(*r));
                 lost.iter().for_each(|r| self.serves(*r));
+                self.heals();
             }
             What::Stop => {
                 self.rig.stop(a);
                 lasts();
                 self.rig.wake(a);
                 self.serves(a);
+                self.heals();
             }
             What::DiskFull => {
                 self.rig.disk_full(a, true);
@@ -236,17 +277,18 @@
                 self.rig.kill(a);
                 self.begin(a);
                 self.serves(a);
+                self.heals();
             }
             What::Cut => {
                 let others: Vec<usize> = (0..n).filter(|o| *o != a).collect();
                 self.rig.cut(a, &others);
                 lasts();
-                self.rig.heal();
+                self.heals();
             }
             What::OneWay => {
                 self.rig.cut_one_way(a, b);
                 lasts();
-                self.rig.heal();
+                self.heals();
             }
             What::Hole | What::Drip | What::Slow => {
                 words(self.rig);
@@ -258,7 +300,7 @@
                     });
                 }
                 lasts();
-                self.rig.heal();
+                self.heals();
             }
             What::Break | What::Repeat => {
                 words(self.rig);
@@ -313,6 +355,7 @@
         let heeded = (told + Limits::default().heed_ms).saturating_sub(self.rig.history.now());
         std::thread::sleep(Duration::from_millis(heeded));
         self.rig.logs.iter().for_each(|l| l.down.store(true, Ordering::SeqCst));
+        let epochs = self.rig.epochs();
         let gone = self.rig.kill_wiped(a);
         self.unmended.extend(gone.err());
         (0..n).filter(|r| *r != a).for_each(|r| self.rig.kill(r));
@@ -324,6 +367,8 @@
             }
         }
         self.rig.logs.iter().for_each(|l| l.down.store(false, Ordering::SeqCst));
+        self.made_up(a, &epochs);
+        self.heals();
     }
 }
 
--- a/crates/emulator/src/rig/history.rs
+++ b/crates/emulator/src/rig/history.rs
@@ -64,7 +64,8 @@
     },
     /// A router was ended, stopped, or its clients' link disturbed; or (`false`) it serves again.
     Down(usize, bool),
-    /// A router was cut off from most others, or (`false`) is no longer.
+    /// A router misses more others than the copies make up for (one of three, two of five): cut off, down, stopped, with a full disk, or
+    /// with a lost one that is not made up yet; or (`false`) it does no longer.
     Apart(usize, bool),
     /// A fault, in words, for whoever reads the history.
     Fault(String),
--- a/crates/emulator/src/rig/play.rs
+++ b/crates/emulator/src/rig/play.rs
@@ -1,6 +1,6 @@
 //! A whole run of the rig: load, faults, purges, a last look at every promise; and its figures.
 
-use super::faults::{plan, Draws, Moment, Player};
+use super::faults::{plan, Draws, Moment, Player, What};
 use super::load::{Clients, Load, Told};
 use super::{check, Broken, Counted, Final, Limits, Rig, Rule, Seen, Spec};
 use hdrhistogram::Histogram;
@@ -65,6 +65,7 @@
             ));
         }
     }
+    rig.founded(STARTED)?;
     rig.usual_delay(game.delay_ms);
     let faults = plan(&game.script, game.draws.as_ref(), rig.len(), game.length_ms, game.spec.seed);
     let clients = Clients::new(&rig, &game.load);
@@ -106,6 +107,7 @@
     let (events, left_out) = rig.history.events();
     let broken = if game.spec.fleet { check(&events, left_out, &Limits::default()).0 } else { before };
     let mut figures = figures(&rig, &counted, &broken, told);
+    figures.extend(What::ALL.map(|what| (format!("faults_{}", what.name()), 0.0)));
     figures.extend(done.iter().map(|(name, n)| (format!("faults_{name}"), *n as f64)));
     figures.insert(
         "faults".into(),
--- a/crates/emulator/src/rig/seat.rs
+++ b/crates/emulator/src/rig/seat.rs
@@ -88,6 +88,11 @@
         self.process.is_some()
     }
 
+    /// Whether its process is there and not stopped.
+    pub fn goes_on(&self) -> bool {
+        self.process.is_some() && !self.stopped
+    }
+
     /// Where clients connect behind the relay.
     pub fn address(&self) -> Option<SocketAddr> {
         self.process.as_ref().map(|p| p.address)
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod checkouts;
 mod cuts;
 mod purges;
+mod replaced;
 mod trial;
