What was taken for a client that left is given back; who presents an id again is never refused unread

Seen: the fleet's tests found that a router woken from a stop, or too slow to have its promise kept, refuses a checkout that another router ran meanwhile (`RefusedNeverRan`); and reading the code, that a request whose client left while its promise was asked for was forgotten, so that its hold stayed out under this router for good.

Change: the field `again=1` says that an id was presented before, or elsewhere at once; where its register can't be read, such a one is failed (in doubt) instead of refused. What was asked for when the process was stopped is in doubt too. A verdict that nobody waits for any more gives back what it took. The rig's clients say `again`; its promises have 2 s, since a busy machine syncs slowly.

--- a/crates/emulator/src/rig/caller.rs
+++ b/crates/emulator/src/rig/caller.rs
@@ -86,7 +86,10 @@
             }
             (tag, taken)
         };
-        let fields = format!("i={id},d={within},o={object:016x},nth=0,batch=17");
+        // Whoever presents an id more than once says so.
+        let before = self.history.count(|s| matches!(s, Seen::Asked { id: other, .. } if other == id));
+        let again = if before > 0 && about == About::Checkout { ",again=1" } else { "" };
+        let fields = format!("i={id},d={within},o={object:016x},nth=0,batch=17{again}");
         let bytes = encode(&[b"DO", tag.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
         let seen = Seen::Asked { ask, router: self.router, id: id.to_string(), about, within };
         self.history.see(seen);
--- a/crates/emulator/src/rig/files.rs
+++ b/crates/emulator/src/rig/files.rs
@@ -66,7 +66,8 @@
             holds: Holds { effects: true, purges: true, tickets: true },
             gather: false,
             rules: None,
-            more: json!({}),
+            // A busy machine syncs slowly: what is tested is not how fast it does.
+            more: json!({"limits": {"promise_ms": 2000}}),
             settles_ms: 60_000,
             aim_ms: 400,
         }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -48,6 +48,8 @@
     pub left: Ms,
     /// The tag of the copy that the client holds.
     pub got: Option<String>,
+    /// The client says that it has presented this id before, or does so elsewhere at once: heeded only in a fleet that keeps requests.
+    pub again: bool,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -129,6 +131,7 @@
         size_kb,
         left: fields.decimal("d").filter(|d| *d <= LONGEST_WAIT_MS)?,
         got: got.map(str::to_string),
+        again: fields.get("again") == Some("1"),
         body,
     })
 }
--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -59,7 +59,7 @@
     /// What is promised.
     pub terms: Terms,
     /// The requests that wait for an answer.
-    pub asks: BTreeMap<AskNo, RequestNo>,
+    pub asks: BTreeMap<AskNo, (RequestNo, HoldKey)>,
     /// Counts so far.
     pub counters: PromiseCounters,
     /// What was purged before this start is known, or counts as all.
@@ -121,7 +121,7 @@
         let no = AskNo(self.ever);
         let put = self.put(Question::Ask { no, key, change, within });
         if put {
-            self.asks.insert(no, request);
+            self.asks.insert(no, (request, key));
         }
         put
     }
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -2,6 +2,7 @@
 //! down before it is said. Without a fleet nothing here is in the way.
 
 use super::batch::Due;
+use super::requests::Open;
 use super::Owner;
 use crate::caches::RequestNo;
 use crate::clients::{Reply, WireId};
@@ -85,11 +86,21 @@
         if !asked {
             fleet.counters.turned_away += 1;
             let stay_away = fleet.terms.stay_away;
-            self.answer(no, Reply::Refused(stay_away));
+            self.not_taken(no, stay_away);
         }
         true
     }
 
+    /// A request can't be promised: it never ran here and is turned away at once. Of one that its client has presented elsewhere too nobody
+    /// here knows whether it ran there: that is no refusal.
+    fn not_taken(&mut self, no: RequestNo, stay_away: Ms) {
+        let again = self.requests.get(no).is_some_and(|o| o.request.again);
+        if again {
+            self.fleet.iter_mut().for_each(|f| f.counters.in_doubt += 1);
+        }
+        self.answer(no, if again { Reply::Failed } else { Reply::Refused(stay_away) });
+    }
+
     /// The copies' thread has spoken.
     pub(super) fn fleet_told(&mut self) {
         while let Some(told) = self.fleet.as_mut().and_then(Fleet::next) {
@@ -130,12 +141,19 @@
     }
 
     fn verdict(&mut self, ask: AskNo, verdict: Verdict) {
-        let Some(no) = self.fleet.as_mut().and_then(|f| f.asks.remove(&ask)) else { return };
-        let Some(open) = self.requests.get_mut(no) else { return };
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some((no, key)) = fleet.asks.remove(&ask) else { return };
+        let waits = |open: &Open| !matches!(open.promise, Promise::Over);
+        let Some(open) = self.requests.get_mut(no).filter(|o| waits(o)) else {
+            // Nobody waits for it any more. What was taken for a client that has left is given back: it was never sent.
+            if matches!(&verdict, Verdict::Kept(Hold::Out { owner, .. }) if *owner == fleet.me) {
+                fleet.give_back(key);
+            }
+            return;
+        };
         match std::mem::take(&mut open.promise) {
             Promise::Ending { turn, body } => {
                 open.promise = Promise::Over;
-                let key = effect(&open.request.id);
                 match verdict {
                     Verdict::Kept(_) | Verdict::Stands(Some(Hold::Done(_))) => {}
                     Verdict::Stands(_) => {
@@ -179,7 +197,7 @@
                     fleet.give_back(effect(&open.request.id));
                 }
                 open.promise = Promise::Over;
-                return self.answer(no, Reply::Refused(stay_away));
+                return self.not_taken(no, stay_away);
             }
         };
         open.promise = Promise::Over;
@@ -274,6 +292,11 @@
         if gap < STOPPED_MS || self.fleet.is_none() {
             return;
         }
+        // What it has asked to take, another may have taken meanwhile: nothing true can be said of it in time.
+        for no in self.requests.asking() {
+            self.fleet.iter_mut().for_each(|f| f.counters.in_doubt += 1);
+            self.answer(no, Reply::Failed);
+        }
         let unsent = self.requests.held_unsent();
         log::warn!(
             "was not at its queues for {gap:.0} ms: {} promised requests are given back unsent",
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -93,6 +93,12 @@
         keys
     }
 
+    /// Requests that wait for their promise.
+    pub(super) fn asking(&self) -> Vec<RequestNo> {
+        let waits = |o: &Open| !o.answered && !o.promise.begun();
+        self.open.iter().filter(|(_, o)| waits(o)).map(|(no, _)| *no).collect()
+    }
+
     /// Promised requests of which nothing is out.
     pub(super) fn held_unsent(&self) -> Vec<RequestNo> {
         let out = |a: &Attempt| matches!(a.stage(), Some(Stage::Begun | Stage::Written));
