A founding map is announced to nobody: who was met late took it for a table and waited for ever

Seen: a_one_way_cut failed in two of six runs ("router 2 never serves again"); its logs: r1 "the table's register is not changed: Contended", r2 OldTable, r3 NoTable from start to end. r3 had met r1 when that went by the founding map already, whose version the hello carried, and so took the fleet for founded elsewhere; the founding needs all founders, and never came about. Ruled out: load (the failing runs refused for the same cause throughout).

Change: a step of its own (`Found`) hands the founding map to the holds and to nobody else. The tests print the routers' words on failure.

--- a/crates/node/src/fleet/copies/act.rs
+++ b/crates/node/src/fleet/copies/act.rs
@@ -159,6 +159,7 @@
                     self.after_commit.extend(steps);
                     return;
                 }
+                Step::Found(map) => self.holds(now, holds::Event::Map(map)),
                 Step::Map(map) => {
                     let table = (map.version, map.hash);
                     (self.counts.table_version, self.counts.table_epoch) = (map.version.0, map.epoch);
--- a/crates/node/src/fleet/table/mod.rs
+++ b/crates/node/src/fleet/table/mod.rs
@@ -27,6 +27,8 @@
     Keep(u64, Vec<u8>),
     /// Go by this map.
     Map(Arc<ShardMap>),
+    /// Go by this map while the fleet is being founded.
+    Found(Arc<ShardMap>),
     /// Ask for a change of the register.
     Ask(HoldKey, Change, Ms),
     /// Say something to all that are reached.
@@ -241,7 +243,9 @@
                 Action::Use(map) => {
                     let map = later(&map);
                     self.map = Some(Arc::clone(&map));
-                    steps.push(Step::Map(map));
+                    // A map by which a fleet is only being founded is nobody's table yet.
+                    let founding = self.stands.is_none();
+                    steps.push(if founding { Step::Found(map) } else { Step::Map(map) });
                 }
                 Action::Say { turn, filled } => {
                     let word = if filled { Word::Filled { turn } } else { Word::Checked { turn } };
--- a/crates/node/tests/fleet/trial.rs
+++ b/crates/node/tests/fleet/trial.rs
@@ -64,7 +64,15 @@
             let id = self.id();
             match self.checkout(router, &id) {
                 Some(Final::Served(bytes)) => return (id, bytes),
-                end => assert!(begun.elapsed() < PATIENCE, "router {router} never serves again: {end:?}"),
+                end => {
+                    let said =
+                        || self.rig.seats.iter().map(|s| s.text()).collect::<Vec<_>>().join("\n----\n");
+                    assert!(
+                        begun.elapsed() < PATIENCE,
+                        "router {router} never serves again: {end:?}\n{}",
+                        said()
+                    );
+                }
             }
             std::thread::sleep(Duration::from_millis(20));
         }
