--- a/crates/holds/src/fill.rs
+++ b/crates/holds/src/fill.rs
@@ -49,6 +49,8 @@
     under_way: BTreeSet<HoldKey>,
     began: Ms,
     said: Ms,
+    /// A look failed: none before then.
+    rest: Ms,
 }
 
 /// What is being filled.
@@ -123,6 +125,7 @@
         match self.filling.portion.take() {
             None => self.next_task(now, ended, acts),
             Some(portion) if portion.listing => self.still_listing(now, portion, ended, acts),
+            Some(portion) if now < portion.rest => self.filling.portion = Some(portion),
             Some(mut portion) => {
                 let room = self.set.fill_portion.saturating_sub(portion.under_way.len());
                 let keys: Vec<HoldKey> = portion.todo.iter().take(room).copied().collect();
@@ -192,6 +195,7 @@
             under_way,
             began: now,
             said: now,
+            rest: now,
         };
         self.filling.portion = Some(portion);
         self.say_list(now, ended, acts);
@@ -281,13 +285,16 @@
         }
     }
 
-    /// A look that filling asked for has ended; one that failed comes again with the next step.
-    pub(crate) fn filled(&mut self, key: &HoldKey, verdict: &Verdict) {
+    /// A look that filling asked for has ended; one that failed comes again after a rest.
+    pub(crate) fn filled(&mut self, now: Ms, key: &HoldKey, verdict: &Verdict) {
         let Some(portion) = &mut self.filling.portion else { return };
         if portion.under_way.remove(key) {
             match verdict {
                 Verdict::Kept(_) | Verdict::Stands(_) => self.proposer.counters.filled += 1,
-                Verdict::Unkept { .. } => drop(portion.todo.insert(*key)),
+                Verdict::Unkept { .. } => {
+                    portion.todo.insert(*key);
+                    portion.rest = now + self.set.again_ms;
+                }
             }
         }
     }
--- a/crates/holds/src/holds.rs
+++ b/crates/holds/src/holds.rs
@@ -202,9 +202,9 @@
         ended: &mut Vec<Ended>,
         acts: &mut Vec<Action>,
     ) {
+        self.ahead(now, letter.epoch, from, acts);
         match &letter.body {
             Body::Prepare(..) | Body::Accept(..) | Body::List(..) => {
-                self.ahead(now, letter.epoch, from, acts);
                 let how = self.proposer.how;
                 let answer = self.acceptor.hear(now, from, letter, &self.set, how);
                 answer.into_iter().for_each(|a| self.send(now, a, ended, acts));
@@ -283,7 +283,7 @@
                 acts.push(Action::Answer(no, key, verdict));
             }
             Origin::Upkeep => self.swept(&key, &verdict),
-            Origin::Fill => self.filled(&key, &verdict),
+            Origin::Fill => self.filled(self.now, &key, &verdict),
         }
     }
 }
--- a/crates/holds/src/proposer.rs
+++ b/crates/holds/src/proposer.rs
@@ -191,12 +191,8 @@
         }
         if let Vote::Refused(why) = &vote {
             self.counters.refused(why);
-            match why {
-                Why::Outvoted(counter) => self.counter = self.counter.max(*counter),
-                Why::OldTable if letter.epoch > ask.epoch => {
-                    acts.push(Action::Behind(letter.epoch, from.clone()))
-                }
-                Why::OldTable | Why::NotYet | Why::NoKeeper | Why::NoDisk | Why::Full => {}
+            if let Why::Outvoted(counter) = why {
+                self.counter = self.counter.max(*counter);
             }
         }
         // A vote given is not taken back by the same word coming twice.
--- a/crates/holds/src/round.rs
+++ b/crates/holds/src/round.rs
@@ -92,7 +92,7 @@
             key,
             change,
             since: now,
-            until: now + within,
+            until: now + within.max(0.0),
             tries: 0,
             phase: Phase::Waiting,
             ballot: None,
--- a/crates/holds/tests/net/mod.rs
+++ b/crates/holds/tests/net/mod.rs
@@ -85,6 +85,11 @@
     Member { router: RouterId(Arc::from(format!("r{router}"))), incarnation: Incarnation(life << 96) }
 }
 
+/// The router's number, by its name.
+fn index(member: &Member) -> Option<usize> {
+    member.router.0.strip_prefix('r')?.parse().ok()
+}
+
 pub fn effect(name: u128) -> HoldKey {
     HoldKey { kind: Kind::Effect, name }
 }
@@ -282,7 +287,7 @@
 
     fn happen(&mut self, what: What) {
         let router = match &what {
-            What::Bytes(_, to, _) => self.nodes.iter().position(|n| n.me.router == to.router),
+            What::Bytes(_, to, _) => index(to),
             What::Timer(r, ..) | What::Stored(r, ..) | What::Given(r, _) => Some(*r),
         };
         let Some(router) = router else { return };
@@ -341,7 +346,7 @@
     fn carry(&mut self, from: usize, me: Member, to: Member, bytes: Vec<u8>) {
         self.messages += 1;
         self.steps += 1;
-        let there = self.nodes.iter().position(|n| n.me.router == to.router);
+        let there = index(&to);
         if there.is_some_and(|t| self.cut.contains(&(from, t))) || self.roll() < self.faults.lost {
             return;
         }
