Configuration read by serde and checked by garde; the hand-made reader of keys is gone

Need: each key was fetched, typed, checked and named by hand; a key that was forgotten, or named wrongly in its message, was found by nobody.

Change: settings.rs, node.rs and learnt.rs declare what a file may hold as types; serde reads them, garde checks ranges and lengths, and typed.rs turns the faults of both into the texts that were there: field, what was expected, what was found. Words that are not known now name those that are. Weighed: `validator` keeps its faults in nested unordered maps by field, garde in a list with paths, in order. The way to a fault is noted only when there is one (a second reading through serde_path_to_error): noting costs as much as reading. A section that is neither an object nor null is a fault now; it was taken for absent.

--- a/crates/config/src/learnt.rs
+++ b/crates/config/src/learnt.rs
@@ -3,10 +3,13 @@
 //! The first line names the format, its version and a hash of the rest; the rest is JSON. Times are ages, so that they hold by
 //! the reader's clock. What is cut off, altered, of another version, too old or makes no sense is not used at all.
 
-use crate::value::{boolean, number, or_null, text, whole, BadInput, Keys};
+use crate::typed::{plain, typed, Whole};
+use crate::value::BadInput;
 use basaltgw::api::{GroupId, Ms, ObjectId, ServerId};
 use basaltgw::hash::address;
 use basaltgw::rules::carry::{Learnt, LearntServer};
+use garde::Validate;
+use serde::Deserialize;
 use serde_json::{json, Value};
 use std::sync::Arc;
 
@@ -56,74 +59,99 @@
         _ => return Err(bad("not such a file")),
     }
     let v: Value = serde_json::from_str(rest).map_err(|e| bad(&format!("not JSON: {e}")))?;
-    let keys = Keys(&v, "learnt.");
-    let written = number(&v["written_ms"], "learnt.written_ms")?;
+    let file: File<'_> = typed(&v, "learnt", plain)?;
+    let written = file.written_ms;
     if !(0.0..=oldest).contains(&(now - written)) {
         return Err(bad(&format!("written {:.0} ms ago, at most {oldest:.0} are used", now - written)));
     }
-    let list = |key: &str| {
-        let all = keys.list(key)?;
-        if all.len() > MOST {
-            return Err(BadInput::new(
-                &keys.at(key),
-                format!("expected at most {MOST}, found {}", all.len()),
-            ));
-        }
-        Ok(all)
-    };
-    let within = |v: &Value, field: &str, least: f64, most: f64| {
-        let n = number(v, field)?;
-        let fits = (least..=most).contains(&n);
-        fits.then_some(n)
-            .ok_or_else(|| BadInput::new(field, format!("expected {least} to {most}, found {n}")))
-    };
-    // Ages go on while nobody runs.
-    let at = |v: &Value, field: &str| Ok(written - within(v, field, 0.0, f64::MAX)?);
-    let server = |v: &Value| {
-        Ok(LearntServer {
-            id: ServerId(Arc::from(text(&v["id"], "id")?)),
-            listed_start: or_null(&v["listed_start_ms"], || {
-                number(&v["listed_start_ms"], "listed_start_ms")
-            })?,
-            cut: within(&v["cut"], "cut", -MOST_LAG, 0.0)?,
-            lag: or_null(&v["lag"], || within(&v["lag"], "lag", -MOST_LAG, MOST_LAG))?,
-            out: boolean(&v["out"], "out")?,
-            cold_since: or_null(&v["cold_for_ms"], || at(&v["cold_for_ms"], "cold_for_ms"))?,
-        })
+    let server = |s: ServerFile<'_>| LearntServer {
+        id: ServerId(Arc::from(s.id)),
+        listed_start: s.listed_start_ms,
+        cut: s.cut,
+        lag: s.lag,
+        out: s.out,
+        // Ages go on while nobody runs.
+        cold_since: s.cold_for_ms.map(|age| written - age),
     };
-    let sending = |v: &Value| {
-        let answers = whole(&v["answers"], "answers")?;
-        let answers = u32::try_from(answers).map_err(|_| BadInput::new("answers", "too many"))?;
-        Ok((text(&v["class"], "class")?.to_string(), within(&v["ms"], "ms", 0.0, MOST_SENDING_MS)?, answers))
-    };
-    let purge = |v: &Value| {
-        let object = or_null(&v["object"], || {
-            let word = text(&v["object"], "object")?;
-            word.parse()
-                .map(ObjectId)
-                .map_err(|_| BadInput::new("object", format!("expected a number, found {word:?}")))
-        })?;
-        let group = or_null(&v["group"], || whole(&v["group"], "group"))?.map(GroupId);
+    let purge = |(i, p): (usize, PurgeFile<'_>)| {
+        let bad = |what: String| BadInput::new(&format!("learnt.purges[{i}].object"), what);
+        let number = |word: &str| word.parse().map_err(|_| bad(format!("expected a number, found {word:?}")));
+        let (object, group) =
+            (p.object.map(number).transpose()?.map(ObjectId), p.group.map(|g| GroupId(g.0)));
         if object.is_some() == group.is_some() {
-            return Err(BadInput::new("object", "expected either an object or a group"));
+            return Err(bad("expected either an object or a group".into()));
         }
-        Ok((object, group, at(&v["age_ms"], "age_ms")?))
+        Ok((object, group, written - p.age_ms))
     };
     Ok(Learnt {
-        servers: each(list("servers")?, "servers", server)?,
-        sending: each(list("sending")?, "sending", sending)?,
-        purges: each(list("purges")?, "purges", purge)?,
+        servers: file.servers.unwrap_or_default().into_iter().map(server).collect(),
+        sending: file.sending.unwrap_or_default().into_iter().map(|s| (s.class, s.ms, s.answers)).collect(),
+        purges: file
+            .purges
+            .unwrap_or_default()
+            .into_iter()
+            .enumerate()
+            .map(purge)
+            .collect::<Result<_, _>>()?,
     })
 }
 
-/// Reads each entry of a list; a fault names its place.
-fn each<T>(
-    list: &[Value],
-    key: &str,
-    read: impl Fn(&Value) -> Result<T, BadInput>,
-) -> Result<Vec<T>, BadInput> {
-    let entry = |(i, v)| read(v).map_err(|e| e.within(&format!("learnt.{key}[{i}]")));
-    list.iter().enumerate().map(entry).collect()
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct File<'a> {
+    written_ms: Ms,
+    #[serde(borrow)]
+    #[garde(custom(few), dive)]
+    servers: Option<Vec<ServerFile<'a>>>,
+    #[garde(custom(few), dive)]
+    sending: Option<Vec<SendingFile>>,
+    #[garde(custom(few), dive)]
+    purges: Option<Vec<PurgeFile<'a>>>,
+}
+
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct ServerFile<'a> {
+    id: &'a str,
+    listed_start_ms: Option<Ms>,
+    #[garde(custom(within(-MOST_LAG, 0.0)))]
+    cut: f64,
+    #[garde(inner(custom(within(-MOST_LAG, MOST_LAG))))]
+    lag: Option<f64>,
+    out: bool,
+    #[garde(inner(custom(within(0.0, f64::MAX))))]
+    cold_for_ms: Option<Ms>,
+}
+
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct SendingFile {
+    class: String,
+    #[garde(custom(within(0.0, MOST_SENDING_MS)))]
+    ms: Ms,
+    answers: u32,
+}
+
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct PurgeFile<'a> {
+    object: Option<&'a str>,
+    group: Option<Whole>,
+    #[garde(custom(within(0.0, f64::MAX)))]
+    age_ms: Ms,
+}
+
+fn within(least: f64, most: f64) -> impl Fn(&f64, &()) -> garde::Result {
+    move |n, ()| {
+        let fits = (least..=most).contains(n);
+        fits.then_some(()).ok_or_else(|| garde::Error::new(format!("expected {least} to {most}, found {n}")))
+    }
+}
+
+fn few<T>(list: &Option<Vec<T>>, (): &()) -> garde::Result {
+    let many = list.as_ref().map_or(0, Vec::len);
+    let what = || garde::Error::new(format!("expected at most {MOST}, found {many}"));
+    (many <= MOST).then_some(()).ok_or_else(what)
 }
 
 #[cfg(test)]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 mod node;
 pub mod plan;
 mod settings;
+mod typed;
 pub mod value;
 pub mod yaml;
 
--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -1,8 +1,11 @@
 //! What a router on sockets is told at its start: the environment and the file that it names.
 
-use crate::value::{number, text, whole, BadInput, Keys};
+use crate::typed::{plain, typed, Whole};
+use crate::value::BadInput;
 use crate::{settings, Names};
 use basaltgw::api::{GroupId, Listed, Ms, ObjectId, ServerEntry, ServerId, Settings};
+use garde::Validate;
+use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -162,42 +165,84 @@
     parse(&value, env).map_err(|e| if e.to_string().starts_with("field GW_") { e } else { e.in_file(path) })
 }
 
+/// The file's keys but for the settings and the events, which are read one by one.
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    seed: Option<String>,
+    #[garde(dive)]
+    limits: Option<LimitsFile>,
+    changelog: Option<String>,
+    known: Option<KnownFile>,
+}
+
+#[derive(Default, Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct LimitsFile {
+    memory_mb: Option<Whole>,
+    #[garde(inner(custom(enough_sockets)))]
+    sockets: Option<Whole>,
+}
+
+fn enough_sockets(n: &Whole, (): &()) -> garde::Result {
+    let what = || garde::Error::new(format!("expected {LEAST_SOCKETS} or more, found {}", n.0));
+    (n.0 >= LEAST_SOCKETS).then_some(()).ok_or_else(what)
+}
+
+#[derive(Deserialize)]
+struct KnownFile {
+    seq: Option<Whole>,
+}
+
+/// What the settings say of connections, as it stands in the file.
+#[derive(Default, Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+#[garde(allow_unvalidated)]
+struct TransportFile {
+    conn_idle: Option<f64>,
+    connect_timeout: Option<f64>,
+    max_streams: Option<Whole>,
+    most_held: Option<Whole>,
+}
+
 /// The typed configuration.
 pub fn parse(v: &Value, env: &Environment) -> Result<NodeConfig, BadInput> {
     if !v.is_object() {
         return Err(BadInput::new("config", "expected an object"));
     }
-    let keys = Keys(v, "");
     let (names, set) = settings(&v["settings"])?;
-    let name = match &env.name {
-        Some(name) => name.clone(),
-        None => keys.text("name", "basaltgw")?.to_string(),
-    };
+    let file: File = typed(v, "", plain)?;
     let listen = match &env.listen {
         Some(listen) => address(listen, "GW_LISTEN")?,
-        None => address(text(&v["listen"], "listen")?, "listen")?,
+        None => address(file.listen.as_deref().unwrap_or_default(), "listen")?,
     };
-    let seed = keys.text("seed", "0")?;
+    let seed = file.seed.as_deref().unwrap_or("0");
     let seed = u64::from_str_radix(seed, 16)
         .map_err(|_| BadInput::new("seed", format!("expected up to 16 hex digits, found {seed:?}")))?;
-    let limits = Keys(&v["limits"], "limits.");
+    let limits = file.limits.unwrap_or_default();
     let limits = Limits {
-        memory_mb: limits.whole("memory_mb", DEFAULT_MEMORY_MB)?,
-        sockets: limits.whole("sockets", DEFAULT_SOCKETS)?,
+        memory_mb: limits.memory_mb.map_or(DEFAULT_MEMORY_MB, |n| n.0),
+        sockets: limits.sockets.map_or(DEFAULT_SOCKETS, |n| n.0),
     };
-    if limits.sockets < LEAST_SOCKETS {
-        return Err(BadInput::new("limits.sockets", format!("expected {LEAST_SOCKETS} or more")));
-    }
-    let of_limits = Keys(&v["settings"]["limits"], "settings.limits.");
+    let of: Option<TransportFile> = typed(&v["settings"]["limits"], "settings.limits", plain)?;
+    let of = of.unwrap_or_default();
     let transport = Transport {
-        conn_idle: of_limits.number("conn-idle", DEFAULT_IDLE_MS)?,
-        connect_timeout: of_limits.number("connect-timeout", DEFAULT_CONNECT_MS)?,
-        max_streams: of_limits.whole("max-streams", DEFAULT_STREAMS)?.max(1) as usize,
-        most_open: of_limits.whole("most-held", DEFAULT_OPEN)?.max(1) as usize,
+        conn_idle: of.conn_idle.unwrap_or(DEFAULT_IDLE_MS),
+        connect_timeout: of.connect_timeout.unwrap_or(DEFAULT_CONNECT_MS),
+        max_streams: of.max_streams.map_or(DEFAULT_STREAMS, |n| n.0).max(1) as usize,
+        most_open: of.most_held.map_or(DEFAULT_OPEN, |n| n.0).max(1) as usize,
+    };
+    let results = match &v["known"]["results"] {
+        Value::Null => &[][..],
+        Value::Array(results) => results,
+        Value::Bool(_) | Value::Number(_) | Value::String(_) | Value::Object(_) => {
+            return Err(BadInput::new("known.results", "expected an array"))
+        }
     };
-    let known = Keys(&v["known"], "known.");
-    let (mut events, mut unread) = (Vec::new(), Vec::new());
-    for (i, event) in known.list("results")?.iter().enumerate() {
+    let (mut events, mut unread) = (Vec::with_capacity(results.len()), Vec::new());
+    for (i, event) in results.iter().enumerate() {
         // One event that can't be read is no reason not to start.
         match news(event, &names) {
             Ok(event) => events.push(event),
@@ -205,12 +250,12 @@
         }
     }
     Ok(NodeConfig {
-        name,
+        name: env.name.clone().or(file.name).unwrap_or_else(|| "basaltgw".into()),
         listen,
         seed,
         limits,
-        changelog: address(text(&v["changelog"], "changelog")?, "changelog")?,
-        known_seq: Seq(known.whole("seq", 0)?),
+        changelog: address(file.changelog.as_deref().unwrap_or_default(), "changelog")?,
+        known_seq: Seq(file.known.and_then(|k| k.seq).map_or(0, |n| n.0)),
         known: events,
         unread,
         settings: set,
@@ -248,48 +293,86 @@
     text.parse().map_err(|_| BadInput::new(field, format!("expected address:port, found {text:?}")))
 }
 
+/// An event as it stands in the file.
+#[derive(Deserialize, Validate)]
+#[garde(allow_unvalidated)]
+struct EventFile<'a> {
+    #[allow(dead_code)] // It has to be there.
+    seq: Whole,
+    #[serde(borrow)]
+    fleet: Option<FleetFile<'a>>,
+    invalidate: Option<PurgeFile<'a>>,
+}
+
+#[derive(Deserialize)]
+struct FleetFile<'a> {
+    complete: Option<bool>,
+    #[serde(borrow)]
+    members: Option<Vec<MemberFile<'a>>>,
+}
+
+#[derive(Deserialize)]
+struct PurgeFile<'a> {
+    time: f64,
+    object: Option<&'a str>,
+    bucket: Option<Whole>,
+}
+
+#[derive(Deserialize)]
+struct MemberFile<'a> {
+    id: &'a str,
+    host_port: &'a str,
+    locality: &'a str,
+    flavor: &'a str,
+    cell: Option<Whole>,
+    phase: Phase,
+    size: Option<f64>,
+    up_since_ms: Option<f64>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum Phase {
+    Serving,
+    Draining,
+    Deleted,
+}
+
 fn news(v: &Value, names: &Names) -> Result<News, BadInput> {
-    whole(&v["seq"], "seq")?;
-    if !v["fleet"].is_null() {
-        let fleet = Keys(&v["fleet"], "fleet.");
-        let members = fleet.list("members")?.iter().enumerate();
+    let event: EventFile<'_> = typed(v, "", plain)?;
+    if let Some(fleet) = event.fleet {
+        let members = fleet.members.unwrap_or_default().into_iter().enumerate();
         let members =
             members.map(|(i, m)| member(m, names).map_err(|e| e.within(&format!("fleet.members[{i}]"))));
-        let whole = fleet.boolean("complete", false)?;
+        let whole = fleet.complete.unwrap_or(false);
         return Ok(News::Servers { whole, members: members.collect::<Result<_, _>>()? });
     }
-    let purge = &v["invalidate"];
-    if purge.is_null() {
+    let Some(PurgeFile { time, object, bucket }) = event.invalidate else {
         return Err(BadInput::new("fleet", "expected `fleet` or `invalidate`"));
-    }
-    let time = number(&purge["time"], "invalidate.time")?;
-    if purge["object"].is_null() {
-        let group = GroupId(whole(&purge["bucket"], "invalidate.bucket")?);
-        return Ok(News::Purge { object: None, group, time });
-    }
-    let hex = text(&purge["object"], "invalidate.object")?;
+    };
+    let Some(hex) = object else {
+        let absent = || BadInput::new("invalidate.bucket", "expected a whole number, found nothing");
+        return Ok(News::Purge { object: None, group: GroupId(bucket.ok_or_else(absent)?.0), time });
+    };
     let object = u64::from_str_radix(hex, 16)
         .map_err(|_| BadInput::new("invalidate.object", format!("expected hex digits, found {hex:?}")))?;
     Ok(News::Purge { object: Some(ObjectId(object)), group: GroupId(0), time })
 }
 
-fn member(v: &Value, names: &Names) -> Result<Member, BadInput> {
-    let keys = Keys(v, "");
-    let (locality, flavor) = (text(&v["locality"], "locality")?, text(&v["flavor"], "flavor")?);
+fn member(m: MemberFile<'_>, names: &Names) -> Result<Member, BadInput> {
     let unknown = |field: &str, what: &str| BadInput::new(field, format!("unknown {what:?}"));
     let entry = ServerEntry {
-        id: ServerId(Arc::from(text(&v["id"], "id")?)),
-        zone: names.zone(locality).ok_or_else(|| unknown("locality", locality))?,
-        role: names.role(flavor).ok_or_else(|| unknown("flavor", flavor))?,
-        cell: keys.whole("cell", 0)?,
-        listed: match text(&v["phase"], "phase")? {
-            "SERVING" => Listed::Up,
-            "DRAINING" => Listed::Draining,
-            "DELETED" => Listed::Gone,
-            other => return Err(unknown("phase", other)),
+        id: ServerId(Arc::from(m.id)),
+        zone: names.zone(m.locality).ok_or_else(|| unknown("locality", m.locality))?,
+        role: names.role(m.flavor).ok_or_else(|| unknown("flavor", m.flavor))?,
+        cell: m.cell.map_or(0, |n| n.0),
+        listed: match m.phase {
+            Phase::Serving => Listed::Up,
+            Phase::Draining => Listed::Draining,
+            Phase::Deleted => Listed::Gone,
         },
-        weight: keys.number("size", 1.0)?,
-        started: Some(keys.number("up_since_ms", 0.0)?).filter(|t| *t > 0.0),
+        weight: m.size.unwrap_or(1.0),
+        started: m.up_since_ms.filter(|t| *t > 0.0),
     };
-    Ok(Member { entry, address: address(text(&v["host_port"], "host_port")?, "host_port")? })
+    Ok(Member { entry, address: address(m.host_port, "host_port")? })
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,7 +1,10 @@
 //! The settings that a router is started with, typed.
 
-use crate::value::{boolean, number, or_null, whole, BadInput, Keys};
+use crate::typed::{typed, Amount, Whole};
+use crate::value::BadInput;
 use basaltgw::api::*;
+use garde::Validate;
+use serde::Deserialize;
 use serde_json::Value;
 
 /// The names by which the wire speaks of an instance's classes, zones and kinds.
@@ -49,48 +52,200 @@
     names.iter().position(|n| n == name)
 }
 
-/// The class at place `k` of `many`.
-fn class(v: &Value, (k, many): (usize, usize), family: &Keys<'_>) -> Result<Class, BadInput> {
-    let s = Keys(v, "settings.services[].");
-    let of_class = |key: &str| -> Result<Value, BadInput> {
-        Ok(family.list_of(key, many)?.get(k).cloned().unwrap_or(Value::Null))
-    };
-    let time_of_class = |key: &str| -> Result<f64, BadInput> {
-        let v = of_class(key)?;
-        let time = or_null(&v, || number(&v, &family.at(key)))?.unwrap_or(0.0);
-        let fits = time.is_finite() && time >= 0.0;
-        let what = || BadInput::new(&family.at(key), format!("expected 0 or more, found {time}"));
-        fits.then_some(time).ok_or_else(what)
+/// The settings as they stand in the file; what is absent or null has the meaning that [`settings`] gives it.
+#[derive(Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+#[garde(allow_unvalidated)]
+struct File {
+    areas: Option<Vec<String>>,
+    my_zone: Option<String>,
+    kinds: Option<Vec<String>>,
+    peers_total: Option<Whole>,
+    discovery: Option<Discovery>,
+    weight_kind: Option<WeightKind>,
+    #[garde(dive)]
+    granularity: Option<Amount>,
+    #[garde(dive)]
+    services: Option<Vec<Service>>,
+    #[garde(dive)]
+    family_info: Option<Family>,
+    #[garde(dive)]
+    limits: Option<Limits>,
+    #[garde(dive)]
+    contract: Option<Contract>,
+}
+
+#[derive(Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+#[garde(allow_unvalidated)]
+struct Service {
+    name: Option<String>,
+    #[garde(dive)]
+    slo: Option<Amount>,
+    #[garde(dive)]
+    aim_stretch: Option<Amount>,
+    #[garde(dive)]
+    deadline: Option<Amount>,
+    idempotency: Option<Idempotency>,
+    key_scope: Option<Scope>,
+    #[garde(dive)]
+    window: Option<Amount>,
+    #[garde(dive)]
+    worth: Option<Amount>,
+    #[garde(dive)]
+    late_worth: Option<Amount>,
+}
+
+#[derive(Default, Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+#[garde(allow_unvalidated)]
+struct Family {
+    shield_kind: Option<f64>,
+    store_kind: Option<f64>,
+    count_by_zone: Option<Vec<Whole>>,
+    zone_hub: Option<Vec<Whole>>,
+    #[garde(dive)]
+    lifetime_by_class: Option<Vec<Option<Amount>>>,
+    #[garde(dive)]
+    class_grace: Option<Vec<Option<Amount>>>,
+    goes_through: Option<Vec<Option<bool>>>,
+    #[garde(dive)]
+    parent_cold_from: Option<Amount>,
+    #[garde(dive)]
+    upper_cold: Option<Amount>,
+    #[garde(dive)]
+    parent_fall_multiple: Option<Amount>,
+    #[garde(dive)]
+    heed_within: Option<Amount>,
+    #[garde(dive)]
+    purge_settles: Option<Amount>,
+    pass_through_ok: Option<bool>,
+    collapses: Option<bool>,
+    lateral: Option<Reach>,
+    #[garde(dive)]
+    pace_kb_per_s: Option<Amount>,
+}
+
+#[derive(Default, Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+#[garde(allow_unvalidated)]
+struct Limits {
+    parallel_tries: Option<bool>,
+    cancel: Option<bool>,
+    retry_after: Option<bool>,
+    #[garde(dive)]
+    max_retry_after: Option<Amount>,
+    try_limit: Option<Whole>,
+}
+
+#[derive(Default, Deserialize, Validate)]
+#[serde(rename_all = "kebab-case")]
+struct Contract {
+    #[garde(dive)]
+    fall: Option<Amount>,
+    #[garde(dive)]
+    cold_share: Option<Amount>,
+    #[garde(dive)]
+    cold: Option<Amount>,
+    #[garde(dive)]
+    fall_multiple: Option<Amount>,
+    #[garde(dive)]
+    drain_grace: Option<Amount>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Idempotency {
+    ReadLike,
+    #[serde(rename = "idempotency_key")]
+    Keyed,
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Reach {
+    Silent,
+    Location,
+    Any,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WeightKind {
+    Nominal,
+    Rough,
+    Silent,
+    Live,
+}
+
+/// Faults are named by the keys of the file; lists of the family's by their key alone.
+fn key(path: &str) -> String {
+    let mut names = path.replace('_', "-");
+    while let Some((open, close)) = names.find('[').zip(names.find(']')) {
+        names.replace_range(open..=close, if names.starts_with("services[") { "()" } else { "" });
+    }
+    names.replace("()", "[]")
+}
+
+/// One entry for each of so many, or none at all.
+fn one_each<'a, T>(list: &'a Option<Vec<T>>, many: usize, key: &str) -> Result<&'a [T], BadInput> {
+    let list = list.as_deref().unwrap_or_default();
+    let what = || {
+        let field = format!("settings.family-info.{key}");
+        BadInput::new(&field, format!("expected {many} entries, found {}", list.len()))
     };
-    let through = of_class("goes-through")?;
-    Ok(Class {
-        name: s.text("name", "")?.to_string(),
-        aim: s.amount("slo", 0.0)?,
-        aim_stretch: s.amount("aim-stretch", 0.0)?,
-        deadline: s.amount("deadline", 0.0)?,
-        effect: match s.text("idempotency", "non_idempotent")? {
-            "read_like" => Effect::Safe,
-            "idempotency_key" => Effect::Keyed,
-            "non_idempotent" => Effect::Unsafe,
-            other => {
-                return Err(BadInput::new("settings.services[].idempotency", format!("unknown {other:?}")))
-            }
+    (list.is_empty() || list.len() == many).then_some(list).ok_or_else(what)
+}
+
+fn or(amount: Option<Amount>, absent: f64) -> f64 {
+    amount.map_or(absent, |a| a.0)
+}
+
+/// The classes, with what the family says of each by its place.
+fn classes(services: &[Service], family: &Family) -> Result<Vec<Class>, BadInput> {
+    let many = services.len();
+    let fresh = one_each(&family.lifetime_by_class, many, "lifetime-by-class")?;
+    let grace = one_each(&family.class_grace, many, "class-grace")?;
+    let through = one_each(&family.goes_through, many, "goes-through")?;
+    let class = |(k, s): (usize, &Service)| Class {
+        name: s.name.clone().unwrap_or_default(),
+        aim: or(s.slo, 0.0),
+        aim_stretch: or(s.aim_stretch, 0.0),
+        deadline: or(s.deadline, 0.0),
+        effect: match s.idempotency.unwrap_or(Idempotency::NonIdempotent) {
+            Idempotency::ReadLike => Effect::Safe,
+            Idempotency::Keyed => Effect::Keyed,
+            Idempotency::NonIdempotent => Effect::Unsafe,
         },
-        key_scope: match s.text("key-scope", "all")? {
-            "all" => KeyScope::All,
-            "zone" => KeyScope::Zone,
-            "cell" => KeyScope::Cell,
-            other => {
-                return Err(BadInput::new("settings.services[].key-scope", format!("unknown {other:?}")))
-            }
+        key_scope: match s.key_scope.unwrap_or(Scope::All) {
+            Scope::All => KeyScope::All,
+            Scope::Zone => KeyScope::Zone,
+            Scope::Cell => KeyScope::Cell,
         },
-        key_window: s.amount("window", 0.0)?,
-        worth: s.amount("worth", 1.0)?,
-        late_worth: s.amount("late-worth", 0.0)?,
-        fresh: time_of_class("lifetime-by-class")?,
-        grace: time_of_class("class-grace")?,
-        uncacheable: or_null(&through, || boolean(&through, &family.at("goes-through")))?.unwrap_or(false),
-    })
+        key_window: or(s.window, 0.0),
+        worth: or(s.worth, 1.0),
+        late_worth: or(s.late_worth, 0.0),
+        fresh: or(fresh.get(k).copied().flatten(), 0.0),
+        grace: or(grace.get(k).copied().flatten(), 0.0),
+        uncacheable: through.get(k).copied().flatten().unwrap_or(false),
+    };
+    Ok(services.iter().enumerate().map(class).collect())
 }
 
 /// The typed settings of an instance and the names its messages use.
@@ -98,82 +253,69 @@
     if !v.is_object() {
         return Err(BadInput::new("settings", "expected an object"));
     }
-    let s = Keys(v, "settings.");
-    let family = Keys(&v["family-info"], "settings.family-info.");
-    let limits = Keys(&v["limits"], "settings.limits.");
-    let contract = Keys(&v["contract"], "settings.contract.");
-    let services = s.list("services")?;
-    let classes: Vec<Class> = services
-        .iter()
-        .enumerate()
-        .map(|(k, v)| class(v, (k, services.len()), &family))
-        .collect::<Result<_, _>>()?;
-    let zones = s.names("areas")?;
-    let kind = |key: &str| -> Result<Option<usize>, BadInput> {
-        let n = family.number(key, -1.0)?;
-        Ok((n >= 0.0).then_some(n as usize))
-    };
+    let file: File = typed(v, "settings", key)?;
+    let family = file.family_info.unwrap_or_default();
+    let limits = file.limits.unwrap_or_default();
+    let contract = file.contract.unwrap_or_default();
+    let classes = classes(&file.services.unwrap_or_default(), &family)?;
+    let kind = |n: Option<f64>| n.filter(|n| *n >= 0.0).map(|n| n as usize);
     let names = Names {
         classes: classes.iter().map(|c| c.name.clone()).collect(),
-        kinds: s.names("kinds")?,
-        parent: kind("shield-kind")?,
-        origin: kind("store-kind")?,
-        zones,
+        kinds: file.kinds.unwrap_or_default(),
+        parent: kind(family.shield_kind),
+        origin: kind(family.store_kind),
+        zones: file.areas.unwrap_or_default(),
     };
-    let zone = names.zone(s.text("my-zone", "")?).unwrap_or(ZoneId(0));
-    let routers = s.whole("peers-total", 1)? as usize;
-    let by_zone = family.list_of("count-by-zone", names.zones.len())?.get(zone.0);
-    let zone_routers = by_zone.map(|v| whole(v, "settings.family-info.count-by-zone")).transpose()?;
-    let hubs = family.list_of("zone-hub", names.zones.len())?.iter();
-    let hubs = hubs.map(|v| whole(v, "settings.family-info.zone-hub").map(|h| ZoneId(h as usize)));
-    let window = contract.amount("fall", 0.0)?;
+    let zone = names.zone(file.my_zone.as_deref().unwrap_or_default()).unwrap_or(ZoneId(0));
+    let routers = file.peers_total.map_or(1, |n| n.0 as usize);
+    let by_zone = one_each(&family.count_by_zone, names.zones.len(), "count-by-zone")?.get(zone.0);
+    let hubs = one_each(&family.zone_hub, names.zones.len(), "zone-hub")?;
+    let window = or(contract.fall, 0.0);
+    let weights = file.weight_kind.unwrap_or(WeightKind::Silent);
     let parsed = Settings {
         zone,
-        zone_routers: zone_routers.map_or(routers, |n| n as usize).max(1),
+        zone_routers: by_zone.map_or(routers, |n| n.0 as usize).max(1),
         routers: routers.max(1),
-        zone_hub: hubs.collect::<Result<_, _>>()?,
+        zone_hub: hubs.iter().map(|h| ZoneId(h.0 as usize)).collect(),
         classes,
         cold_edge: ColdRule {
-            share: contract.amount("cold-share", 1.0)?,
-            span: contract.amount("cold", 0.0)?,
-            multiple: contract.amount("fall-multiple", 0.0)?,
+            share: or(contract.cold_share, 1.0),
+            span: or(contract.cold, 0.0),
+            multiple: or(contract.fall_multiple, 0.0),
             window,
         },
         cold_parent: ColdRule {
-            share: family.amount("parent-cold-from", 1.0)?,
-            span: family.amount("upper-cold", 0.0)?,
-            multiple: family.amount("parent-fall-multiple", 0.0)?,
+            share: or(family.parent_cold_from, 1.0),
+            span: or(family.upper_cold, 0.0),
+            multiple: or(family.parent_fall_multiple, 0.0),
             window,
         },
-        drain_grace: contract.amount("drain-grace", 0.0)?,
-        purge_grace: family.amount("heed-within", 0.0)?,
-        purge_settles: family.amount("purge-settles", 0.0)?,
-        second_copies: limits.boolean("parallel-tries", false)?,
-        cancel: limits.boolean("cancel", false)?,
-        retry_after: limits.boolean("retry-after", false)?,
-        max_retry_after: limits.amount("max-retry-after", 0.0)?,
-        max_attempts: limits.whole("try-limit", 1)? as usize,
-        direct: family.boolean("pass-through-ok", false)?,
-        joins: family.boolean("collapses", false)?,
-        lateral: match family.text("lateral", "silent")? {
-            "silent" => Lateral::None,
-            "location" => Lateral::Zone,
-            "any" => Lateral::Any,
-            other => return Err(BadInput::new("settings.family-info.lateral", format!("unknown {other:?}"))),
+        drain_grace: or(contract.drain_grace, 0.0),
+        purge_grace: or(family.heed_within, 0.0),
+        purge_settles: or(family.purge_settles, 0.0),
+        second_copies: limits.parallel_tries.unwrap_or(false),
+        cancel: limits.cancel.unwrap_or(false),
+        retry_after: limits.retry_after.unwrap_or(false),
+        max_retry_after: or(limits.max_retry_after, 0.0),
+        max_attempts: limits.try_limit.map_or(1, |n| n.0 as usize),
+        direct: family.pass_through_ok.unwrap_or(false),
+        joins: family.collapses.unwrap_or(false),
+        lateral: match family.lateral.unwrap_or(Reach::Silent) {
+            Reach::Silent => Lateral::None,
+            Reach::Location => Lateral::Zone,
+            Reach::Any => Lateral::Any,
         },
-        pace_kb_per_s: family.amount("pace-kb-per-s", 0.0)?,
-        must_subscribe: match s.text("discovery", "automatic")? {
-            "automatic" => false,
-            "subscribe" => true,
-            other => return Err(BadInput::new("settings.discovery", format!("unknown {other:?}"))),
+        pace_kb_per_s: or(family.pace_kb_per_s, 0.0),
+        must_subscribe: match file.discovery.unwrap_or(Discovery::Automatic) {
+            Discovery::Automatic => false,
+            Discovery::Subscribe => true,
         },
-        rough_sizes: match s.text("weight-kind", "silent")? {
-            "nominal" => false,
-            "rough" | "silent" | "live" => true,
-            other => return Err(BadInput::new("settings.weight-kind", format!("unknown {other:?}"))),
+        rough_sizes: match weights {
+            WeightKind::Nominal => false,
+            WeightKind::Rough | WeightKind::Silent | WeightKind::Live => true,
         },
-        weights_move: s.text("weight-kind", "silent")? == "live",
-        tick: s.amount("granularity", 0.0)?,
+        weights_move: weights == WeightKind::Live,
+        tick: or(file.granularity, 0.0),
     };
     Ok((names, parsed))
 }
