Gather: what is read at each look is reckoned once; the model check prints only what has weight

Cause: at each of some 14 times looked at, the histogram's steps were raised to powers anew and the share of answers that would have come by now was reckoned again; the model check spent most of its time printing zeros.

Change: positions among steps are logarithms throughout, chances of what is out are reckoned once a look, a histogram prints its steps that have weight.

--- a/crates/gather/src/latency.rs
+++ b/crates/gather/src/latency.rs
@@ -4,6 +4,7 @@
 //! answers that were given up on, which are known only to take longer.
 
 use basaltgw_ids::Ms;
+use std::fmt;
 
 /// Steps: 0.25 ms times 1.25 to the 72nd is some 40 minutes.
 const STEPS: usize = 72;
@@ -21,19 +22,30 @@
 const GUESS: f64 = 3.0;
 
 /// A decayed histogram of latencies.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub(crate) struct Latency {
     /// Weight by step.
     steps: [f32; STEPS],
     /// Weight of each step and all below, since it is read far more often than changed.
     sums: [f32; STEPS],
-    /// Where the tail begins.
-    high: Ms,
+    /// Where the tail begins, among the steps.
+    high: f64,
+}
+
+/// The steps that have weight, by number.
+impl fmt::Debug for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_map().entries(self.steps.iter().enumerate().filter(|s| *s.1 > 0.0)).finish()
+    }
+}
+
+/// Where a latency is among the steps, the first ending at 0.
+fn place(t: Ms) -> f64 {
+    (t / FIRST).ln() / RATIO.ln()
 }
 
 fn step(t: Ms) -> usize {
-    let place = (t / FIRST).ln() / RATIO.ln();
-    (place.ceil().max(0.0) as usize).min(STEPS - 1)
+    (place(t).ceil().max(0.0) as usize).min(STEPS - 1)
 }
 
 fn upper(step: usize) -> Ms {
@@ -43,7 +55,7 @@
 impl Latency {
     /// Before anything was measured: around `usual`, wide.
     pub fn guess(usual: Ms) -> Self {
-        let mut new = Self { steps: [0.0; STEPS], sums: [0.0; STEPS], high: usual };
+        let mut new = Self { steps: [0.0; STEPS], sums: [0.0; STEPS], high: 0.0 };
         for (by, weight) in [(0.5, 1.0), (1.0, 2.0), (2.0, 2.0), (4.0, 1.0)] {
             new.put(usual * by, weight * GUESS / 6.0);
         }
@@ -61,7 +73,7 @@
             sum += s;
             *below = sum;
         }
-        self.high = self.quantile(TAIL_FROM.0);
+        self.high = self.quantile_step(TAIL_FROM.0) as f64;
     }
 
     fn total(&self) -> f64 {
@@ -97,19 +109,23 @@
         if t <= 0.0 || self.total() <= 0.0 {
             return 0.0;
         }
-        let last = step(t);
-        let (low, below) =
-            if last == 0 { (0.0, 0.0) } else { (upper(last - 1), f64::from(self.sums[last - 1])) };
-        let into = ((t - low) / (upper(last) - low)).clamp(0.0, 1.0);
+        let place = place(t);
+        let last = (place.ceil().max(0.0) as usize).min(STEPS - 1);
+        let below = if last == 0 { 0.0 } else { f64::from(self.sums[last - 1]) };
+        let into = (place - last as f64 + 1.0).clamp(0.0, 1.0);
         let seen = ((below + into * f64::from(self.steps[last])) / self.total()).clamp(0.0, 1.0);
-        let tail = ((t / self.high).ln() / TAIL_FROM.1.ln()).clamp(0.0, 1.0);
+        let tail = ((place - self.high) * RATIO.ln() / TAIL_FROM.1.ln()).clamp(0.0, 1.0);
         (1.0 - TAIL) * seen + TAIL * tail
     }
 
+    fn quantile_step(&self, share: f64) -> usize {
+        let want = (share * self.total()) as f32;
+        self.sums.iter().position(|s| *s >= want).unwrap_or(STEPS - 1)
+    }
+
     /// The latency that this share of answers keeps, in milliseconds.
     pub fn quantile(&self, share: f64) -> Ms {
-        let want = (share * self.total()) as f32;
-        upper(self.sums.iter().position(|s| *s >= want).unwrap_or(STEPS - 1))
+        upper(self.quantile_step(share))
     }
 }
 
--- a/crates/gather/src/weigh.rs
+++ b/crates/gather/src/weigh.rs
@@ -1,7 +1,9 @@
 //! Waiting against answering: what an answer at each later time is likely to be worth.
 
+use crate::api::Site;
 use crate::open::{Choice, Open};
 use crate::settings::Settings;
+use crate::site::State;
 use crate::sites::Sites;
 use basaltgw_ids::Ms;
 
@@ -9,13 +11,23 @@
 const LOOKS: [f64; 7] = [0.03125, 0.0625, 0.125, 0.25, 0.5, 0.75, 1.0];
 
 /// How a missing part may come.
-struct Hope {
+struct Hope<'a> {
     worth: f64,
     needed: bool,
     /// Place of the part.
     part: usize,
-    /// By the attempts that are out: when asked, and how likely lost.
-    out: Vec<(Ms, f64, usize)>,
+    /// Attempts that are out.
+    out: Vec<Out<'a>>,
+}
+
+/// An attempt that is out, or might be.
+struct Out<'a> {
+    asked: Ms,
+    site: &'a State,
+    /// How likely the site is lost.
+    lost: f64,
+    /// Share of the site's answers that would have come by now.
+    before: f64,
 }
 
 /// What came of weighing.
@@ -34,7 +46,7 @@
     open: &'a Open,
     sites: &'a Sites,
     now: Ms,
-    hopes: Vec<Hope>,
+    hopes: Vec<Hope<'a>>,
     /// Worth and count that have come in the versions that further parts will be of.
     growing: Choice,
     has: Choice,
@@ -50,38 +62,34 @@
         chances
     }
 
-    fn hope(&self, part: usize) -> Hope {
+    fn hope(&self, part: usize) -> Hope<'a> {
         let p = &self.open.parts[part];
-        let place = |site| p.sites().position(|s| s == site).unwrap_or(0);
-        let lost = |site| self.sites.get(site).map_or(1.0, |s| s.lost(self.now, self.set));
-        let mut out: Vec<(Ms, f64, usize)> =
-            self.open.hoped(part).map(|(_, a)| (a.asked, lost(&a.site), place(&a.site))).collect();
-        out.extend(p.again.map(|at| (at, lost(&p.spec.site), 0)));
-        Hope { worth: p.spec.worth, needed: p.needed, part, out }
+        let out = self.open.hoped(part).filter_map(|(_, a)| self.out(&a.site, a.asked));
+        let again = p.again.and_then(|at| self.out(&p.spec.site, at));
+        Hope { worth: p.spec.worth, needed: p.needed, part, out: out.chain(again).collect() }
     }
 
-    /// The probability that an attempt at a site, out since `asked`, answers by `at`, as it has not yet.
-    fn by(&self, site: usize, part: usize, asked: Ms, lost: f64, at: Ms) -> f64 {
-        let site = self.open.parts[part].sites().nth(site).and_then(|s| self.sites.get(s));
-        let Some(site) = site else { return 0.0 };
-        let before = site.latency.within(self.now - asked);
-        let until = site.latency.within(at - asked);
-        let still = (1.0 - lost) * (1.0 - before) + lost;
-        ((1.0 - lost) * (until - before) / still.max(1e-9)).clamp(0.0, 1.0)
+    fn out(&self, site: &Site, asked: Ms) -> Option<Out<'a>> {
+        let site = self.sites.get(site)?;
+        let (lost, before) = (site.lost(self.now, self.set), site.latency.within(self.now - asked));
+        Some(Out { asked, site, lost, before })
+    }
+
+    /// The probability that an attempt answers by `at`, as it has not yet.
+    fn by(out: &Out, at: Ms) -> f64 {
+        let until = out.site.latency.within(at - out.asked);
+        let still = (1.0 - out.lost) * (1.0 - out.before) + out.lost;
+        ((1.0 - out.lost) * (until - out.before) / still.max(1e-9)).clamp(0.0, 1.0)
     }
 
     /// The probability that a part comes by `at`.
-    fn comes(&self, hope: &Hope, at: Ms) -> f64 {
-        1.0 - hope
-            .out
-            .iter()
-            .map(|(asked, lost, s)| 1.0 - self.by(*s, hope.part, *asked, *lost, at))
-            .product::<f64>()
+    fn comes(hope: &Hope, at: Ms) -> f64 {
+        1.0 - hope.out.iter().map(|out| 1.0 - Self::by(out, at)).product::<f64>()
     }
 
     /// What an answer at `at` is likely to be worth.
     fn worth(&self, at: Ms) -> f64 {
-        let p: Vec<f64> = self.hopes.iter().map(|h| self.comes(h, at)).collect();
+        let p: Vec<f64> = self.hopes.iter().map(|h| Self::comes(h, at)).collect();
         let more: f64 = self.hopes.iter().zip(&p).map(|(h, p)| h.worth * p).sum();
         let value = self.open.value(at, self.set.haste);
         let grown = (self.growing.worth + more) * self.allowed(&p) * value;
@@ -137,13 +145,9 @@
     pub fn second(&self, at: Ms, now: f64) -> Option<(usize, usize)> {
         let value = self.open.value(at, self.set.haste);
         let gain = |h: &Hope, site: usize| {
-            let part = &self.open.parts[h.part];
-            let lost = part
-                .sites()
-                .nth(site)
-                .and_then(|s| self.sites.get(s))
-                .map_or(1.0, |s| s.lost(self.now, self.set));
-            (1.0 - self.comes(h, at)) * self.by(site, h.part, self.now, lost, at) * value
+            let site = self.open.parts[h.part].sites().nth(site);
+            let comes = site.and_then(|s| self.out(s, self.now)).map_or(0.0, |o| Self::by(&o, at));
+            (1.0 - Self::comes(h, at)) * comes * value
         };
         let free = |h: &Hope, site: &usize| {
             let part = &self.open.parts[h.part];
