Gather: tests of the longest wait, the least worth and second copies only where allowed

Cause: taking these three guards out made no test fail.

Change: a test of how long waiting goes on once an answer could be given; the sequences check the share of worth and that no second copy goes out where the policy has none. Settings that are not named have their defaults.

--- a/crates/gather/src/settings.rs
+++ b/crates/gather/src/settings.rs
@@ -5,7 +5,7 @@
 
 /// Bounds and prices.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Gathers open at once.
     pub open: usize,
--- a/crates/gather/tests/decisions.rs
+++ b/crates/gather/tests/decisions.rs
@@ -172,6 +172,23 @@
     assert!(play.gathers.measured().0 <= Settings::default().sites / 2);
 }
 
+#[test]
+fn waiting_ends_so_long_after_an_answer_could_be_given() {
+    let mut play = Play::new();
+    play.answers(&["a", "b"], 60);
+    let mut short = ask(1_000, &["a", "b"]);
+    short.policy = Policy { wait: 12.0, ..(*short.policy).clone() }.into();
+    play.tell(Event::Ask(short));
+    play.now += 10.0;
+    let could = play.now;
+    let acts = play.came(GatherNo(1_000), AttemptNo(0));
+    let (at, verdict) = play.wait(acts);
+    assert!(
+        matches!(verdict, Verdict::Part { .. }) && at > could && at <= could + 12.0,
+        "{at} after {could}: {verdict:?}"
+    );
+}
+
 #[test]
 fn the_loser_of_two_copies_is_given_up_at_once() {
     let mut play = Play::new();
--- a/crates/gather/tests/sequences.rs
+++ b/crates/gather/tests/sequences.rs
@@ -89,6 +89,7 @@
                     let (at, ask) = &self.asked[&no];
                     assert!(!self.ended.contains(&no), "{no:?} asks after its end");
                     assert!(times.deadline < at + ask.times.deadline - now && times.aim <= times.deadline);
+                    assert!(copy != Copy::Second || ask.policy.second_copies, "a second copy");
                     let spec = ask.parts.iter().find(|p| p.part == part).expect("a part of it");
                     assert!(spec.site == site || spec.alternates.contains(&site));
                     let known = self.purges[&no].iter().filter(|p| concerns(p, spec)).map(|p| p.time).max();
@@ -133,6 +134,9 @@
                 );
                 let share = used.len() as f64 / ask.parts.len() as f64;
                 assert!(share >= ask.policy.least_count - 1e-6);
+                let worth = |p: &PartSpec| if missing.contains(&p.part) { 0.0 } else { p.worth };
+                let (all, has) = ask.parts.iter().fold((0.0, 0.0), |s, p| (s.0 + p.worth, s.1 + worth(p)));
+                assert!(has >= all * ask.policy.least_worth - 1e-6);
                 (used, missing)
             }
             Verdict::Refused { come_back } => return assert!(come_back > 0.0 && come_back < 60_000.0),
