Peers: rings are bounded in bytes as well; connections that never became a link are counted

A ring of 256 entries could hold 256 frames of the longest kind: a bound in entries alone. Each ring holds at most the lane's bytes now, or one frame. Connections that broke before they were a link (peer_unmet) were the one end not counted.

--- a/crates/peers/src/counts.rs
+++ b/crates/peers/src/counts.rs
@@ -37,6 +37,8 @@
     peer_second,
     /// Connections without a whole hello in time.
     peer_no_hello,
+    /// Connections that broke, or were closed by the other side, before they were a link.
+    peer_unmet,
     /// Connections of strangers: not listed, or of another fleet, protocol or place.
     peer_stranger,
     /// Connections closed over what can't be read.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -76,7 +76,7 @@
 pub struct Limits {
     /// Frames that wait to be written on a lane.
     pub frames: usize,
-    /// Their bytes.
+    /// Their bytes; also the bytes of bodies that each of a user's two rings holds. At least one frame.
     pub bytes: usize,
     /// The longest frame, in bytes.
     pub frame: usize,
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -70,7 +70,10 @@
             hub.refuse(&hub.counts.peer_no_hello, "no whole hello in time");
             return false;
         }
-        Err(NoLink::Broke) => return false,
+        Err(NoLink::Broke) => {
+            count(&hub.counts.peer_unmet);
+            return false;
+        }
         Err(NoLink::Second) => {
             count(&hub.counts.peer_second);
             return false;
--- a/crates/peers/src/port.rs
+++ b/crates/peers/src/port.rs
@@ -7,7 +7,7 @@
 use rtrb::{Consumer, Producer, PushError, RingBuffer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{fence, AtomicBool, Ordering::SeqCst};
+use std::sync::atomic::{fence, AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -101,7 +101,39 @@
     told: Consumer<Told>,
     bell: Sender<()>,
     starved: Arc<AtomicBool>,
-    most: usize,
+    held: Held,
+    limits: Limits,
+}
+
+/// Bytes of bodies in a port's two rings, which would else be bounded in entries only.
+#[derive(Clone, Debug, Default)]
+struct Held {
+    orders: Arc<AtomicUsize>,
+    told: Arc<AtomicUsize>,
+}
+
+/// Takes room for some bytes, if there is; an empty ring has room for any one frame.
+fn hold(held: &AtomicUsize, bytes: usize, most: usize) -> bool {
+    let fits = |now: usize| (now == 0 || now + bytes <= most).then_some(now + bytes);
+    bytes == 0 || held.fetch_update(SeqCst, SeqCst, fits).is_ok()
+}
+
+impl Order {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Send { body, .. } => body.len(),
+            Self::Table(..) | Self::End => 0,
+        }
+    }
+}
+
+impl Told {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Got { body, .. } => body.len(),
+            Self::Up(_) | Self::Down(..) | Self::Unsent { .. } => 0,
+        }
+    }
 }
 
 impl Port {
@@ -113,13 +145,18 @@
         if self.ended() {
             return Err(Refused::Ended(order));
         }
-        match &order {
-            Order::Send { body, .. } if body.len() > self.most => {
-                return Err(Refused::Long { order, most: self.most })
-            }
-            Order::Send { .. } | Order::Table(..) | Order::End => (),
+        let Limits { frame: most, bytes: ring, .. } = self.limits;
+        let bytes = order.bytes();
+        if bytes > most {
+            return Err(Refused::Long { order, most });
+        }
+        if !hold(&self.held.orders, bytes, ring) {
+            return Err(Refused::Full(order));
+        }
+        if let Err(PushError::Full(order)) = self.orders.push(order) {
+            self.held.orders.fetch_sub(bytes, SeqCst);
+            return Err(Refused::Full(order));
         }
-        self.orders.push(order).map_err(|PushError::Full(order)| Refused::Full(order))?;
         // A bell that rings already is enough.
         let _ = self.bell.try_send(());
         Ok(())
@@ -137,7 +174,8 @@
     /// The next that was told, if there is something.
     fn next(&mut self) -> Option<Told> {
         let told = self.told.pop().ok();
-        if told.is_some() {
+        if let Some(told) = &told {
+            self.held.told.fetch_sub(told.bytes(), SeqCst);
             // What was taken is seen to be gone by whoever says after it that there was no room.
             fence(SeqCst);
             if self.starved.swap(false, SeqCst) {
@@ -150,11 +188,14 @@
 
 /// The links' end of a port.
 pub struct Outbox {
-    pub orders: Consumer<Order>,
+    orders: Consumer<Order>,
     pub bell: Receiver<()>,
     pub lanes: Vec<Lane>,
     told: Option<Producer<Told>>,
     starved: Arc<AtomicBool>,
+    held: Held,
+    /// Bytes that a ring may hold.
+    most: usize,
     wake: Box<dyn Fn() + Send>,
     /// News without room: for each peer at most that an older link is down, and that a newer one is up.
     news: BTreeMap<RouterId, (Option<Told>, Option<Told>)>,
@@ -170,22 +211,34 @@
     let (told, told_out) = RingBuffer::new(limits.ring);
     let (bell, bell_out) = async_channel::bounded(1);
     let starved = Arc::new(AtomicBool::new(false));
-    let port = Port { orders, told: told_out, bell, starved: starved.clone(), most: limits.frame };
+    let held = Held::default();
+    let (starved_too, held_too) = (starved.clone(), held.clone());
+    let port = Port { orders, told: told_out, bell, starved: starved_too, held: held_too, limits: *limits };
     let User { lanes, wake } = user;
     let told = Some(told);
     let (news, up, unsent) = (BTreeMap::new(), BTreeSet::new(), VecDeque::new());
-    (port, Outbox { orders: orders_out, bell: bell_out, lanes, told, starved, wake, news, up, unsent })
+    let (orders, bell, most) = (orders_out, bell_out, limits.bytes);
+    (port, Outbox { orders, bell, lanes, told, starved, held, most, wake, news, up, unsent })
 }
 
 impl Outbox {
     /// Tells something. Without room it is handed back, and the bell rings once there is some.
     fn push(&mut self, told: Told) -> Option<Told> {
         let Some(ring) = &mut self.told else { return Some(told) };
-        if let Err(PushError::Full(told)) = ring.push(told) {
+        let bytes = told.bytes();
+        let mut once = |told| {
+            if !hold(&self.held.told, bytes, self.most) {
+                return Some(told);
+            }
+            let PushError::Full(told) = ring.push(told).err()?;
+            self.held.told.fetch_sub(bytes, SeqCst);
+            Some(told)
+        };
+        if let Some(told) = once(told) {
             // Said before the second try: a user that takes something after it rings.
             self.starved.store(true, SeqCst);
             fence(SeqCst);
-            if let Err(PushError::Full(told)) = ring.push(told) {
+            if let Some(told) = once(told) {
                 return Some(told);
             }
         }
@@ -247,6 +300,13 @@
         true
     }
 
+    /// The next order, if there is one.
+    pub fn order(&mut self) -> Option<Order> {
+        let order = self.orders.pop().ok()?;
+        self.held.orders.fetch_sub(order.bytes(), SeqCst);
+        Some(order)
+    }
+
     /// Whether the ring has room.
     pub fn room(&self) -> bool {
         self.told.as_ref().is_some_and(|ring| !ring.is_full())
@@ -267,6 +327,19 @@
     use crate::{Hello, PROTOCOL};
     use basaltgw_ids::{Domain, Incarnation, Member, TableHash, TableVersion};
 
+    #[test]
+    fn orders_are_bounded_in_bytes_too() {
+        let limits = Limits { frames: 1, bytes: 10, frame: 6, ring: 9 };
+        let (mut port, mut outbox) = port(User { lanes: vec![], wake: Box::new(|| ()) }, &limits);
+        let to = Member { router: RouterId(Arc::from("x")), incarnation: Incarnation(1) };
+        let order = || Order::Send { no: 0, to: to.clone(), lane: Lane::Holds, body: vec![0; 6] };
+        assert_eq!((port.send(order()), port.send(order())), (Ok(()), Err(Refused::Full(order()))));
+        assert_eq!(
+            (port.send(Order::End), outbox.order(), port.send(order())),
+            (Ok(()), Some(order()), Ok(()))
+        );
+    }
+
     #[test]
     fn a_link_that_came_and_went_without_room_was_never_there() {
         let limits = Limits { frames: 1, bytes: 1, frame: 1, ring: 1 };
--- a/crates/peers/src/thread.rs
+++ b/crates/peers/src/thread.rs
@@ -164,7 +164,7 @@
                 }
                 // What was refused is told before more is taken: what waits to be told stays bounded.
                 if free {
-                    outbox.orders.pop().ok()
+                    outbox.order()
                 } else {
                     None
                 }
@@ -180,7 +180,7 @@
         }
         if bell.recv().await.is_err() {
             // The user is gone, and nobody is left to tell: its last orders, and the end.
-            while let Some(order) = { outbox.borrow_mut().orders.pop().ok() } {
+            while let Some(order) = { outbox.borrow_mut().order() } {
                 hub.order(user, order);
             }
             hub.end();
--- a/crates/peers/tests/on_loopback/bad.rs
+++ b/crates/peers/tests/on_loopback/bad.rs
@@ -188,6 +188,25 @@
     }
 }
 
+#[test]
+fn rings_are_bounded_in_bytes_too() {
+    let at_m = address();
+    let small = Limits { bytes: 1000, frame: 600, ..LIMITS };
+    let mut m = Node::new("m", 1, at_m, &[listed("x", address())], small);
+    let from = member("x", 1);
+    let mut raw = Raw::alive(at_m, &hello("x", 1), 1);
+    up(&mut m.copies, &from);
+    for no in 0..10u8 {
+        raw.write(Kind::Lane(Lane::Holds), &[no; 600]).unwrap();
+    }
+    // Room for one frame at a time, of 256 entries: reading waits.
+    wait("a full ring", || (m.count("peer_ring_waits") > 0).then_some(()));
+    assert!(m.count("peer_frames_in") < 10);
+    for no in 0..10u8 {
+        assert_eq!(got(&mut m.copies, &from), (Lane::Holds, vec![no; 600]));
+    }
+}
+
 #[test]
 fn what_a_slow_user_has_no_room_for_waits_and_is_not_lost() {
     let mut m = Node::new("m", 1, address(), &[listed("x", address())], Limits { ring: 2, ..LIMITS });
