Storage: tests of a start that ended early, of marks from elsewhere, and of a disk that takes not a byte

Four guards could be taken out without a test that fails: marks of another life, marks out of order, what an early end left, and reading from a copy while nothing can be written.

--- a/crates/storage/tests/crash.rs
+++ b/crates/storage/tests/crash.rs
@@ -83,7 +83,8 @@
         fault = store.commit(&[large(told)]).err();
     }
     assert!(matches!(fault, Some(Fault::NoDisk { .. })), "{fault:?}");
-    // What was promised can be read, again and again, and the next commit tries again.
+    // What was promised can be read, again and again, and the next commit tries again. Not a byte can be written meanwhile.
+    longest(Some(0));
     for _ in 0..3 {
         let held = store.read(Space(2)).unwrap();
         assert!(held.len() as u64 >= told - 1, "{} of {told}", held.len());
--- a/crates/storage/tests/faults.rs
+++ b/crates/storage/tests/faults.rs
@@ -52,6 +52,36 @@
     assert_eq!(open(folder.path()).unwrap(), all);
 }
 
+#[test]
+fn what_a_start_that_ended_early_left_is_no_life() {
+    let folder = tempfile::tempdir().unwrap();
+    fs::create_dir(folder.path().join("new")).unwrap();
+    fs::write(folder.path().join("new/data"), "half").unwrap();
+    let (store, found) = Store::open(folder.path(), LIMITS, 5).unwrap();
+    assert_eq!((found, store.size()), (Found::Empty(Incarnation(5)), (0, 0)));
+}
+
+#[test]
+fn marks_of_another_life_or_time_end_the_life() {
+    let folder = tempfile::tempdir().unwrap();
+    filled(folder.path());
+    let first = fs::read(folder.path().join("current/life")).unwrap();
+    let (mut store, _) = Store::open(folder.path(), LIMITS, 0).unwrap();
+    (0..4).for_each(|n| store.commit(&[put(n, b"more")]).unwrap());
+    drop(store);
+    let other = tempfile::tempdir().unwrap();
+    let (mut store, _) = Store::open(other.path(), LIMITS, 8).unwrap();
+    (0..12).for_each(|n| store.commit(&[put(n, b"more")]).unwrap());
+    drop(store);
+    let other = fs::read(other.path().join("current/life")).unwrap();
+    for (marks, blocks) in [(&other, 4096..12288), (&first, 4096..8192), (&first, 8192..12288)] {
+        let mixed =
+            changed(folder.path(), "life", |bytes| bytes[blocks.clone()].copy_from_slice(&marks[blocks]));
+        let fault = open(mixed.path()).unwrap_err();
+        assert!(matches!(fault, Fault::Flipped { .. }), "{fault}");
+    }
+}
+
 #[test]
 fn a_cut_file_is_torn_or_whole() {
     let folder = tempfile::tempdir().unwrap();
