Tables from outside are checked in linear time; rules of what never goes together are sparse

A table of 64 KiB may claim tens of thousands of founders or root members, which the check compared in pairs: copies and root are at most 5, founders ascend.

--- a/crates/placement/src/body.rs
+++ b/crates/placement/src/body.rs
@@ -11,6 +11,9 @@
 /// The most shards: more would not make moves finer than a router's work, and each costs bytes in every table.
 pub const MOST_SHARDS: usize = 1024;
 
+/// The most copies of a shard, and members of the root.
+const MOST_COPIES: usize = 5;
+
 /// Where a rule stands, for people.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -110,15 +113,17 @@
         let origin = |o: &u16| usize::from(*o) < self.origins.len();
         let name = |n: &u16| usize::from(*n) < self.names.len();
         need(self.version > 0, "a version above 0")?;
-        need(self.copies % 2 == 1, "an odd number of copies")?;
+        need(copies % 2 == 1 && copies <= MOST_COPIES, "1, 3 or 5 copies")?;
         need(self.pace > 0, "a pace above 0")?;
         need(self.holds.iter().chain(&self.root_rule).all(origin), "rules of holds and root by place")?;
         need(self.routers.iter().all(|r| name(&r.branch) && name(&r.machine)), "routers' domains by place")?;
         let order = |r: &Keeper| (r.name.clone(), r.incarnation);
         need(rising(&self.routers.iter().map(order).collect::<Vec<_>>()), "routers in the order of names")?;
         need(self.routers.iter().all(|r| basaltgw_ids::name(&r.name).is_ok()), "routers with plain names")?;
-        need(self.root.len() % 2 == 1 && distinct(&self.root, self.routers.len()), "an odd root of routers")?;
-        let founders = rising(&self.founders) && distinct(&self.founders, self.routers.len());
+        let root = self.root.len() % 2 == 1 && self.root.len() <= MOST_COPIES;
+        need(root && distinct(&self.root, self.routers.len()), "a root of 1, 3 or 5 routers")?;
+        let founders = rising(&self.founders)
+            && self.founders.last().is_none_or(|f| usize::from(*f) < self.routers.len());
         need(founders && self.founders.is_empty() == (self.version > 1), "founders in the first table only")?;
         let shards = self.keepers.len() / copies.max(1);
         need((1..=MOST_SHARDS).contains(&shards), "1 to 1024 shards")?;
--- a/crates/placement/src/compile.rs
+++ b/crates/placement/src/compile.rs
@@ -3,7 +3,7 @@
 use crate::ast::Item;
 use crate::body::{Body, Keeper, Origin, MOST_TABLE};
 use crate::check::Check;
-use crate::fault::{found, line_column, At, Fault, Found};
+use crate::fault::{found, line_column, At, Fault, Found, INVENTORY};
 use crate::gather::gathers;
 use crate::homes::homes;
 use crate::keep::{aparts, want, Apart, Want};
@@ -33,7 +33,7 @@
 
 /// A fault of no line.
 fn general(message: String) -> Found {
-    Found { message, help: None, labels: Vec::new() }
+    Found { whole: INVENTORY, message, help: None, labels: Vec::new() }
 }
 
 /// The inventory in the order of names, whatever the caller's; faults what has no place in one.
@@ -85,7 +85,7 @@
             "rules of {bytes} bytes in {} files; expected at most {MOST_TEXT} in {MOST_FILES}",
             files.len()
         );
-        return Err(vec![general(what)]);
+        return Err(vec![Found { whole: "rules", ..general(what) }]);
     }
     let (mut items, mut faults) = (Vec::new(), Vec::new());
     for (i, (_, text)) in files.iter().enumerate() {
@@ -94,7 +94,8 @@
         faults.extend(bad);
     }
     if items.len() > MOST_RULES {
-        faults.push(general(format!("{} rules; expected at most {MOST_RULES}", items.len())));
+        let what = format!("{} rules; expected at most {MOST_RULES}", items.len());
+        faults.push(Found { whole: "rules", ..general(what) });
     }
     if faults.is_empty() {
         Ok(items)
@@ -250,7 +251,7 @@
         gathers,
     };
     Table::new(body).map_err(|bad| {
-        let mut fault = general(format!("the rules come to {bad}"));
+        let mut fault = Found { whole: "rules", ..general(format!("they come to {bad}")) };
         fault.help = Some(format!("fewer shards or fewer named caches make it fit {MOST_TABLE} bytes"));
         vec![fault]
     })
--- a/crates/placement/src/fault.rs
+++ b/crates/placement/src/fault.rs
@@ -18,7 +18,7 @@
 /// A fault of the rules, or of what they ask of the inventory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
-    /// The file; `inventory` where no line of the rules is at fault.
+    /// The file; `inventory` or `rules` (all of them) where no line is at fault.
     pub file: String,
     /// Line, from 1 (0 where there is none).
     pub line: usize,
@@ -35,14 +35,19 @@
 /// A fault before its file's name and line are known.
 #[derive(Clone, Debug)]
 pub(crate) struct Found {
+    /// Where it is when it has no place: "rules" or "inventory".
+    pub whole: &'static str,
     pub message: String,
     pub help: Option<String>,
     pub labels: Vec<(At, String)>,
 }
 
+/// What is at fault where no line of the rules is.
+pub(crate) const INVENTORY: &str = "inventory";
+
 /// A fault at a place.
 pub(crate) fn found(at: At, message: impl Into<String>, label: impl Into<String>) -> Found {
-    Found { message: message.into(), help: None, labels: vec![(at, label.into())] }
+    Found { whole: INVENTORY, message: message.into(), help: None, labels: vec![(at, label.into())] }
 }
 
 impl Found {
@@ -69,7 +74,7 @@
         let at = self.labels.first().map(|l| l.0);
         let file = at.and_then(|at| files.get(at.file).map(|f| (f, at.start)));
         let (name, line, column) = match file {
-            None => ("inventory".to_string(), 0, 0),
+            None => (self.whole.to_string(), 0, 0),
             Some(((name, text), start)) => {
                 let (line, column) = line_column(text, start);
                 (name.clone(), line, column)
--- a/crates/placement/src/keep.rs
+++ b/crates/placement/src/keep.rs
@@ -3,7 +3,7 @@
 use crate::ast::{Item, Keep, Name, Of, Sp, Spread, Thing};
 use crate::body::MOST_SHARDS;
 use crate::check::Check;
-use crate::fault::{found, At};
+use crate::fault::{found, At, INVENTORY};
 use crate::place::{search, Candidate};
 use crate::smallest::smallest;
 use basaltgw_structures::hash::address;
@@ -172,7 +172,8 @@
         let names: BTreeSet<&str> = places.iter().map(|p| con.domain(*p)).collect();
         let names = names.into_iter().take(8).collect::<Vec<_>>().join(", ");
         let whole = [self.copies_at, self.at].into_iter().flatten().next();
-        let mut fault = crate::fault::Found { message: String::new(), help: None, labels: Vec::new() };
+        let mut fault =
+            crate::fault::Found { whole: INVENTORY, message: String::new(), help: None, labels: Vec::new() };
         fault.message = if slots < self.copies {
             let each =
                 if self.each > 1 { format!(" (at most {} in each)", self.each) } else { String::new() };
@@ -298,6 +299,12 @@
         let may = |p: &usize| from.is_none_or(|f| f.it.binary_search(p).is_ok());
         let routers = &self.check.inventory.routers;
         let places: Vec<usize> = (0..routers.len()).filter(|p| routers[*p].stays && may(p)).collect();
+        let mut apart: BTreeMap<usize, Vec<(u16, u16)>> = BTreeMap::new();
+        for (rule, operands) in self.apart.iter().enumerate().filter(|(i, _)| used.contains(&(i + 2))) {
+            for (operand, routers) in operands.operands.iter().enumerate() {
+                routers.iter().for_each(|r| apart.entry(*r).or_default().push((rule as u16, operand as u16)));
+            }
+        }
         let mut domains = BTreeMap::new();
         let candidates = places.iter().map(|p| {
             let key = match used.contains(&1) {
@@ -306,17 +313,12 @@
             };
             let next = domains.len();
             let domain = *domains.entry(key).or_insert(next);
-            let operand = |a: &Apart| a.operands.iter().position(|o| o.binary_search(p).is_ok());
-            let apart = self
-                .apart
-                .iter()
-                .enumerate()
-                .map(|(i, a)| operand(a).filter(|_| used.contains(&(i + 2))).map(|o| o as u16));
+            let apart = apart.get(p).cloned().unwrap_or_default();
             Candidate {
                 hash: address(&routers[*p].member.router.0),
                 weight: routers[*p].capacity.max(1),
                 domain,
-                apart: apart.collect(),
+                apart,
             }
         });
         let candidates = candidates.collect();
--- a/crates/placement/src/place.rs
+++ b/crates/placement/src/place.rs
@@ -16,8 +16,8 @@
     pub weight: u64,
     /// The domain that it is lost with, from 0.
     pub domain: usize,
-    /// For each rule of what never goes together: which of its operands this is, if any.
-    pub apart: Vec<Option<u16>>,
+    /// Of rules of what never goes together: by its number, which of its operands this is. Ascending.
+    pub apart: Vec<(u16, u16)>,
 }
 
 /// What is asked for.
@@ -41,7 +41,8 @@
 
 /// True if two routers may not keep the same shard.
 fn clash(a: &Candidate, b: &Candidate) -> bool {
-    a.apart.iter().zip(&b.apart).any(|(a, b)| matches!((a, b), (Some(a), Some(b)) if a != b))
+    let other = |rule: u16| b.apart.binary_search_by_key(&rule, |o| o.0).ok().map(|i| b.apart[i].1);
+    a.apart.iter().any(|(rule, operand)| other(*rule).is_some_and(|o| o != *operand))
 }
 
 /// Who wins a place: the highest word first, the same at every router.
--- a/crates/placement/src/smallest.rs
+++ b/crates/placement/src/smallest.rs
@@ -3,7 +3,7 @@
 /// Up to so many rules, pairs and triples are tried before rules are left out one by one.
 const MOST_TRIPLES: usize = 24;
 /// The same for pairs.
-const MOST_PAIRS: usize = 256;
+const MOST_PAIRS: usize = 64;
 
 /// Of `n` rules that can't all hold, as few as can't: a single one, a pair or three where there are such, else a set of which none may be
 /// left out (found by deletion). Empty if they can all hold, or if nothing holds even without them.
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -1,7 +1,7 @@
 //! What the compiler refuses, and what it says.
 
 mod common;
-use basaltgw_placement::Inventory;
+use basaltgw_placement::{Inventory, MOST_FOUNDERS, MOST_RULES, MOST_TEXT};
 use common::{cache, faults, fleet, router};
 
 fn inventory() -> Inventory {
@@ -104,6 +104,22 @@
     );
 }
 
+#[test]
+fn too_much_text_is_refused_as_a_whole() {
+    let rules = "set a = routers\n".repeat(MOST_RULES + 1);
+    assert_eq!(
+        faults(&rules, &inventory()),
+        [format!("rules: {} rules; expected at most {MOST_RULES}", MOST_RULES + 1)]
+    );
+    let long = faults(&"#".repeat(MOST_TEXT + 1), &inventory());
+    assert!(long.len() == 1 && long[0].starts_with("rules: rules of 262145 bytes in 1 files"), "{long:?}");
+    let founders = faults("", &fleet(MOST_FOUNDERS + 1, 5));
+    assert!(
+        founders.len() == 1 && founders[0].starts_with("inventory: 65 routers found a fleet"),
+        "{founders:?}"
+    );
+}
+
 #[test]
 fn the_smallest_set_of_rules_that_clash() {
     let files = [(
