An origin that is late for all is asked for less: half after each waste, one at a time, also directly

A probe in a play with 60 routers logged every attempt's end. From 10 s to the end no fill by way of the origin is served: parents give up after 1.62 s, while writes straight to the origin take 3.9 s at 12.5 s and 2.0 to 2.4 s from 15 s on, when its slowness is over. Its queue stays full of what has been given up; 250 to 380 calls in 2.5 s keep it so, where 90 were served before. What caches and parents lack is then refused (360 to 909 of "source lacks" in 2.5 s), more from second to second as copies age.

Ruled out: the seven cold parents that fall over at 12.4 to 13.6 s, asked for 3.2 to 3.9 times what they can give.

At fault: the origin's gate (room.rs, `gates`, `full`). A fill that ran out of time cut it by a tenth, after three answers, as a refusal does; one that ran out at a cache as well (both have the same time) was held against the parent that answers others; what is out told nothing of itself until it was over, so that a gate that opened let all through for 1.6 s; and where no cache is warm a parent was asked with the origin behind it whatever that gate said (choice.rs, `pick_way`).

--- a/src/rules/choice.rs
+++ b/src/rules/choice.rs
@@ -3,7 +3,7 @@
 use super::Router;
 use crate::api::*;
 use crate::hash::{mix, within_share};
-use crate::state::{Found, Server};
+use crate::state::{Found, Open, Server};
 
 /// A cache with over this multiple of its zone's mean work, and one request more, out passes parts on.
 const SPILL: f64 = 1.25;
@@ -20,7 +20,9 @@
         let source = self.pick_source(at, self.own_time(&open.req).unwrap_or(mean), edge);
         let place = |i: usize| self.servers[i].gate.lets(self.now, self.fills_out(Some(i)), ease);
         let lets = source.is_some_and(place) && self.link.lets(self.now, self.fills_out(None), ease);
-        let whole = origin.is_none_or(place);
+        // An origin that is late for all is asked for one thing at a time, since none tells of it while out.
+        let one = |i: usize| self.servers[i].gate.limit >= 1.0 || !self.open.values().any(Open::may_fill);
+        let whole = origin.is_none_or(|i| place(i) && one(i));
         let none_warm = || !self.up[Role::Edge as usize].iter().any(|i| self.warm(i));
         match (edge, open.found) {
             (Some(_), Found::FillUnderWay) => (edge, source, false),
@@ -31,7 +33,7 @@
             (Some(_), Found::Unknown) => (edge, None, false),
             // No warm cache of the zone can serve: the parent itself, with the origin behind it.
             (None, _) if lets && self.set.direct && none_warm() => {
-                (source, origin.filter(|o| source != Some(*o)), false)
+                (source, origin.filter(|o| whole && source != Some(*o)), false)
             }
             _ => (None, None, false),
         }
--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -21,6 +21,8 @@
 const HIT_OF_AIM: f64 = 0.5;
 /// A full gate's limit is cut to this share of what is out, once in the rest time, down to the least.
 const GATE_CUT: f64 = 0.9;
+/// To this share where what was asked of it ran out of time: its work went for nothing.
+const GATE_WASTE: f64 = 0.5;
 const GATE_REST_MS: Ms = 150.0;
 const GATE_LEAST: f64 = 4.0;
 /// With fewer out than this, slowness is not of the routers' making. One with fewer out itself reckons with
@@ -58,7 +60,7 @@
         let few = out < GATE_FLOOR && self.pace.rate(now) * GATE_FEW_MS < 1.0;
         let limit = if few { GATE_FEW * limit.ln() } else { limit.ln() };
         if self.slow.get().is_some_and(|s| s > limit) {
-            self.full(now, out);
+            self.full(now, out, GATE_CUT);
         } else {
             self.grow(now, out);
         }
@@ -71,14 +73,14 @@
         }
     }
 
-    pub(super) fn full(&mut self, now: Ms, out: f64) {
+    pub(super) fn full(&mut self, now: Ms, out: f64, left: f64) {
         self.answers += 1;
         let (level, dense) = (self.level.rate(now), out >= GATE_FLOOR);
         let used = self.limit.is_infinite() || out.max(level) >= GATE_USED * self.limit;
         let sure = dense || (self.answers >= GATE_ANSWERS && level * self.routers >= GATE_FLOOR);
         if used && sure && now - self.cut >= GATE_REST_MS {
             let (least, used) = if dense { (GATE_LEAST, out) } else { (GATE_LEAST_LEVEL, level) };
-            self.limit = (self.limit.min(used) * GATE_CUT).max(least);
+            self.limit = (self.limit.min(used) * left).max(least);
             (self.cut, self.answers) = (now, 0);
         }
     }
@@ -143,7 +145,9 @@
         if let Some(i) = source {
             self.servers[i].gate.level.add(self.now, o.delay * share);
             // What a parent's origin did is the origin's, so that what the parent holds still comes.
-            let behind = matches!(o.note, Note::FilledByOrigin | Note::OriginFailed);
+            // So is what ran out of time at a parent that has answered since.
+            let held_up = o.note == Note::SourceFailed && self.servers[i].answered > self.now - o.delay;
+            let behind = held_up || matches!(o.note, Note::FilledByOrigin | Note::OriginFailed);
             let at_fault = self.origin().filter(|_| behind).unwrap_or(i);
             let untold = if o.note == Note::Untold { self.beyond.get().unwrap_or(1.0) } else { 0.0 };
             if let Some(origin) = self.origin().filter(|p| *p != i) {
@@ -154,7 +158,9 @@
             let gate = &mut self.servers[at_fault].gate;
             match o.note {
                 Note::FilledBySource | Note::FilledByOrigin => gate.grow(self.now, fills),
-                Note::SourceRefused | Note::OriginFailed => gate.full(self.now, fills),
+                Note::OriginFailed if o.end != End::Full => gate.full(self.now, fills, GATE_WASTE),
+                Note::SourceFailed if held_up => gate.full(self.now, fills, GATE_WASTE),
+                Note::SourceRefused | Note::OriginFailed => gate.full(self.now, fills, GATE_CUT),
                 _ => {}
             }
             if behind || o.note == Note::FilledBySource {
@@ -206,8 +212,8 @@
                 self.link.answer(self.now, slow, limit, fills);
             }
             // What goes past the caches, or fills for sure, and is late, is late on the link.
-            (End::Late, _) if sure => self.link.full(self.now, fills),
-            (End::Full, Note::Untold) => gate.full(self.now, out),
+            (End::Late, _) if sure => self.link.full(self.now, fills, GATE_CUT),
+            (End::Full, Note::Untold) => gate.full(self.now, out, GATE_CUT),
             _ => {}
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -198,6 +198,11 @@
         self.tries.iter().any(|t| t.fault == Some(server))
     }
 
+    /// An attempt is out that its source may have to get from the origin.
+    pub fn may_fill(&self) -> bool {
+        self.tries.iter().any(|t| !t.over && !t.held_only && t.source.is_some() && t.fill > 0.0)
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| !t.over).count()
