A table taken back lists the keepers that are left first, so that those gone to are filled

While a table was taken back its map still listed the new keepers last, so the old ones, who come to keep alone again what the new ones had alone, were not asked to fill. The groups now stand as they are left and gone to in both directions, in the map as in the evidence.

--- a/crates/placement/src/register.rs
+++ b/crates/placement/src/register.rs
@@ -192,8 +192,8 @@
     /// Who keeps what, by this content.
     pub fn map(&self) -> ShardMap {
         match (&self.next, &self.stage) {
-            (Some(next), Stage::Both { step, .. }) => {
-                step_map(&self.table, &next.table, usize::from(*step), self.epoch)
+            (Some(next), Stage::Both { step, back }) => {
+                step_map(&self.table, &next.table, usize::from(*step), *back, self.epoch)
             }
             (Some(_), Stage::Idle | Stage::Offered | Stage::Checked) | (None, _) => {
                 self.table.map(self.epoch)
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -110,11 +110,13 @@
 }
 
 /// The map while step `k` is under way: shards of earlier steps have their new keepers, those of this one both, the others their old ones. The
-/// root has both all the while. Its version is the one that is being left.
-pub(crate) fn step_map(old: &Table, new: &Table, k: usize, epoch: u64) -> ShardMap {
+/// root has both all the while. Its version is the one that is being left. Of two groups the one that is left comes first, so where the table is taken
+/// back (`back`) the new one.
+pub(crate) fn step_map(old: &Table, new: &Table, k: usize, back: bool, epoch: u64) -> ShardMap {
     let mut map = old.map(epoch);
     let both = |old: &Group, new: &Group| match same(old, new) {
         true => Keepers { groups: vec![old.clone()] },
+        false if back => Keepers { groups: vec![new.clone(), old.clone()] },
         false => Keepers { groups: vec![old.clone(), new.clone()] },
     };
     for (step, portion) in portions(old, new).iter().enumerate().take(k + 1) {
@@ -131,7 +133,7 @@
 /// The maps that a fleet goes through from one table to the next, with epochs from `epoch` on; the last is the new table's own.
 pub fn steps(old: &Table, new: &Table, epoch: u64) -> Vec<ShardMap> {
     let n = portions(old, new).len();
-    let mut maps: Vec<ShardMap> = (0..n).map(|k| step_map(old, new, k, epoch + k as u64)).collect();
+    let mut maps: Vec<ShardMap> = (0..n).map(|k| step_map(old, new, k, false, epoch + k as u64)).collect();
     maps.push(new.map(epoch + n as u64));
     maps
 }
--- a/crates/placement/tests/adoption.rs
+++ b/crates/placement/tests/adoption.rs
@@ -166,6 +166,13 @@
     assert!(moved
         .iter()
         .all(|s| map.shards[usize::from(s.0)].groups == [old.keepers(*s).expect("kept").clone()]));
+    // Of two groups the one that is left comes first: whoever is in the other is to be filled.
+    for (shard, from, to) in register.changing() {
+        let both = shard.map_or(&map.root, |s| &map.shards[usize::from(s.0)]);
+        let is: Vec<_> = both.groups.iter().map(|g| &g.members).collect();
+        let root_stays = shard.is_none() && is.len() == 1;
+        assert!(root_stays || is == [&from.members, &to.members], "{shard:?}");
+    }
     // Nobody has said that the old ones are filled.
     assert_eq!(register.advance(&Evidence { turn: register.turn(), ..Evidence::default() }), None);
     let mut half = all(&register);
