A table that can't be made of those who are there is tried and said once

Seen with a router gone for good in a fleet of three: the error that the table stays as it is was logged every 1.5 s.

--- a/crates/node/src/fleet/table/mod.rs
+++ b/crates/node/src/fleet/table/mod.rs
@@ -89,6 +89,8 @@
     offered: Ms,
     /// The members of which the last table was made; with these alone no other is offered.
     considered: BTreeSet<Member>,
+    /// The members of whom none could be made.
+    failed: Option<BTreeSet<Member>>,
     /// The rules of the last table offered here.
     rules_offered: bool,
     /// When the register last changed, and what is open was last asked for.
@@ -115,6 +117,7 @@
             offers: 0,
             offered: 0.0,
             considered: BTreeSet::new(),
+            failed: None,
             rules_offered: true,
             changed: 0.0,
             again: 0.0,
--- a/crates/node/src/fleet/table/offers.rs
+++ b/crates/node/src/fleet/table/offers.rs
@@ -83,7 +83,8 @@
             return self.next(now, wanted, table, true);
         }
         let same = held.is_subset(&wanted) && (wanted == self.considered || wanted == held);
-        if same || !self.first() {
+        // What could not be compiled is not tried again until someone else is there.
+        if same || self.failed.as_ref() == Some(&wanted) || !self.first() {
             return Vec::new();
         }
         let missing: Vec<&Member> = held.difference(&wanted).collect();
@@ -114,6 +115,7 @@
             Ok(next) => self.offer(now, Offer::Next(Arc::new(next))),
             Err(faults) => {
                 self.offered = now;
+                self.failed = Some(self.considered.clone());
                 log::error!("the table stays as it is:\n{faults}");
                 vec![Step::Refused]
             }
