At most 100 faults are shown, the rest counted

A file of 256 KiB in which every word is a fault took 2.6 s, since each fault is looked up in its file for line and column; nobody reads 43,000 of them.

--- a/crates/placement/src/compile.rs
+++ b/crates/placement/src/compile.rs
@@ -28,6 +28,8 @@
 pub const MOST_CACHES: usize = 16_384;
 /// The most routers by which a fleet is founded, since each must agree.
 pub const MOST_FOUNDERS: usize = 64;
+/// The most faults that are shown: more are no help, and each costs a look through its file.
+const MOST_FAULTS: usize = 100;
 /// Shards of a fleet whose founding rules name no number: a router of 30 keeps about 26, and a move goes by 1 in 256.
 const USUAL_SHARDS: usize = 256;
 
@@ -306,10 +308,14 @@
         let items = read(files)?;
         build(files, &items, &inventory, before)
     };
-    all().map_err(|faults: Vec<Found>| {
+    all().map_err(|mut faults: Vec<Found>| {
+        faults.sort_by_key(|f| f.labels.first().map(|l| l.0));
+        let more = faults.len().saturating_sub(MOST_FAULTS);
+        faults.truncate(MOST_FAULTS);
+        if more > 0 {
+            faults.push(Found { whole: "rules", ..general(format!("{more} more faults are not shown")) });
+        }
         let mut faults: Vec<Fault> = faults.into_iter().map(|f| f.placed(files)).collect();
-        let place = |f: &Fault| f.labels.first().map(|l| l.0);
-        faults.sort_by_key(place);
         faults.dedup();
         faults
     })
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -113,6 +113,8 @@
     );
     let long = faults(&"#".repeat(MOST_TEXT + 1), &inventory());
     assert!(long.len() == 1 && long[0].starts_with("rules: rules of 262145 bytes in 1 files"), "{long:?}");
+    let many = faults(&"holds ".repeat(1000), &inventory());
+    assert_eq!((many.len(), many[100].as_str()), (101, "rules: 900 more faults are not shown"));
     let founders = faults("", &fleet(MOST_FOUNDERS + 1, 5));
     assert!(
         founders.len() == 1 && founders[0].starts_with("inventory: 65 routers found a fleet"),
