Gathers are taken by the router, over the peer link, with debts kept as holds

With fleet.gather on, a request with the field parts is handed to it: parts of the own branch are requests of their own, others go to a router of their branch over the lane of gathers. An answer in part has the word 206, names what is missing and when to come back, and is said once its debt is on enough disks; whichever router is asked for it then looks it up, takes only that version, and puts down what is paid. Purges, versions, evidence and the number of routers reached are handed on to the decisions. Without fleet.gather nothing is read of the fields.

Tests with three routers in three branches: whole, in part and paid elsewhere, never split, off.

--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -3,7 +3,7 @@
 mod conn;
 mod wire;
 
-pub use wire::{Answer, Ask};
+pub use wire::{Answer, Ask, CopyTag};
 
 use crate::clients::WireId;
 use crate::inbox::Over;
--- a/crates/node/src/caches/wire.rs
+++ b/crates/node/src/caches/wire.rs
@@ -7,6 +7,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// Which copy of an object's bytes they are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyTag {
+    /// Its version.
+    pub version: Arc<str>,
+    /// When the origin gave it out, in Unix milliseconds.
+    pub born: u64,
+}
+
 /// What a server says of an attempt.
 #[derive(Debug)]
 pub struct Answer {
@@ -16,8 +25,8 @@
     pub end: Option<End>,
     /// The client's copy is the one.
     pub same: bool,
-    /// It tells which copy this is, as it must of what can be kept.
-    pub copy: bool,
+    /// Which copy this is, as it must tell of what can be kept.
+    pub copy: Option<CopyTag>,
     /// How it came about.
     pub note: Note,
     /// Time spent waiting for the source.
@@ -39,13 +48,15 @@
         let fields = Fields::read(&fields)?;
         let body = words.next();
         let copy = match (fields.get("ver"), fields.get("born")) {
-            (None, None) => false,
-            (Some(tag), Some(born)) if !tag.is_empty() && decimal(born).is_some() => true,
-            _ => return None,
+            (None, None) => None,
+            (Some(tag), Some(born)) if !tag.is_empty() => {
+                Some(CopyTag { version: Arc::from(tag), born: decimal(born)? as u64 })
+            }
+            (_, _) => return None,
         };
         let end = match word.as_slice() {
             b"ok" if body.is_some() => Some(End::Served),
-            b"current" if copy => Some(End::Served),
+            b"current" if copy.is_some() => Some(End::Served),
             b"ok" | b"current" => return None,
             b"nothing" => Some(End::Miss),
             b"refused" => Some(End::Full),
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,5 +1,7 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
+pub mod parts;
+
 use crate::clock::late;
 use crate::inbox::{either, read_all};
 use crate::limits::{
@@ -48,6 +50,10 @@
     pub left: Ms,
     /// The tag of the copy that the client holds.
     pub got: Option<String>,
+    /// Several parts instead of the one, as they were written; nobody has looked at them yet.
+    pub parts: Option<String>,
+    /// The debt that they are, likewise.
+    pub debt: Option<String>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -129,6 +135,8 @@
         size_kb,
         left: fields.decimal("d").filter(|d| *d <= LONGEST_WAIT_MS)?,
         got: got.map(str::to_string),
+        parts: fields.get("parts").map(str::to_string),
+        debt: fields.get("debt").map(str::to_string),
         body,
     })
 }
--- a/crates/node/src/fleet/copies/act.rs
+++ b/crates/node/src/fleet/copies/act.rs
@@ -1,14 +1,17 @@
 //! What the packages want, and what this process has out.
 
 use super::{Asker, Copies, Due, AGAIN_MS, TAKEOVER_MS};
+use crate::fleet::gather::policies;
 use crate::fleet::table::Step;
 use crate::fleet::words::Word;
 use crate::fleet::Told;
+use basaltgw_gather as gather;
 use basaltgw_holds as holds;
 use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Verdict};
 use basaltgw_ids::Ms;
 use basaltgw_peers::{Lane, Order};
 use basaltgw_roster as roster;
+use std::sync::Arc;
 
 impl Copies {
     pub(super) fn ask(&mut self, now: Ms, asker: Asker, (key, change): (HoldKey, Change), within: Ms) {
@@ -144,12 +147,24 @@
                 roster::Action::State(presence, state) => {
                     log::info!("router {} is {state:?}", presence.member)
                 }
+                roster::Action::Told(from, word) if self.parts.gathers.is_some() => {
+                    let roster::Evidence { site, missed, answered, latency, age } = word;
+                    let word = gather::Evidence { site: gather::Site(site), missed, answered, latency, age };
+                    self.tell(Told::Evidence(from.router, word));
+                }
                 roster::Action::Told(..) => {}
                 roster::Action::Report(text) => log::info!("{text}"),
             }
         }
     }
 
+    /// Tells the owner by which policies gathers go.
+    pub(super) fn policies(&mut self) {
+        let table = self.parts.table.table();
+        let all = self.parts.gathers.as_ref().zip(table).map(|(classes, table)| policies(table, classes));
+        all.into_iter().for_each(|all| self.tell(Told::Policies(Arc::new(all))));
+    }
+
     /// What the table's owner wants. What follows on something that has to last waits for the commit at the turn's end.
     pub(super) fn steps(&mut self, now: Ms, steps: Vec<Step>) {
         let mut steps = steps.into_iter();
@@ -166,6 +181,7 @@
                     let _ = self.parts.port.send(Order::Table(table.0, table.1));
                     self.holds(now, holds::Event::Map(map));
                     self.tell(Told::Table(table.0, table.1));
+                    self.policies();
                 }
                 Step::Ask(key, change, within) => self.ask(now, Asker::Table, (key, change), within),
                 Step::SayAll(word) => self.say_all(&word),
--- a/crates/node/src/fleet/copies/mod.rs
+++ b/crates/node/src/fleet/copies/mod.rs
@@ -99,6 +99,8 @@
     pub questions: rtrb::Consumer<Question>,
     /// To the owner.
     pub told: rtrb::Producer<Told>,
+    /// Names of the classes whose policies the owner is told, if it takes gathers.
+    pub gathers: Option<Vec<Arc<str>>>,
     /// Wakes it.
     pub bell: Sender<()>,
     /// The last counts, for the owner to print.
@@ -201,6 +203,7 @@
         if let Some(map) = self.parts.table.map() {
             self.holds(now, holds::Event::Map(map));
         }
+        self.policies();
         while !self.ended {
             let busy = self.turn()?;
             if !busy {
@@ -273,6 +276,7 @@
                 }
             }
             Question::Rules(name, text) => self.parts.table.rules(name, text),
+            Question::Heard(evidence) => self.roster(now, roster::Event::Heard(evidence)),
             Question::End => self.ended = true,
         }
     }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! ends the process.
 
 pub mod copies;
+pub mod gather;
 pub mod port;
 pub mod purges;
 pub mod start;
@@ -12,9 +13,10 @@
 pub mod words;
 
 use basaltgw_holds::{AskNo, Change, HoldKey, Verdict};
-use basaltgw_ids::{Ms, TableHash, TableVersion};
+use basaltgw_ids::{Ms, RouterId, TableHash, TableVersion};
 pub use port::{Fleet, Terms};
 use std::fmt;
+use std::sync::Arc;
 
 /// What the owner of the module asks of the copies' thread.
 #[derive(Debug)]
@@ -36,6 +38,8 @@
     Purge(purges::Purge),
     /// New rules are offered, by file name and text.
     Rules(String, String),
+    /// Something was heard of a site by gathers, for other routers to weigh.
+    Heard(basaltgw_roster::Evidence),
     /// End in order.
     End,
 }
@@ -51,6 +55,10 @@
     PurgesKnown(bool),
     /// The table by which this router goes.
     Table(TableVersion, TableHash),
+    /// The policies of gathers by which this router goes; only where they are taken.
+    Policies(Arc<gather::Policies>),
+    /// Another router's word on a site; only where gathers are taken.
+    Evidence(RouterId, basaltgw_gather::Evidence),
 }
 
 /// What was counted by the fleet's threads.
--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -1,5 +1,6 @@
 //! The owner's side of the fleet: what it asks, what it is told, and how it is with the threads.
 
+use super::gather::GatherSet;
 use super::{FleetCounts, Question, Told};
 use crate::caches::RequestNo;
 use async_channel::Receiver;
@@ -75,6 +76,9 @@
     pub(super) threads: Option<(JoinHandle<String>, Rest)>,
     /// To other routers, for parts of gathers.
     pub(super) port: Port,
+    /// What the owner needs to take gathers, if it takes them; it is the owner's once that has joined.
+    pub gather: Option<GatherSet>,
+    pub(super) gathers: bool,
     pub(super) shown: Arc<Mutex<FleetCounts>>,
     /// Rings when something was told.
     pub bell: Receiver<()>,
@@ -87,6 +91,7 @@
         terms: Terms,
         (questions, told, bell): (rtrb::Producer<Question>, rtrb::Consumer<Told>, Receiver<()>),
         (copies, links, port): (JoinHandle<String>, Rest, Port),
+        gather: Option<GatherSet>,
         shown: Arc<Mutex<FleetCounts>>,
     ) -> Self {
         Self {
@@ -103,12 +108,14 @@
             told,
             threads: Some((copies, links)),
             port,
+            gathers: gather.is_some(),
+            gather,
             shown,
             bell,
         }
     }
 
-    fn put(&mut self, question: Question) -> bool {
+    pub(super) fn put(&mut self, question: Question) -> bool {
         let put = self.questions.push(question).is_ok();
         self.counters.ring_full += u64::from(!put);
         self.threads.iter().for_each(|(copies, _)| copies.thread().unpark());
@@ -160,8 +167,8 @@
     /// The next that was told.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<Told> {
-        // Nothing is asked of other routers directly yet; what they send all the same is counted and dropped.
-        for told in self.port.by_ref() {
+        // Without gathers nothing is asked of other routers directly; what they send all the same is counted and dropped.
+        while let Some(told) = (!self.gathers).then(|| self.port.next()).flatten() {
             self.counters.unasked += u64::from(matches!(told, basaltgw_peers::Told::Got { .. }));
         }
         self.told.pop().ok()
--- a/crates/node/src/fleet/start.rs
+++ b/crates/node/src/fleet/start.rs
@@ -1,6 +1,7 @@
 //! The fleet's start: folder, links, threads and rings, in the order in which each can still be refused.
 
 use super::copies::{Copies, Parts, ADOPTED, HOLDS, PURGES};
+use super::gather::GatherSet;
 use super::port::{Fleet, Terms};
 use super::purges::{Purge, Purges};
 use super::table::{Founder, Given, TableKeeper};
@@ -25,7 +26,7 @@
 const STAY_AWAY_MS: Ms = 200.0;
 
 /// 128 random bits of the system's, new with each call.
-fn draw() -> u128 {
+pub(crate) fn draw() -> u128 {
     let word = || u128::from(RandomState::new().build_hasher().finish());
     word() << 64 ^ word().rotate_left(17) ^ u128::from(std::process::id()) << 32
 }
@@ -128,7 +129,21 @@
         basaltgw_peers::start(hello, set.listen, listed.collect(), link_limits, draw() as u64, users)?;
     let (own_port, copies_port, links) = links.split();
     let shown: Arc<Mutex<FleetCounts>> = Arc::default();
+    let gather = set.gather.then(|| GatherSet {
+        branch: Arc::clone(&set.domain.branch),
+        branches: set
+            .peers
+            .iter()
+            .map(|p| &p.domain)
+            .chain([&set.domain])
+            .map(|d| Arc::clone(&d.branch))
+            .collect(),
+        draw: draw(),
+        settles,
+        classes: config.settings.classes.clone(),
+    });
     let parts = Parts {
+        gathers: gather.as_ref().map(|g| g.classes.iter().map(|c| Arc::from(c.name.as_str())).collect()),
         me: me.clone(),
         old,
         holds,
@@ -160,7 +175,7 @@
         outcome_bytes: limits.outcome_bytes,
     };
     let effects = config.settings.classes.iter().map(|c| c.effect).collect();
-    Ok(Fleet::new(me, effects, terms, (questions, told, bell), (thread, links, own_port), shown))
+    Ok(Fleet::new(me, effects, terms, (questions, told, bell), (thread, links, own_port), gather, shown))
 }
 
 /// The table's owner, with what was adopted before.
--- a/crates/node/src/fleet/table/mod.rs
+++ b/crates/node/src/fleet/table/mod.rs
@@ -144,6 +144,11 @@
         self.map.as_ref().filter(|_| self.stands.is_some()).map(|m| (m.version, m.hash))
     }
 
+    /// The table that stands, once there is one.
+    pub fn table(&self) -> Option<&Table> {
+        self.adoption.register().map(Register::table)
+    }
+
     /// The register as it stands here.
     pub fn register(&self) -> Option<(u64, Vec<u8>)> {
         self.stands.clone()
--- a/crates/node/src/owner/asker.rs
+++ b/crates/node/src/owner/asker.rs
@@ -4,15 +4,20 @@
 //! alone: another front is another variant, and a line in each of the functions here.
 
 use super::Owner;
-use crate::caches::RequestNo;
-use crate::clients::{ClientId, Do, Reply, Tag};
+use crate::caches::{CopyTag, RequestNo};
+use crate::clients::{answer, ClientId, Do, Reply, Tag};
 use basaltgw::api::{ClassId, Ms};
+use basaltgw_gather::{AttemptNo, GatherNo};
 
 /// Who waits for a request's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Asker {
     /// A client's connection, under the request's number there.
     Client(ClientId, Tag),
+    /// A gather of this router, for an attempt at one of its parts.
+    Part(GatherNo, AttemptNo),
+    /// A gather of another router, under its number among those that are served.
+    Peer(u64),
 }
 
 /// A request as a front hands it over.
@@ -30,21 +35,35 @@
     pub(super) fn owe(&mut self, asker: Asker, no: RequestNo) {
         match asker {
             Asker::Client(id, tag) => self.clients.owe(id, tag, no),
+            Asker::Part(gather, attempt) => self.part_owed((gather, attempt), no),
+            Asker::Peer(served) => self.peer_owed(served, no),
         }
     }
 
     /// The request found no place, and nothing of it is known.
     pub(super) fn turn_away(&mut self, asker: Asker) {
-        self.counters.clients.turned_away.one();
         match asker {
-            Asker::Client(id, tag) => self.clients.turn_away(id, tag),
+            Asker::Client(id, tag) => {
+                self.counters.clients.turned_away.one();
+                self.clients.turn_away(id, tag);
+            }
+            Asker::Part(gather, attempt) => self.part_paid((gather, attempt), Reply::Refused(0.0), None),
+            Asker::Peer(served) => self.peer_paid(served, Reply::Refused(0.0), None),
         }
     }
 
-    /// Puts what was owed in line; false if the asker is gone.
-    pub(super) fn pay(&mut self, asker: Asker, reply: Reply<'_>) -> bool {
+    /// Puts what was owed in line; false if no client has it.
+    pub(super) fn pay(&mut self, asker: Asker, reply: Reply<'_>, copy: Option<CopyTag>) -> bool {
         match asker {
-            Asker::Client(id, tag) => self.clients.pay(self.now, id, tag, reply),
+            Asker::Client(id, tag) => self.clients.put(self.now, id, tag, answer(tag, reply)),
+            Asker::Part(gather, attempt) => {
+                self.part_paid((gather, attempt), reply, copy);
+                false
+            }
+            Asker::Peer(served) => {
+                self.peer_paid(served, reply, copy);
+                false
+            }
         }
     }
 }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -169,7 +169,7 @@
             return;
         };
         let write = self.requests.get(key.0).is_some_and(Open::is_write);
-        if end == End::Served && !answer.copy && !write {
+        if end == End::Served && answer.copy.is_none() && !write {
             // A read's answer without its copy's tag is spoilt, and so is the connection. What else is open on it is out until its
             // socket is closed.
             self.counters.conns.unreadable.one();
@@ -178,6 +178,7 @@
             return self.end(key, End::Broken, UNTOLD, false);
         }
         if end == End::Served {
+            self.requests.get_mut(key.0).into_iter().for_each(|o| o.copy.clone_from(&answer.copy));
             let reply = if answer.same { Reply::Same } else { Reply::Served(answer.body.bytes()) };
             self.answer(key.0, reply);
         }
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -24,6 +24,7 @@
     Module(u64),
     Attempt(RequestNo, AttemptNo),
     Look(RequestNo),
+    Gather,
 }
 
 /// Timers, by their time and then in the order in which they were set.
@@ -136,6 +137,7 @@
                 Due::Module(token) => self.tell(Event::Timer(token)),
                 Due::Attempt(no, n) => self.time_out((no, n)),
                 Due::Look(no) => self.look(no),
+                Due::Gather => self.gather_due(),
             }
         }
         if self.now >= self.tidied + TIDY_MS {
@@ -153,6 +155,7 @@
         self.caches.tidy(self.now);
         let events = self.tree.tick(self.now);
         self.fleet_told();
+        self.gather_tidy();
         self.tell_all(events);
         // Nothing was written on them, so they count as never up.
         for at in self.caches.unproved(self.now) {
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -92,12 +92,13 @@
         });
     }
 
-    pub(super) fn pay(&mut self, now: Ms, id: ClientId, tag: Tag, reply: Reply<'_>) -> bool {
+    /// Puts an answer in line; false if the client is gone.
+    pub(super) fn put(&mut self, now: Ms, id: ClientId, tag: Tag, answer: Vec<u8>) -> bool {
         let Some(client) = self.0.get_mut(&id) else { return false };
         client.open.remove(&tag);
         (client.active, client.undone) = (now, 0);
         client.unsent.retain(|_, p| p.stage() == Stage::Waiting);
-        client.unsent.insert(tag, client.outbox.put(answer(tag, reply)));
+        client.unsent.insert(tag, client.outbox.put(answer));
         true
     }
 
@@ -171,7 +172,7 @@
     }
 
     /// What makes no sense is failed, and a client that goes on with it is closed.
-    fn not_understood(&mut self, id: ClientId, tag: Tag) {
+    pub(super) fn not_understood(&mut self, id: ClientId, tag: Tag) {
         let Some(client) = self.clients.0.get_mut(&id) else { return };
         self.counters.clients.unreadable.one();
         client.outbox.put(answer(tag, Reply::Failed));
@@ -195,8 +196,11 @@
         if class.is_none() || self.requests.knows(&request.id) {
             return self.not_understood(id, tag);
         }
-        self.counters.clients.requests.one();
         let deadline = at + request.left;
+        if let Some(class) = class.filter(|_| self.gathering.is_some() && request.parts.is_some()) {
+            return self.gather((id, tag), class, request, deadline);
+        }
+        self.counters.clients.requests.one();
         self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline });
     }
 
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,12 +4,14 @@
 //! - `clients`: clients and their places; `asker`: what a front gives, and how it is answered;
 //! - `requests` and `attempts`: from the time that a request is taken in to its answer; `news`: what overtakes them;
 //! - `promise`: requests that may run once only, where a fleet keeps them;
+//! - `gather`: requests for several parts, where the own settings take them;
 //! - `relief`: when memory is short.
 
 mod asker;
 mod attempts;
 mod batch;
 mod clients;
+mod gather;
 mod news;
 mod promise;
 mod relief;
@@ -35,6 +37,7 @@
 pub use batch::Ended;
 use batch::{Due, Timers};
 use clients::Clients;
+use gather::Gathering;
 use requests::Requests;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -65,6 +68,8 @@
     tree: Tree,
     /// Other routers, where the own settings name some.
     fleet: Option<Fleet>,
+    /// Requests for several parts, where they are taken.
+    gathering: Option<Gathering>,
     ending: Ending,
     tidied: Ms,
     counters: Counters,
@@ -100,6 +105,7 @@
             pending: VecDeque::new(),
             tree: Tree::new(own.hierarchy.as_ref()),
             fleet: None,
+            gathering: None,
             ending: Ending::default(),
             tidied: 0.0,
             counters: Counters::default(),
@@ -121,7 +127,10 @@
     }
 
     /// Has other routers to keep what it takes on.
-    pub fn join(&mut self, fleet: Fleet) {
+    pub fn join(&mut self, mut fleet: Fleet) {
+        let gathering = fleet.gather.take().map(Gathering::new);
+        self.gathering =
+            gathering.and_then(|g| g.map_err(|e| log::error!("gathers are not taken: {e}")).ok());
         self.fleet = Some(fleet);
     }
 
--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -25,6 +25,7 @@
     /// A purge, from whomever it was heard.
     pub(super) fn heed(&mut self, object: Option<ObjectId>, group: GroupId, time: Ms) {
         self.counters.log.purges.one();
+        self.gather_purged(object, group, time);
         self.tell(Event::Purged(group, object, (self.now - time).max(0.0)));
         let named = |o: &Open| match object {
             Some(object) => o.request.object == object,
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -9,6 +9,7 @@
 use crate::outbox::Counted;
 use basaltgw::api::{ClassId, Effect, End, Event, GroupId, Ms, ObjectId};
 use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Kind, Outcome, Verdict};
+use std::sync::Arc;
 
 /// What another router has out is asked after so often, until its outcome is known or the client's time is over.
 const LOOK_MS: Ms = 30.0;
@@ -100,9 +101,14 @@
                     self.heed(object, group, purge.time as Ms);
                 }
                 Told::PurgesKnown(known) => self.purges_known(known),
+                Told::Policies(policies) => {
+                    self.gathering.iter_mut().for_each(|g| g.policies = Arc::clone(&policies))
+                }
+                Told::Evidence(from, word) => self.gather_tell(basaltgw_gather::Event::Heard(from, word)),
                 Told::Table(version, hash) => log::info!("goes by table {} ({hash})", version.0),
             }
         }
+        self.gather_heard();
         if let Some(why) = self.fleet.as_mut().and_then(Fleet::lost) {
             self.fleet_lost(&why);
         }
@@ -124,13 +130,17 @@
             if !known {
                 log::warn!("purges of before this start can't be had: copies of before it are not served until they have settled");
                 let groups = 0..=crate::limits::MOST_GROUP;
-                groups.for_each(|g| self.tell(Event::Purged(GroupId(g), None, 0.0)));
+                groups.for_each(|g| {
+                    self.tell(Event::Purged(GroupId(g), None, 0.0));
+                    self.gather_purged(None, GroupId(g), self.now);
+                });
             }
         }
     }
 
     fn verdict(&mut self, ask: AskNo, verdict: Verdict) {
         let Some(no) = self.fleet.as_mut().and_then(|f| f.asks.remove(&ask)) else { return };
+        let Some(verdict) = self.gather_verdict(no, verdict) else { return };
         let Some(open) = self.requests.get_mut(no) else { return };
         match std::mem::take(&mut open.promise) {
             Promise::Ending { turn, body } => {
@@ -295,6 +305,6 @@
 
     /// Prints what the fleet counts.
     pub(super) fn fleet_words(&self) -> String {
-        self.fleet.as_ref().map(Fleet::words).unwrap_or_default()
+        self.fleet.as_ref().map(Fleet::words).unwrap_or_default() + &self.gather_words()
     }
 }
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -4,7 +4,7 @@
 use super::attempts::Attempt;
 use super::promise::Promise;
 use super::{name, Owner};
-use crate::caches::{AttemptKey, RequestNo};
+use crate::caches::{AttemptKey, CopyTag, RequestNo};
 use crate::clients::{Do, Reply, WireId};
 use crate::outbox::{Counted, Meter, Stage};
 use basaltgw::api::{AttemptNo, ClassId, Event, Ms, Request};
@@ -24,6 +24,8 @@
     pub attempts: Vec<Attempt>,
     /// How far it is with the fleet.
     pub promise: Promise,
+    /// The copy that it is answered with.
+    pub copy: Option<CopyTag>,
 }
 
 impl Open {
@@ -101,9 +103,14 @@
         self.open.iter().filter(|(_, o)| !o.answered && unsent(o)).map(|(no, _)| *no).collect()
     }
 
-    fn insert(&mut self, mut asked: Asked, meter: &Rc<Meter>) -> RequestNo {
+    /// A number that no other request has.
+    pub(super) fn number(&mut self) -> RequestNo {
         self.ever += 1;
-        let no = RequestNo(self.ever);
+        RequestNo(self.ever)
+    }
+
+    fn insert(&mut self, mut asked: Asked, meter: &Rc<Meter>) -> RequestNo {
+        let no = self.number();
         let body = Some(Counted::new(std::mem::take(&mut asked.request.body), &[meter]));
         let Asked { asker, class, request, deadline } = asked;
         self.ids.insert(request.id.clone());
@@ -116,17 +123,18 @@
             answered: false,
             attempts: Vec::new(),
             promise: Promise::None,
+            copy: None,
         };
         self.open.insert(no, open);
         no
     }
 
     /// Its answer is given, or owed no longer; who is to have it, unless it was so before.
-    fn settle(&mut self, no: RequestNo) -> Option<Asker> {
+    fn settle(&mut self, no: RequestNo) -> Option<(Asker, Option<CopyTag>)> {
         let open = self.open.get_mut(&no).filter(|o| !o.answered)?;
         open.answered = true;
         open.body = None;
-        Some(open.asker)
+        Some((open.asker, open.copy.take()))
     }
 
     fn forget(&mut self, no: RequestNo) {
@@ -179,8 +187,8 @@
     }
 
     pub(super) fn pay_out(&mut self, no: RequestNo, reply: Reply<'_>) {
-        let Some(asker) = self.requests.settle(no) else { return };
-        if self.pay(asker, reply) {
+        let Some((asker, copy)) = self.requests.settle(no) else { return };
+        if self.pay(asker, reply, copy) {
             self.counters.clients.answered(&reply);
         }
         self.forget(no);
@@ -188,9 +196,12 @@
 
     /// The asker waits no longer.
     pub(super) fn left(&mut self, no: RequestNo) {
+        if self.gather_left(no) {
+            return;
+        }
         let told = self.requests.get(no).is_some_and(|o| o.promise.begun());
-        if self.requests.settle(no).is_some() {
-            self.counters.clients.left.one();
+        if let Some((asker, _)) = self.requests.settle(no) {
+            self.counters.clients.left.more(matches!(asker, Asker::Client(..)).into());
             if told {
                 self.tell(Event::ClientLeft(name(no)));
             }
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -133,6 +133,8 @@
         size_kb: 0.0,
         left: 60_000.0,
         got: None,
+        parts: None,
+        debt: None,
         body: Vec::new(),
     };
     Input::Client(CLIENT, FromClient::Do(Tag(tag), Box::new(request)), owner.clock.now())
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -150,7 +150,7 @@
         assert_eq!(read(&["a", word, "-"]).map(|a| a.end), Some(Some(end)));
     }
     assert_eq!(read(&["a", "who knows", "-", ""]).map(|a| a.end), Some(Some(End::Error)), "it may have run");
-    let untold = read(&["a", "ok", "-", "bytes"]).map(|a| (a.end, a.copy));
+    let untold = read(&["a", "ok", "-", "bytes"]).map(|a| (a.end, a.copy.is_some()));
     assert_eq!(untold, Some((Some(End::Served), false)), "as writes are answered");
     for spoilt in [
         &["a"][..],
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -19,3 +19,11 @@
 pub fn router_by(config: &Value, line: &str) -> Process {
     Process::start_by(binary(), config, line).expect("a router that listens")
 }
+
+/// As `until`, with something to do in between.
+pub fn until_asked(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = std::time::Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/gather.rs
@@ -0,0 +1,177 @@
+//! Requests for several parts at three routers in three branches: whole, in part with a debt that another router pays, never split where an
+//! effect could run twice, and nothing of it where it is off.
+
+mod common;
+
+use basaltgw_emulator::rig::files::{name, own};
+use basaltgw_emulator::rig::Spec;
+use common::*;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const RULES: &str = "holds { shards 16 copies 3 spread machines }\nroot { copies 3 spread machines }\n\
+                     gather class pages { at least 50% of parts  wait 300 ms  missing owed }\n";
+
+/// Three routers, each before a cache of its own branch.
+struct Three {
+    spec: Spec,
+    listen: Vec<SocketAddr>,
+    routers: Vec<Option<Process>>,
+    caches: Vec<Cache>,
+    log: ChangeLog,
+    dir: TempDir,
+}
+
+/// What the caches of a branch give for a part: all of one version.
+fn bytes(part: &str, branch: &str) -> Vec<u8> {
+    format!("{part} of {branch};").into_bytes()
+}
+
+impl Three {
+    fn start(gather: bool) -> Self {
+        let spec = Spec { gather, rules: Some(RULES.into()), ..Spec::new(binary(), 3) };
+        let born = unix_ms();
+        let cache = |r: usize| {
+            let branch = spec.places[r].branch.clone();
+            Cache::start(move |s| {
+                let fields = format!("ver=v1,born={born},note=hit,waited=0");
+                Do::OkWith(0, fields, bytes(s.field("p").unwrap_or("?"), &branch))
+            })
+        };
+        let caches = (0..3).map(cache).collect();
+        let port = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let dir = TempDir::new().expect("a folder");
+        let (listen, routers) = ((0..3).map(|_| port()).collect(), vec![None, None, None]);
+        let mut three = Self { spec, listen, routers, caches, log: ChangeLog::start(), dir };
+        (0..3).for_each(|r| three.begin(r));
+        (0..3).for_each(|r| three.serves(r));
+        until("all are met, and a table is adopted", || {
+            (0..3).all(|r| {
+                let router = three.routers[r].as_ref().expect("a router");
+                router.counter("peers_up") == 2 && router.counter("table_version") >= 1
+            })
+        });
+        three
+    }
+
+    fn begin(&mut self, r: usize) {
+        let home = self.dir.path().join(name(r));
+        let (folder, rules) = (home.join("lasting"), self.dir.path().join("fleet.rules"));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(&rules, RULES).expect("rules");
+        let cache = &self.caches[r];
+        let mut config = configuration(&three(cache, cache, cache), self.log.address);
+        config["name"] = json!(name(r));
+        config["settings"]["peers-total"] = json!(3);
+        let peers: Vec<_> = (0..3).filter(|p| *p != r).map(|p| (p, self.listen[p])).collect();
+        let text = own(&self.spec, r, self.listen[r], &folder, Some(&rules), &peers);
+        let router = Process::start_in(binary(), &home, r, &config, &text).expect("a router");
+        self.routers[r] = Some(router);
+    }
+
+    fn serves(&self, r: usize) {
+        let mut client = self.router(r).client();
+        until_asked("it serves", || {
+            client.say("PING", 999_999);
+            client.must().word == "serving"
+        });
+    }
+
+    fn router(&self, r: usize) -> &Process {
+        self.routers[r].as_ref().expect("a router that runs")
+    }
+}
+
+#[test]
+fn parts_of_three_branches_are_one_answer() {
+    let three = Three::start(true);
+    let mut client = three.router(0).client();
+    client.ask(1, "pages", 7, ",parts=3@east+0+1@south", b"");
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str()), (1, "200"), "{got:?}");
+    let parts = [bytes("3", "east"), bytes("0", "north"), bytes("1", "south")];
+    assert_eq!(got.body, parts.concat());
+    let [a, b, c] = parts.map(|p| p.len());
+    assert_eq!(got.fields, format!("parts=3:{a}+0:{b}+1:{c}"));
+    assert_eq!(client.settle(), []);
+    for (r, part) in [(0, "0"), (1, "1"), (2, "3")] {
+        let seen = three.caches[r].all();
+        assert!(seen.iter().all(|s| s.field("p") == Some(part)) && !seen.is_empty(), "{seen:?}");
+    }
+    assert_eq!(three.router(0).counter("gathers_whole"), 1);
+    assert_eq!(three.router(1).counter("parts_given") + three.router(2).counter("parts_given"), 2);
+    // What can't be read, and a branch that the fleet has not, are no request.
+    for (tag, wrong) in [(2, "0+0"), (3, "0@nowhere"), (4, "x")] {
+        client.ask(tag, "pages", 7, &format!(",parts={wrong}"), b"");
+        assert_eq!(client.must().word, "500", "{wrong}");
+    }
+    assert_eq!(three.router(0).counter("gathers"), 1);
+}
+
+#[test]
+fn a_lost_branch_is_named_and_owed_and_another_router_pays() {
+    let mut three = Three::start(true);
+    three.routers[2] = None;
+    let mut client = three.router(0).client();
+    let begun = Instant::now();
+    client.ask(1, "pages", 9, ",parts=0+1@south+2@east", b"");
+    let got = client.must();
+    assert_eq!(got.word, "206", "{got:?}");
+    assert!(begun.elapsed() < Duration::from_millis(3_000), "long before the deadline");
+    assert_eq!(got.field("missing").as_deref(), Some("2"));
+    assert_eq!(got.body, [bytes("0", "north"), bytes("1", "south")].concat());
+    assert!(got.field("w").is_some());
+    let debt = got.field("debt").expect("a debt");
+    assert_eq!(three.router(0).counter("debts_kept"), 1);
+    // What is not owed under it is not given under it.
+    let mut other = three.router(1).client();
+    other.ask(1, "pages", 9, &format!(",parts=1,debt={debt}"), b"");
+    assert_eq!(other.must().word, "500");
+    other.ask(2, "pages", 10, &format!(",parts=2@east,debt={debt}"), b"");
+    assert_eq!(other.must().word, "500");
+    three.begin(2);
+    three.serves(2);
+    let mut other = three.router(1).client();
+    let mut tag = 0;
+    let mut ask = || {
+        tag += 1;
+        other.ask(tag, "pages", 9, &format!(",parts=2@east,debt={debt}"), b"");
+        other.must()
+    };
+    let mut paid = None;
+    until_asked("the rest is had", || {
+        let got = ask();
+        paid = (got.word == "200").then_some(got.body);
+        paid.is_some()
+    });
+    assert_eq!(paid, Some(bytes("2", "east")));
+    until_asked("the debt is over", || ask().word == "500");
+    assert!(three.router(1).counter("debts_paid") >= 1);
+}
+
+#[test]
+fn what_may_not_run_twice_is_never_split() {
+    let three = Three::start(true);
+    let mut client = three.router(0).client();
+    client.ask(1, "loan", 7, ",parts=0+1@south", b"");
+    assert_eq!(client.must().word, "500");
+    client.ask(2, "loan", 7, ",parts=0+1", b"borrow");
+    assert_eq!(client.must().word, "500");
+    assert_eq!(client.settle(), []);
+    assert!(three.caches.iter().all(|c| c.all().is_empty()));
+    assert_eq!(three.router(0).counter("gathers_failed"), 1);
+}
+
+#[test]
+fn where_it_is_off_the_field_means_nothing() {
+    let three = Three::start(false);
+    let mut client = three.router(0).client();
+    client.ask(1, "pages", 7, ",parts=0+1@south", b"");
+    let got = client.must();
+    assert_eq!((got.word.as_str(), got.fields.as_str()), ("200", ""), "{got:?}");
+    assert_eq!(got.body, bytes("0", "north"));
+    assert!(three.caches[1].all().is_empty());
+    assert!(!three.router(0).text().contains("gathers="));
+}
--- a/crates/node/tests/tree.rs
+++ b/crates/node/tests/tree.rs
@@ -108,14 +108,6 @@
     assert_eq!(router.counter("plans_refused"), 0);
 }
 
-/// As `until`, with something to do in between.
-fn until_asked(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = std::time::Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < PATIENCE, "never: {what}");
-    }
-}
-
 #[test]
 fn the_old_file_put_back_takes_a_change_back_that_is_under_way() {
     let edge = Cache::start(filled);
