--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -10,6 +10,7 @@
 use crate::outbox::Counted;
 use basaltgw::api::{ClassId, Effect, End, Event, GroupId, Ms, ObjectId};
 use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Kind, Outcome, Verdict};
+use std::sync::Arc;
 
 /// What another router has out is asked after so often, until its outcome is known or the client's time is over.
 const LOOK_MS: Ms = 30.0;
@@ -111,9 +112,14 @@
                     self.heed(object, group, purge.time as Ms);
                 }
                 Told::PurgesKnown(known) => self.purges_known(known),
+                Told::Policies(policies) => {
+                    self.gathering.iter_mut().for_each(|g| g.policies = Arc::clone(&policies))
+                }
+                Told::Evidence(from, word) => self.gather_tell(basaltgw_gather::Event::Heard(from, word)),
                 Told::Table(version, hash) => log::info!("goes by table {} ({hash})", version.0),
             }
         }
+        self.gather_heard();
         if let Some(why) = self.fleet.as_mut().and_then(Fleet::lost) {
             self.fleet_lost(&why);
         }
@@ -135,7 +141,10 @@
             if !known {
                 log::warn!("purges of before this start can't be had: copies of before it are not served until they have settled");
                 let groups = 0..=crate::limits::MOST_GROUP;
-                groups.for_each(|g| self.tell(Event::Purged(GroupId(g), None, 0.0)));
+                groups.for_each(|g| {
+                    self.tell(Event::Purged(GroupId(g), None, 0.0));
+                    self.gather_purged(None, GroupId(g), self.now);
+                });
             }
         }
     }
@@ -143,6 +152,8 @@
     fn verdict(&mut self, ask: AskNo, verdict: Verdict) {
         let Some(fleet) = &mut self.fleet else { return };
         let Some((no, key)) = fleet.asks.remove(&ask) else { return };
+        let Some(verdict) = self.gather_verdict(no, verdict) else { return };
+        let Some(fleet) = &mut self.fleet else { return };
         let waits = |open: &Open| !matches!(open.promise, Promise::Over);
         let Some(open) = self.requests.get_mut(no).filter(|o| waits(o)) else {
             // Nobody waits for it any more. What was taken for a client that has left is given back: it was never sent.
@@ -318,6 +329,6 @@
 
     /// Prints what the fleet counts.
     pub(super) fn fleet_words(&self) -> String {
-        self.fleet.as_ref().map(Fleet::words).unwrap_or_default()
+        self.fleet.as_ref().map(Fleet::words).unwrap_or_default() + &self.gather_words()
     }
 }
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -134,6 +134,8 @@
         left: 60_000.0,
         got: None,
         again: false,
+        parts: None,
+        debt: None,
         body: Vec::new(),
     };
     Input::Client(CLIENT, FromClient::Do(Tag(tag), Box::new(request)), owner.clock.now())
