A promise without a verdict in its time is answered without it: the disk may stand still, clients may not

Change: the owner has a timer of its own for each promise asked for, a few ms after the promise's time. What was to be taken is turned away (in doubt, where the client has presented it elsewhere) and given back as soon as that can be; what was served is answered, and goes on being put down. Counter `stalled`.

--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -45,6 +45,8 @@
     pub in_doubt: u64,
     /// Served here, but failed since others had taken over.
     pub fenced: u64,
+    /// Answered without a verdict, since the copies' thread stood still.
+    pub stalled: u64,
     /// Changes and purges for which the ring had no room.
     pub ring_full: u64,
     /// Messages of other routers that were not asked for.
@@ -122,15 +124,15 @@
         put
     }
 
-    /// Asks for a request; false if there is no room.
-    pub fn ask(&mut self, request: RequestNo, key: HoldKey, change: Change, within: Ms) -> bool {
+    /// Asks for a request; nothing if there is no room.
+    pub fn ask(&mut self, request: RequestNo, key: HoldKey, change: Change, within: Ms) -> Option<AskNo> {
         self.ever += 1;
         let no = AskNo(self.ever);
         let put = self.put(Question::Ask { no, key, change, within });
         if put {
             self.asks.insert(no, (request, key));
         }
-        put
+        put.then_some(no)
     }
 
     /// Puts down how something ended; nobody waits.
@@ -203,7 +205,11 @@
             c.promised, c.unkept, c.turned_away
         );
         let _ = write!(text, "looks={} told_again={} in_doubt={} ", c.looks, c.told_again, c.in_doubt);
-        let _ = write!(text, "fenced={} ring_full={} peers_unasked={} ", c.fenced, c.ring_full, c.unasked);
+        let _ = write!(
+            text,
+            "fenced={} stalled={} ring_full={} peers_unasked={} ",
+            c.fenced, c.stalled, c.ring_full, c.unasked
+        );
         if let Ok(shown) = self.shown.lock() {
             let _ = write!(text, "{shown}");
         }
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use basaltgw::api::{AttemptNo, Event, Ms};
 use basaltgw::rules::carry::Learnt;
+use basaltgw_holds::AskNo;
 use futures_lite::future;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -24,6 +25,7 @@
     Module(u64),
     Attempt(RequestNo, AttemptNo),
     Look(RequestNo),
+    Promise(RequestNo, AskNo),
     Gather,
 }
 
@@ -137,6 +139,7 @@
                 Due::Module(token) => self.tell(Event::Timer(token)),
                 Due::Attempt(no, n) => self.time_out((no, n)),
                 Due::Look(no) => self.look(no),
+                Due::Promise(no, ask) => self.stalled(no, ask),
                 Due::Gather => self.gather_due(),
             }
         }
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -16,6 +16,9 @@
 const LOOK_MS: Ms = 30.0;
 /// So much of a request's time is left for its answer to be written, once its promise is waited for no longer.
 const SPARE_MS: Ms = 15.0;
+/// A verdict is due by its time; the copies' thread may wait for a disk that stands still, and the client may not wait for that. No more than
+/// [`SPARE_MS`], so that it is answered before its own time is over.
+const STALLED_MS: Ms = 8.0;
 /// A process that has not come to its queues for so long may have been stopped, and others may have taken over what it held: what
 /// it has not sent yet it gives back instead.
 const STOPPED_MS: Ms = 750.0;
@@ -83,8 +86,13 @@
         open.promise = Promise::Asked;
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
         let change = Change::Take(fleet.me.clone());
-        let asked = within > 0.0 && fleet.ask(no, effect(&open.request.id), change, within);
-        if !asked {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, effect(&open.request.id), change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
+        } else {
             fleet.counters.turned_away += 1;
             let stay_away = fleet.terms.stay_away;
             self.not_taken(no, stay_away);
@@ -184,6 +192,29 @@
         }
     }
 
+    /// The time for a verdict is over, and none has come: the copies' thread stands still. The verdict that comes later finds nobody.
+    pub(super) fn stalled(&mut self, no: RequestNo, ask: AskNo) {
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.asks.contains_key(&ask)) else { return };
+        let Some(open) = self.requests.get_mut(no) else { return };
+        match std::mem::take(&mut open.promise) {
+            Promise::Asked | Promise::Elsewhere => {
+                fleet.counters.stalled += 1;
+                fleet.give_back(effect(&open.request.id));
+                open.promise = Promise::Over;
+                let stay_away = fleet.terms.stay_away;
+                self.not_taken(no, stay_away);
+            }
+            Promise::Ending { turn, body } => {
+                // It was served; that goes on being put down.
+                fleet.counters.stalled += 1;
+                fleet.put_down(effect(&open.request.id), turn, fleet.outcome(body.bytes()));
+                open.promise = Promise::Over;
+                self.pay_out(no, Reply::Served(body.bytes()));
+            }
+            other @ (Promise::None | Promise::Mine { .. } | Promise::Over) => open.promise = other,
+        }
+    }
+
     /// What came of asking the keepers to take a request, or how it stands.
     fn taken(&mut self, no: RequestNo, verdict: Verdict) {
         let Some(fleet) = &mut self.fleet else { return };
@@ -246,7 +277,13 @@
         }
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
         let change = Change::Take(fleet.me.clone());
-        if within <= 0.0 || !fleet.ask(no, effect(&open.request.id), change, within) {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, effect(&open.request.id), change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
+        } else {
             // It may run at the other router: whoever waits is not invited to repeat it.
             fleet.counters.in_doubt += 1;
             self.answer(no, Reply::Failed);
@@ -276,8 +313,13 @@
         let outcome = fleet.outcome(bytes);
         let change = Change::Done(fleet.me.clone(), turn, outcome.clone());
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
-        if within > 0.0 && fleet.ask(no, key, change, within) {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, key, change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
             open.promise = Promise::Ending { turn, body: Counted::new(bytes.to_vec(), &[&self.meter]) };
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
             return true;
         }
         fleet.put_down(key, turn, outcome);
