--- a/crates/node/src/fleet/table/mod.rs
+++ b/crates/node/src/fleet/table/mod.rs
@@ -27,6 +27,8 @@
     Keep(u64, Vec<u8>),
     /// Go by this map.
     Map(Arc<ShardMap>),
+    /// Go by this map while the fleet is being founded.
+    Found(Arc<ShardMap>),
     /// Ask for a change of the register.
     Ask(HoldKey, Change, Ms),
     /// Say something to all that are reached.
@@ -87,6 +89,8 @@
     offered: Ms,
     /// The members of which the last table was made; with these alone no other is offered.
     considered: BTreeSet<Member>,
+    /// The members of whom none could be made.
+    failed: Option<BTreeSet<Member>>,
     /// The rules of the last table offered here.
     rules_offered: bool,
     /// When the register last changed, and what is open was last asked for.
@@ -113,6 +117,7 @@
             offers: 0,
             offered: 0.0,
             considered: BTreeSet::new(),
+            failed: None,
             rules_offered: true,
             changed: 0.0,
             again: 0.0,
@@ -144,6 +149,11 @@
         self.map.as_ref().filter(|_| self.stands.is_some()).map(|m| (m.version, m.hash))
     }
 
+    /// The table that stands, once there is one.
+    pub fn table(&self) -> Option<&Table> {
+        self.adoption.register().map(Register::table)
+    }
+
     /// The register as it stands here.
     pub fn register(&self) -> Option<(u64, Vec<u8>)> {
         self.stands.clone()
@@ -241,7 +251,9 @@
                 Action::Use(map) => {
                     let map = later(&map);
                     self.map = Some(Arc::clone(&map));
-                    steps.push(Step::Map(map));
+                    // A map by which a fleet is only being founded is nobody's table yet.
+                    let founding = self.stands.is_none();
+                    steps.push(if founding { Step::Found(map) } else { Step::Map(map) });
                 }
                 Action::Say { turn, filled } => {
                     let word = if filled { Word::Filled { turn } } else { Word::Checked { turn } };
--- a/crates/placement/src/compile.rs
+++ b/crates/placement/src/compile.rs
@@ -3,7 +3,7 @@
 use crate::ast::Item;
 use crate::body::{Body, Keeper, Origin, MOST_TABLE};
 use crate::check::Check;
-use crate::fault::{found, line_column, At, Fault, Found};
+use crate::fault::{found, line_column, At, Fault, Found, INVENTORY};
 use crate::gather::gathers;
 use crate::homes::homes;
 use crate::keep::{aparts, want, Apart, Want};
@@ -28,12 +28,14 @@
 pub const MOST_CACHES: usize = 16_384;
 /// The most routers by which a fleet is founded, since each must agree.
 pub const MOST_FOUNDERS: usize = 64;
+/// The most faults that are shown: more are no help, and each costs a look through its file.
+const MOST_FAULTS: usize = 100;
 /// Shards of a fleet whose founding rules name no number: a router of 30 keeps about 26, and a move goes by 1 in 256.
 const USUAL_SHARDS: usize = 256;
 
 /// A fault of no line.
 fn general(message: String) -> Found {
-    Found { message, help: None, labels: Vec::new() }
+    Found { whole: INVENTORY, message, help: None, labels: Vec::new() }
 }
 
 /// The inventory in the order of names, whatever the caller's; faults what has no place in one.
@@ -85,7 +87,7 @@
             "rules of {bytes} bytes in {} files; expected at most {MOST_TEXT} in {MOST_FILES}",
             files.len()
         );
-        return Err(vec![general(what)]);
+        return Err(vec![Found { whole: "rules", ..general(what) }]);
     }
     let (mut items, mut faults) = (Vec::new(), Vec::new());
     for (i, (_, text)) in files.iter().enumerate() {
@@ -94,7 +96,8 @@
         faults.extend(bad);
     }
     if items.len() > MOST_RULES {
-        faults.push(general(format!("{} rules; expected at most {MOST_RULES}", items.len())));
+        let what = format!("{} rules; expected at most {MOST_RULES}", items.len());
+        faults.push(Found { whole: "rules", ..general(what) });
     }
     if faults.is_empty() {
         Ok(items)
@@ -250,7 +253,7 @@
         gathers,
     };
     Table::new(body).map_err(|bad| {
-        let mut fault = general(format!("the rules come to {bad}"));
+        let mut fault = Found { whole: "rules", ..general(format!("they come to {bad}")) };
         fault.help = Some(format!("fewer shards or fewer named caches make it fit {MOST_TABLE} bytes"));
         vec![fault]
     })
@@ -305,10 +308,14 @@
         let items = read(files)?;
         build(files, &items, &inventory, before)
     };
-    all().map_err(|faults: Vec<Found>| {
+    all().map_err(|mut faults: Vec<Found>| {
+        faults.sort_by_key(|f| f.labels.first().map(|l| l.0));
+        let more = faults.len().saturating_sub(MOST_FAULTS);
+        faults.truncate(MOST_FAULTS);
+        if more > 0 {
+            faults.push(Found { whole: "rules", ..general(format!("{more} more faults are not shown")) });
+        }
         let mut faults: Vec<Fault> = faults.into_iter().map(|f| f.placed(files)).collect();
-        let place = |f: &Fault| f.labels.first().map(|l| l.0);
-        faults.sort_by_key(place);
         faults.dedup();
         faults
     })
