--- a/crates/peers/tests/on_loopback/links.rs
+++ b/crates/peers/tests/on_loopback/links.rs
@@ -19,8 +19,7 @@
         assert_eq!(up(port, &a.me), hello("a", 1));
     }
     for no in 0..50u64 {
-        for (lane, long) in
-            [(Lane::Gather, 10), (Lane::Roster, 0), (Lane::Holds, 100), (Lane::Table, 50_000)]
+        for (lane, long) in [(Lane::Gather, 10), (Lane::Roster, 0), (Lane::Holds, 100), (Lane::Table, 50_000)]
         {
             send(&mut a.owner, no, &b.me, lane, &vec![no as u8; long]);
             send(&mut b.copies, no, &a.me, lane, &vec![no as u8; long]);
