A wiped machine is waited for by the epochs of those that tell theirs

After a restart a router prints no epoch before the table's next change, and the wait for made-up copies took that for another table.

Failed: two refusals of checkouts that had run, and one disk not made up in 10 s.

--- a/crates/emulator/src/rig/whole.rs
+++ b/crates/emulator/src/rig/whole.rs
@@ -96,10 +96,11 @@
         Err(format!("the fleet is not founded after {patience:?}, epochs by router: {:?}", self.epochs()))
     }
 
-    /// The epochs of the tables by which routers go.
+    /// The epochs of the tables by which routers go, of those that tell: after a restart one tells none before the table's next change.
     pub fn epochs(&self) -> BTreeMap<usize, u64> {
         let running = (0..self.len()).filter(|r| self.seats[*r].goes_on());
-        running.map(|r| (r, self.count(r, "table_epoch") as u64)).collect()
+        let all = running.map(|r| (r, self.count(r, "table_epoch") as u64));
+        all.filter(|(_, epoch)| *epoch > 0).collect()
     }
 
     fn count(&self, router: usize, name: &str) -> f64 {
