--- a/crates/emulator/src/rig/load.rs
+++ b/crates/emulator/src/rig/load.rs
@@ -115,7 +115,8 @@
         Some(all.len() - 1)
     }
 
-    fn ask(&mut self, router: usize, id: String, about: &About, tries: u32) {
+    /// `beside`: it is presented to another router at once.
+    fn ask(&mut self, router: usize, id: String, about: &About, (tries, beside): (u32, bool)) {
         let Some(at) = self.caller(router) else {
             self.told.not_asked += 1;
             return;
@@ -123,6 +124,7 @@
         let (caller, asks) = &mut self.callers[router][at];
         let within = self.load.within_ms;
         let ask = match about {
+            About::Checkout if beside => caller.checkout_beside(&id, within),
             About::Checkout => caller.checkout(&id, within),
             About::Read(object) => caller.read(&id, *object, within),
         };
@@ -161,7 +163,7 @@
         self.later.extend(again);
         let due: Vec<_> = self.later.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, router, id, tries) in due {
-            self.ask(router, id, &About::Checkout, tries);
+            self.ask(router, id, &About::Checkout, (tries, false));
         }
     }
 
@@ -201,15 +203,15 @@
         let total = self.load.checkouts_per_s + self.load.reads_per_s;
         if draw(&mut self.rng) * total < self.load.checkouts_per_s {
             let twice = draw(&mut self.rng) < self.load.twice;
-            self.ask(router, id.clone(), &About::Checkout, 1);
+            self.ask(router, id.clone(), &About::Checkout, (1, twice));
             if twice {
                 let other = (router + 1 + self.pick(routers - 1)) % routers;
                 // The second presentation is another client's, which presents it no further.
-                self.ask(other, id, &About::Checkout, MOST_TRIES);
+                self.ask(other, id, &About::Checkout, (MOST_TRIES, true));
             }
         } else {
             let object = 1 + self.pick(self.load.objects.max(1) as usize) as u64;
-            self.ask(router, id, &About::Read(object), 1);
+            self.ask(router, id, &About::Read(object), (1, false));
         }
     }
 }
--- a/crates/node/src/fleet/copies/out.rs
+++ b/crates/node/src/fleet/copies/out.rs
@@ -118,6 +118,10 @@
         {
             self.purge_heard(purge);
         }
+        if self.parts.table.register().is_none() {
+            // Whoever has one may not have heard the first time, or had none then.
+            self.say_all(&Word::TableWanted);
+        }
         let steps = self.parts.table.tick(now);
         self.steps(now, steps);
         self.started(now);
