Holds: a new keeper whose disk takes nothing is not filled, tested

Need: with the rule that filling ends only once the keeper has the hold itself taken out, no test failed.

Change: a test in which the new keeper's disk is full while the others are enough.

--- a/crates/holds/tests/moves.rs
+++ b/crates/holds/tests/moves.rs
@@ -132,3 +132,20 @@
     assert!(net.run_until(5_000.0, |net| (3..6).all(|r| net.filled.contains(&(r, None)))));
     assert!((3..6).all(|r| net.nodes[r].holds.as_ref().is_some_and(|h| h.stands(&effect(1)).is_some())));
 }
+
+#[test]
+fn a_new_keeper_whose_disk_takes_nothing_is_not_filled() {
+    let mut net = Net::new(4, 1, 3, 7);
+    let old = of(&net, &[0, 1, 2]);
+    assert!(net.go_over(&old, 5_000.0));
+    assert!((0..5).all(|name| take(&mut net, 0, name)));
+    let [both, _] = net::joint(&net.map, &of(&net, &[0, 1, 3]));
+    net.nodes[3].disk_full = true;
+    net.filled.clear();
+    net.adopt(both, 5.0);
+    // The others are enough for each promise, but it has no copy.
+    assert!(!net.run_until(2_000.0, |net| net.filled.contains(&(3, None))));
+    net.nodes[3].disk_full = false;
+    assert!(net.run_until(5_000.0, |net| net.filled.contains(&(3, None))));
+    assert!((0..5).all(|n| net.nodes[3].holds.as_ref().is_some_and(|h| h.stands(&effect(n)).is_some())));
+}
