--- a/crates/node/src/owner/gather.rs
+++ b/crates/node/src/owner/gather.rs
@@ -61,7 +61,15 @@
     /// It is with the decisions.
     Out,
     /// Its answer waits until what it owes is kept.
-    Owing { debt: Debt, said: Gathered, held: Vec<Counted>, decided: Ms },
+    Owing(Box<Owing>),
+}
+
+/// An answer that waits for its debt.
+struct Owing {
+    debt: Debt,
+    said: Gathered,
+    held: Vec<Counted>,
+    decided: Ms,
 }
 
 /// A client's request for several parts.
--- a/crates/node/src/owner/gather/answers.rs
+++ b/crates/node/src/owner/gather/answers.rs
@@ -103,7 +103,7 @@
             Stage::Looking => {}
             Stage::Out => self.gather_tell(Event::Left(no)),
             // Nobody was told of it.
-            Stage::Owing { debt, .. } => self.debt_ends(&debt),
+            Stage::Owing(owing) => self.debt_ends(&owing.debt),
         }
         true
     }
--- a/crates/node/src/owner/gather/debts.rs
+++ b/crates/node/src/owner/gather/debts.rs
@@ -1,6 +1,6 @@
 //! What answers in part owe: a hold each, kept before it is said, and known at whichever router is asked for the rest.
 
-use super::{Counted, GatherNo, Gathered, Owner, Stage};
+use super::{Counted, GatherNo, Gathered, Owing, Owner, Stage};
 use crate::caches::RequestNo;
 use crate::clients::Reply;
 use crate::fleet::start::draw;
@@ -58,7 +58,7 @@
         let debt = Debt { name: draw(), object: open.request.object.0, version, missing };
         let (name, object, version) = (debt.name, debt.object, Arc::clone(&debt.version));
         let change = Change::Owe { object, version, missing: debt.missing.clone() };
-        open.stage = Stage::Owing { debt, said, held, decided: self.now };
+        open.stage = Stage::Owing(Box::new(Owing { debt, said, held, decided: self.now }));
         if !self.debt_asked(no, name, change) {
             self.debt_said(no, false);
         }
@@ -68,10 +68,8 @@
     fn debt_said(&mut self, no: GatherNo, kept: bool) {
         let Some(g) = &mut self.gathering else { return };
         let Some(open) = g.open.get_mut(&no) else { return };
-        let Stage::Owing { debt, mut said, held, decided } = std::mem::replace(&mut open.stage, Stage::Out)
-        else {
-            return;
-        };
+        let Stage::Owing(owing) = std::mem::replace(&mut open.stage, Stage::Out) else { return };
+        let Owing { debt, mut said, held, decided } = *owing;
         // What is not kept is missing all the same, but not owed.
         said.debt = kept.then_some(debt.name);
         match kept {
@@ -89,7 +87,7 @@
         };
         match &open.stage {
             Stage::Looking => self.debt_found(no, verdict),
-            Stage::Owing { .. } => self.debt_said(no, matches!(verdict, Verdict::Kept(Hold::Debt { .. }))),
+            Stage::Owing(_) => self.debt_said(no, matches!(verdict, Verdict::Kept(Hold::Debt { .. }))),
             Stage::Out => {}
         }
         None
