Parts that come while memory is short are dropped; a debt's version and object are tested

Links between routers are not held up by the memory's meter as connections are, so a part that comes while too much is held counts as failed (parts_no_room). Times to come back are told within what the other side reads.

--- a/crates/node/src/owner/gather.rs
+++ b/crates/node/src/owner/gather.rs
@@ -44,6 +44,8 @@
     pub wanted: u64,
     pub unreached: u64,
     pub given: u64,
+    /// Parts that came and were dropped for want of memory.
+    pub no_room: u64,
     /// Words of other routers that can't be read or were not asked for, and words to them for which there was no room.
     pub strange: u64,
     pub unsent: u64,
@@ -338,7 +340,8 @@
             " parts_wanted={} parts_unreached={} parts_given={}",
             c.wanted, c.unreached, c.given
         );
-        let _ = write!(text, " gather_words_strange={} gather_words_unsent={}", c.strange, c.unsent);
+        let _ = write!(text, " parts_no_room={} gather_words_strange={}", c.no_room, c.strange);
+        let _ = write!(text, " gather_words_unsent={}", c.unsent);
         let _ = write!(text, " debts_kept={} debts_unkept={}", c.debts_kept, c.debts_unkept);
         let _ = write!(text, " debts_paid={} debts_unknown={}", c.debts_paid, c.debts_unknown);
         text
--- a/crates/node/src/owner/gather/peers.rs
+++ b/crates/node/src/owner/gather/peers.rs
@@ -4,7 +4,7 @@
 use crate::caches::{CopyTag, RequestNo};
 use crate::clients::{Do, Reply, WireId};
 use crate::fleet::gather::{Brought, Want, Word};
-use crate::limits::COPY_TAG;
+use crate::limits::{COPY_TAG, LONGEST_WAIT_MS};
 use crate::owner::asker::Asker;
 use basaltgw::api::{Effect, GroupId, Ms, ObjectId, Part};
 use basaltgw_gather::{AttemptNo, Event, How, PartNo, Site};
@@ -240,7 +240,7 @@
                 Brought::Bytes { version, born, body: bytes.to_vec() }
             }
             (Reply::Served(_) | Reply::Same | Reply::Failed, _) => Brought::Failed,
-            (Reply::Refused(back), _) => Brought::Refused(back.max(0.0)),
+            (Reply::Refused(back), _) => Brought::Refused(back.clamp(0.0, LONGEST_WAIT_MS)),
         };
         g.counters.given += u64::from(matches!(what, Brought::Bytes { .. }));
         self.gather_have(served.to, now - served.since, purges, what);
--- a/crates/node/src/owner/gather/tries.rs
+++ b/crates/node/src/owner/gather/tries.rs
@@ -86,6 +86,11 @@
         purges: Vec<Purge>,
     ) {
         let meter = &self.meter;
+        if meter.held() > self.most_held {
+            // Links are not held up by what is held here, as connections are.
+            self.gathering.iter_mut().for_each(|g| g.counters.no_room += 1);
+            return self.gather_ended(key, How::Failed);
+        }
         let Some(one) = self.gathering.as_mut().and_then(|g| g.tries.get_mut(&key)) else { return };
         let len = bytes.len() as u64;
         (one.way, one.bytes) = (Way::Coming, Some(Counted::new(bytes, &[meter])));
--- a/crates/node/tests/gather.rs
+++ b/crates/node/tests/gather.rs
@@ -8,6 +8,8 @@
 use common::*;
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -20,11 +22,13 @@
     listen: Vec<SocketAddr>,
     routers: Vec<Option<Process>>,
     caches: Vec<Cache>,
+    /// The version that each branch's caches give.
+    versions: Vec<Arc<AtomicU64>>,
     log: ChangeLog,
     dir: TempDir,
 }
 
-/// What the caches of a branch give for a part: all of one version.
+/// What the caches of a branch give for a part.
 fn bytes(part: &str, branch: &str) -> Vec<u8> {
     format!("{part} of {branch};").into_bytes()
 }
@@ -33,10 +37,13 @@
     fn start(gather: bool) -> Self {
         let spec = Spec { gather, rules: Some(RULES.into()), ..Spec::new(binary(), 3) };
         let born = unix_ms();
+        let versions: Vec<Arc<AtomicU64>> = (0..3).map(|_| Arc::new(AtomicU64::new(1))).collect();
         let cache = |r: usize| {
+            let version = Arc::clone(&versions[r]);
             let branch = spec.places[r].branch.clone();
             Cache::start(move |s| {
-                let fields = format!("ver=v1,born={born},note=hit,waited=0");
+                let version = version.load(Ordering::SeqCst);
+                let fields = format!("ver=v{version},born={born},note=hit,waited=0");
                 Do::OkWith(0, fields, bytes(s.field("p").unwrap_or("?"), &branch))
             })
         };
@@ -44,7 +51,7 @@
         let port = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
         let dir = TempDir::new().expect("a folder");
         let (listen, routers) = ((0..3).map(|_| port()).collect(), vec![None, None, None]);
-        let mut three = Self { spec, listen, routers, caches, log: ChangeLog::start(), dir };
+        let mut three = Self { spec, listen, routers, caches, versions, log: ChangeLog::start(), dir };
         (0..3).for_each(|r| three.begin(r));
         (0..3).for_each(|r| three.serves(r));
         until("all are met, and a table is adopted", || {
@@ -131,6 +138,9 @@
     assert_eq!(other.must().word, "500");
     other.ask(2, "pages", 10, &format!(",parts=2@east,debt={debt}"), b"");
     assert_eq!(other.must().word, "500");
+    assert_eq!(three.router(1).counter("debts_unknown"), 2);
+    // It returns with another version, which does not go with what was given.
+    three.versions[2].store(2, Ordering::SeqCst);
     three.begin(2);
     three.serves(2);
     let mut other = three.router(1).client();
@@ -140,6 +150,11 @@
         other.ask(tag, "pages", 9, &format!(",parts=2@east,debt={debt}"), b"");
         other.must()
     };
+    until_asked("the other version is had", || {
+        assert_ne!(ask().word, "200");
+        three.caches[2].count() > 0
+    });
+    three.versions[2].store(1, Ordering::SeqCst);
     let mut paid = None;
     until_asked("the rest is had", || {
         let got = ask();
