--- a/crates/node/src/owner/gather.rs
+++ b/crates/node/src/owner/gather.rs
@@ -66,7 +66,7 @@
     Owing(Box<Owing>),
 }
 
-/// An answer that waits for its debt.
+/// An answer in part, before it is said.
 struct Owing {
     debt: Debt,
     said: Gathered,
--- a/crates/node/src/owner/gather/debts.rs
+++ b/crates/node/src/owner/gather/debts.rs
@@ -31,7 +31,7 @@
         let deadline = self.gathering.as_ref().and_then(|g| g.open.get(&no)).map_or(0.0, |o| o.deadline);
         let Some(fleet) = &mut self.fleet else { return false };
         let within = fleet.terms.promise.min(deadline - self.now - SPARE_MS);
-        within > 0.0 && fleet.ask(RequestNo(no.0), key(name), change, within)
+        within > 0.0 && fleet.ask(RequestNo(no.0), key(name), change, within).is_some()
     }
 
     /// A client asks for what is owed under this name.
--- a/crates/node/tests/gather.rs
+++ b/crates/node/tests/gather.rs
@@ -190,3 +190,24 @@
     assert!(three.caches[1].all().is_empty());
     assert!(!three.router(0).text().contains("gathers="));
 }
+
+#[test]
+fn a_silent_branch_is_not_waited_for_until_the_deadline_and_a_client_that_leaves_has_no_answer() {
+    let three = Three::start(true);
+    three.router(2).signal("STOP");
+    let mut client = three.router(0).client();
+    let begun = Instant::now();
+    client.ask(1, "pages", 9, ",parts=0+1@south+2@east", b"");
+    let got = client.must();
+    assert!(begun.elapsed() < Duration::from_millis(3_000), "long before the deadline");
+    assert_eq!((got.word.as_str(), got.field("missing").as_deref()), ("206", Some("2")), "{got:?}");
+    assert_eq!(three.router(0).counter("parts_wanted"), 2, "it was asked, on a link that was up");
+    // All is needed of a part alone, so that one waits.
+    client.ask(2, "pages", 9, ",parts=2@east", b"");
+    client.say("UNDO", 2);
+    let rest = client.settle();
+    assert!(rest.iter().all(|g| g.word != "200"), "{rest:?}");
+    let ended = |c: &str| three.router(0).counter(c);
+    assert_eq!(ended("gathers_left") + rest.len() as u64, 1);
+    three.router(2).signal("CONT");
+}
