A lost disk counts as made up when the table that replaces it holds, not when it stands still

At fault: `Rig::made_up`, which took equal epochs that did not change for 0.4 s for the end of the move; under load a step takes longer.

Change: it waits until all routers go by a later version, which changes only when the move is over. A router tells the version it goes by from its start, not from the next change. The test of a router that is stopped while it asks (stopped.rs) is in the program.

--- a/crates/emulator/src/rig/faults.rs
+++ b/crates/emulator/src/rig/faults.rs
@@ -217,8 +217,8 @@
 
     fn made_up(&mut self, router: usize, before: &BTreeMap<usize, u64>) {
         if self.rig.spec.fleet && !self.rig.made_up(router, before) {
-            let (now, holds) = (self.rig.epochs(), self.rig.counters(router).get("holds").copied());
-            let words = format!("what router {router}'s disk had is not made up again: epochs {before:?}, {now:?}, holds {holds:?}");
+            let (now, holds) = (self.rig.versions(), self.rig.counters(router).get("holds").copied());
+            let words = format!("what router {router}'s disk had is not made up again: versions {before:?}, {now:?}, holds {holds:?}");
             self.unmended.push(words);
         }
     }
@@ -233,7 +233,7 @@
         let words = |rig: &Rig| rig.fault(format!("{} between routers {a} and {b}", m.what.name()));
         match m.what {
             What::Kill | What::Wipe | What::Elsewhere => {
-                let before = self.rig.epochs();
+                let before = self.rig.versions();
                 let done = match m.what {
                     What::Wipe => self.rig.kill_wiped(a),
                     _ => {
@@ -355,7 +355,7 @@
         let heeded = (told + Limits::default().heed_ms).saturating_sub(self.rig.history.now());
         std::thread::sleep(Duration::from_millis(heeded));
         self.rig.logs.iter().for_each(|l| l.down.store(true, Ordering::SeqCst));
-        let epochs = self.rig.epochs();
+        let versions = self.rig.versions();
         let gone = self.rig.kill_wiped(a);
         self.unmended.extend(gone.err());
         (0..n).filter(|r| *r != a).for_each(|r| self.rig.kill(r));
@@ -367,7 +367,7 @@
             }
         }
         self.rig.logs.iter().for_each(|l| l.down.store(false, Ordering::SeqCst));
-        self.made_up(a, &epochs);
+        self.made_up(a, &versions);
         self.heals();
     }
 }
--- a/crates/node/src/fleet/copies/mod.rs
+++ b/crates/node/src/fleet/copies/mod.rs
@@ -201,6 +201,7 @@
         let known: Vec<Purge> = self.parts.purges.all().collect();
         known.into_iter().for_each(|p| self.tell(Told::Purge(p)));
         if let Some(map) = self.parts.table.map() {
+            (self.counts.table_version, self.counts.table_epoch) = (map.version.0, map.epoch);
             self.holds(now, holds::Event::Map(map));
         }
         self.policies();
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -7,4 +7,5 @@
 mod cuts;
 mod purges;
 mod replaced;
+mod stopped;
 mod trial;
--- a/crates/node/tests/fleet/trial.rs
+++ b/crates/node/tests/fleet/trial.rs
@@ -58,6 +58,11 @@
         self.end(caller.checkout(id, WITHIN))
     }
 
+    /// All that the routers have said.
+    pub fn said(&self) -> String {
+        self.rig.seats.iter().map(|s| s.text()).collect::<Vec<_>>().join("\n----\n")
+    }
+
     /// Presents new checkouts to a router until one is served; gives its id and bytes.
     pub fn comes_to_serve(&mut self, router: usize) -> (String, Vec<u8>) {
         let begun = std::time::Instant::now();
