Rules are compiled by check-config, shown by plan, and taken at SIGHUP

Need: an operator could not see what rules amount to before a fleet was started with them, and a running fleet took no others.

SIGHUP reads the file again: new rules alone that can be met go to the fleet, which adopts them as any other table; those that can't are refused and counted, and nothing changes. Any other change of the section is warned about and stays. A file without the section is treated as before.

--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -146,7 +146,9 @@
 
     /// New rules, by file name and text.
     pub fn rules(&mut self, name: String, text: String) {
-        self.put(Question::Rules(name, text));
+        if !self.put(Question::Rules(name, text)) {
+            log::warn!("the new rules are not offered: there is no room to ask for it");
+        }
     }
 
     /// The outcome as it is kept.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod outbox;
 pub mod owner;
+pub mod shown;
 pub mod shutdown;
 pub mod tree;
 
@@ -55,6 +56,8 @@
     Reloaded(bool),
     /// The project's own file was read again.
     Plan(Box<Hierarchy>),
+    /// New rules of the fleet, by file name and text.
+    Rules(String, String),
     /// The fleet's threads have told something.
     Fleet,
     /// The process was asked to end.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,9 +1,12 @@
 //! basaltgw: the router on sockets, from the command line.
 #![forbid(unsafe_code)]
 
-use basaltgw_config::{own_settings, read, Environment, NodeConfig};
+use basaltgw_config::fleet::Fleet;
+use basaltgw_config::{own_settings, read, Environment, NodeConfig, OwnSettings};
 use basaltgw_hierarchy::{steps, Cold, Plan, Settings, Tier};
+use basaltgw_node::shown::{self, Questions};
 use basaltgw_node::{serve, Own};
+use basaltgw_placement::Table;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -14,9 +17,12 @@
 
 Commands:
   serve          run the router until SIGTERM; SIGUSR1 prints its counters
-  check-config   read the configuration, say what is wrong with it, and end
-  plan FILE      check the plan of the cache tree in a settings file and show it, tier by tier
-      --from OLD     and the steps that lead to it from the plan in another
+  check-config   read the configuration, compile the fleet's rules, say what is wrong, and end
+  plan FILE      check what a settings file plans and show it: the cache tree tier by tier, the
+                 fleet's table with each router's shards
+      --from OLD     and what leads to it from another file: the tree's steps, the shards that move
+      --shard N      and who keeps a shard, and by which rule
+      --key CLASS:GROUP:OBJECT  and what rules leave for an object
   version        print the version
 
 Options:
@@ -33,7 +39,7 @@
 enum Command {
     Serve(Option<PathBuf>),
     CheckConfig(Option<PathBuf>),
-    Plan { file: PathBuf, from: Option<PathBuf> },
+    Plan { file: PathBuf, from: Option<PathBuf>, asked: Questions },
     Version,
     Help,
 }
@@ -49,8 +55,11 @@
         Some("check-config") => Command::CheckConfig(args.opt_value_from_str("--with").map_err(say)?),
         Some("plan") => {
             let from = args.opt_value_from_str("--from").map_err(say)?;
+            let shard = args.opt_value_from_str("--shard").map_err(say)?;
+            let key = args.opt_value_from_str::<_, String>("--key").map_err(say)?;
+            let key = key.map(|k| shown::key(&k)).transpose()?;
             let file = args.free_from_str().map_err(|_| "plan: expected a settings file".to_string())?;
-            Command::Plan { file, from }
+            Command::Plan { file, from, asked: Questions { shard, key } }
         }
         Some("version") => Command::Version,
         Some(other) => return Err(format!("unknown command {other:?}")),
@@ -72,15 +81,54 @@
     Ok(Own { file, settings: settings.unwrap_or_default() })
 }
 
-fn plan_of(file: &Path) -> Result<Plan, String> {
-    let own = own_settings(file, Settings::default().cold).map_err(|e| e.to_string())?;
-    let hierarchy = own.hierarchy.ok_or_else(|| format!("{}: hierarchy: expected a plan", file.display()))?;
-    Plan::check(hierarchy.plan).map_err(|e| format!("{}: {e}", file.display()))
+/// What a file plans, checked.
+struct Planned {
+    tree: Option<Plan>,
+    fleet: Option<Fleet>,
 }
 
-/// Shows a plan, and the steps to it.
-fn show(file: &Path, from: Option<&Path>) -> Result<(), String> {
-    let plan = plan_of(file)?;
+fn planned(file: &Path) -> Result<Planned, String> {
+    let OwnSettings { hierarchy, fleet, .. } =
+        own_settings(file, Settings::default().cold).map_err(|e| e.to_string())?;
+    let tree = hierarchy.map(|h| Plan::check(h.plan).map_err(|e| format!("{}: {e}", file.display())));
+    Ok(Planned { tree: tree.transpose()?, fleet })
+}
+
+fn table(set: &Fleet, before: Option<&Table>) -> Result<Table, String> {
+    shown::table(set, before)
+        .map_err(|faults| format!("fleet {}:\n{}", set.cluster, shown::faults(set, &faults)))
+}
+
+/// Shows what a file plans, and the way to it.
+fn show(file: &Path, from: Option<&Path>, asked: &Questions) -> Result<(), String> {
+    let new = planned(file)?;
+    let old = from.map(planned).transpose()?;
+    let expected = |file: &Path, what: &str| Err(format!("{}: expected {what}", file.display()));
+    if new.tree.is_none() && new.fleet.is_none() {
+        return expected(file, "a section hierarchy with a plan, or a section fleet");
+    }
+    if new.fleet.is_none() && !asked.none() {
+        return expected(file, "a section fleet, for --shard and --key");
+    }
+    if let (Some(from), Some(old)) = (from, &old) {
+        let both = new.tree.is_some() && old.tree.is_some() || new.fleet.is_some() && old.fleet.is_some();
+        if !both {
+            return expected(from, &format!("a section hierarchy or fleet as in {}", file.display()));
+        }
+    }
+    if let Some(tree) = &new.tree {
+        show_tree(tree, old.as_ref().and_then(|o| o.tree.as_ref()))?;
+    }
+    if let Some(set) = &new.fleet {
+        let before = old.as_ref().and_then(|o| o.fleet.as_ref()).map(|set| table(set, None)).transpose()?;
+        let made = table(set, before.as_ref())?;
+        print!("{}", shown::show(set, &made, before.as_ref(), asked));
+    }
+    Ok(())
+}
+
+/// Shows a plan of the tree, and the steps to it.
+fn show_tree(plan: &Plan, old: Option<&Plan>) -> Result<(), String> {
     println!("plan {}: {} nodes, no fault found", plan.version(), plan.nodes().len());
     for tier in 0..=8 {
         let of: Vec<_> = plan.nodes().iter().filter(|n| n.tier == Tier(tier)).collect();
@@ -90,11 +138,10 @@
             println!("tier {tier}: {} nodes: {}{more}", of.len(), shown.join(", "));
         }
     }
-    if let Some(from) = from {
-        let old = plan_of(from)?;
-        let steps = steps(&old, &plan, Settings::default().behind).map_err(|e| e.to_string())?;
+    if let Some(old) = old {
+        let steps = steps(old, plan, Settings::default().behind).map_err(|e| e.to_string())?;
         println!("from plan {}: {} steps", old.version(), steps.len());
-        let mut before = &old;
+        let mut before = old;
         for (i, step) in steps.iter().enumerate() {
             let changed =
                 |n: &&basaltgw_hierarchy::NodeSpec| before.node(&n.id).is_none_or(|o| o.sources != n.sources);
@@ -108,6 +155,19 @@
     Ok(())
 }
 
+/// Checks the configuration and the project's own file, the rules of a fleet with it.
+fn check(with: Option<PathBuf>) -> Result<(), String> {
+    let c = configuration()?;
+    if let Some(fault) = c.unread.first() {
+        return Err(fault.to_string());
+    }
+    let own = own(with, c.cold())?;
+    let made = own.settings.fleet.as_ref().map(|set| table(set, None).map(|t| (set, t))).transpose()?;
+    println!("{}: {} events known, listens at {}", c.name, c.known.len(), c.listen);
+    made.iter().for_each(|(set, table)| println!("{}", shown::title(set, table)));
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let log = env_logger::Env::new().filter_or("GW_LOG", "info");
     env_logger::Builder::from_env(log).format_timestamp(None).init();
@@ -127,13 +187,8 @@
             println!("basaltgw {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Plan { file, from } => show(&file, from.as_deref()),
-        Command::CheckConfig(with) => configuration()
-            .and_then(|c| match c.unread.first() {
-                Some(fault) => Err(fault.to_string()),
-                None => own(with, c.cold()).map(|_| c),
-            })
-            .map(|c| println!("{}: {} events known, listens at {}", c.name, c.known.len(), c.listen)),
+        Command::Plan { file, from, asked } => show(&file, from.as_deref(), &asked),
+        Command::CheckConfig(with) => check(with),
         Command::Serve(with) => configuration()
             .and_then(|c| Ok((own(with, c.cold())?, c)))
             .and_then(|(own, c)| serve(c, own).map_err(|e| e.to_string()))
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -142,6 +142,11 @@
                 let events = self.tree.offer(self.now, &hierarchy);
                 self.tell_all(events);
             }
+            Input::Rules(name, text) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.rules(name, text);
+                }
+            }
             Input::Fleet => self.fleet_told(),
             Input::End => {
                 log::info!("asked to end");
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,10 +1,11 @@
 //! The signals: the end of a router and when it is over, a new configuration, the counters.
 
 use crate::limits::{END_ACCEPT_MS, END_QUIET_MS};
-use crate::{Input, Own};
+use crate::{shown, Input, Own};
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
+use basaltgw_config::fleet::Fleet;
 use basaltgw_config::{own_settings, Environment, NodeConfig};
 use futures_lite::StreamExt;
 use std::io;
@@ -54,6 +55,13 @@
             return false;
         }
     };
+    let rules = match new_rules(own.settings.fleet.as_ref(), new_own.fleet.as_ref()) {
+        Ok(rules) => rules,
+        Err(e) => {
+            log::error!("reload: the rules are refused, and nothing changes:\n{e}");
+            return false;
+        }
+    };
     match running.reload(&Environment::take()) {
         Ok(new) => {
             if new_own.carry != own.settings.carry {
@@ -68,6 +76,15 @@
                     return false;
                 }
             }
+            if let Some(set) = rules {
+                own.settings.fleet = Some(set.clone());
+                for (name, text) in crate::fleet::start::rules(set) {
+                    log::info!("reload: the rules of {name} are offered to the fleet");
+                    if urgent.send(Input::Rules(name, text)).await.is_err() {
+                        return false;
+                    }
+                }
+            }
             for key in &new.fixed {
                 log::warn!("reload: {key} can't change in a running router");
             }
@@ -81,6 +98,36 @@
     }
 }
 
+/// The section with new rules, if there are any and nothing else of it has changed.
+///
+/// # Errors
+/// If they can't be met by the routers that the file lists; each fault with file, line and column.
+fn new_rules<'a>(running: Option<&Fleet>, new: Option<&'a Fleet>) -> Result<Option<&'a Fleet>, String> {
+    let (running, new) = match (running, new) {
+        (None, None) => return Ok(None),
+        (Some(_), None) => {
+            log::warn!("reload: no fleet in the file; the router stays in the one it is in");
+            return Ok(None);
+        }
+        (None, Some(_)) => {
+            log::warn!("reload: fleet can't be joined by a running router");
+            return Ok(None);
+        }
+        (Some(running), Some(new)) => (running, new),
+    };
+    if !running.same_but_rules(new) {
+        log::warn!("reload: of fleet nothing but the rules can change in a running router; all of it stays");
+        return Ok(None);
+    }
+    if running.rules == new.rules {
+        return Ok(None);
+    }
+    match shown::table(new, None) {
+        Ok(_) => Ok(Some(new)),
+        Err(faults) => Err(shown::faults(new, &faults)),
+    }
+}
+
 /// How far the end has come.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ending {
--- /dev/null
+++ b/crates/node/tests/placement.rs
@@ -0,0 +1,145 @@
+//! Rules of placement on their way into service: checked, shown, and taken over by a running fleet.
+
+mod common;
+
+use basaltgw_emulator::rig::{Final, Rig, Spec};
+use common::{binary, configuration, until, ChangeLog, PATIENCE};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const WITHIN: u64 = 4_000;
+const FOUNDED: &str = "holds { shards 8 copies 3 spread machines }\nroot { copies 3 spread machines }\n";
+const NEW: &str = "holds { shards 8 copies 3 spread branches }\nroot { copies 3 spread branches }\n";
+
+fn run(args: &[&str], config: Option<&Path>) -> Output {
+    let mut command = Command::new(binary());
+    command.args(args).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
+    config.into_iter().for_each(|c| {
+        command.env("GW_CONFIG", c);
+    });
+    command.output().expect("the program")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// The own settings of `r1` among so many routers, with rules beside them.
+fn own(dir: &Path, name: &str, routers: usize, rules: &str) -> PathBuf {
+    let peers: String = (2..=routers)
+        .map(|r| format!("    - {{name: r{r}, address: 127.0.0.1:1710{r}, branch: b{r}, machine: m{r}}}\n"))
+        .collect();
+    let yaml = format!(
+        "fleet:\n  cluster: t\n  name: r1\n  branch: b1\n  machine: m1\n  listen: 127.0.0.1:17101\n  \
+         folder: lasting\n  rules: {name}.rules\n  peers:\n{peers}"
+    );
+    std::fs::write(dir.join(format!("{name}.rules")), rules).expect("a file");
+    let file = dir.join(format!("{name}.yaml"));
+    std::fs::write(&file, yaml).expect("a file");
+    file
+}
+
+#[test]
+fn check_config_compiles_the_rules_and_shows_what_is_wrong_where_it_stands() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let config = dir.path().join("router.json");
+    std::fs::write(&config, configuration(&[], ChangeLog::start().address).to_string()).expect("a file");
+    let check = |own: PathBuf| run(&["check-config", "--with", &own.display().to_string()], Some(&config));
+    let good = check(own(dir.path(), "good", 3, FOUNDED));
+    assert!(good.status.success(), "{}", text(&good.stderr));
+    let said = text(&good.stdout);
+    assert!(
+        said.contains("fleet t: table version 1, 8 shards, 3 copies, 3 routers, no fault found"),
+        "{said}"
+    );
+    let misspelt = check(own(dir.path(), "bad", 3, "holds {\n  shards 8 copies 3 spread machine\n}\n"));
+    let few = check(own(dir.path(), "few", 3, "holds { shards 8 copies 5 spread machines }\n"));
+    for (out, place, excerpt) in
+        [(misspelt, "bad.rules:2:28: ", "spread machine"), (few, "few.rules:1:", "copies 5")]
+    {
+        let said = text(&out.stderr);
+        assert_eq!(out.status.code(), Some(1), "{said}");
+        // Where it is, and below that the line with a mark under it.
+        let at = said.find(place).unwrap_or_else(|| panic!("{place} is not in {said}"));
+        assert!(said[at..].contains('│') && said[at..].contains(excerpt), "{said}");
+    }
+}
+
+#[test]
+fn plan_shows_the_table_what_moves_to_it_and_what_is_asked_about() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let old = own(dir.path(), "old", 4, FOUNDED).display().to_string();
+    let rules = format!("{FOUNDED}home class maps {{ width 2 }}\n");
+    let new = own(dir.path(), "new", 5, &rules).display().to_string();
+    let plan = |args: &[&str]| {
+        let out = run(&[&["plan"], args].concat(), None);
+        assert!(out.status.success(), "{}", text(&out.stderr));
+        text(&out.stdout)
+    };
+    let shown = plan(&[&old]);
+    let line = |shown: &str, start: &str| {
+        let line = shown.lines().find(|l| l.starts_with(start));
+        line.unwrap_or_else(|| panic!("no {start} in {shown}")).to_string()
+    };
+    // Eight shards of three copies each, over four routers of the same size.
+    for router in ["r1", "r2", "r3", "r4"] {
+        assert!(line(&shown, router).starts_with(&format!("{router}: 6 shards: ")), "{shown}");
+    }
+    assert!(line(&shown, "root").contains("2 of 3 needed") && !shown.contains("/0000"), "{shown}");
+    let shown = plan(&[&new, "--from", &old, "--shard", "3", "--key", "maps:17:4711"]);
+    assert!(line(&shown, "version 1 to 2: ").contains("of 8 shards move"), "{shown}");
+    assert!(line(&shown, "shard 3, by table version 2").contains("2 of 3 needed"), "{shown}");
+    let key = line(&shown, "class maps, group 17, object 4711");
+    assert!(shown[shown.find(&key).unwrap_or(0)..].contains("width 2"), "{shown}");
+    // The fleet's table alone is asked about.
+    let out = run(&["plan", &new, "--key", "maps"], None);
+    assert!(!out.status.success() && text(&out.stderr).contains("--key: expected CLASS:GROUP:OBJECT"));
+}
+
+/// A founded fleet of three, with a checkout that the first has served.
+fn founded() -> (Rig, String, Vec<u8>) {
+    let rig = Rig::start(Spec { rules: Some(FOUNDED.into()), ..Spec::new(binary(), 3) }).expect("a rig");
+    (0..rig.len()).for_each(|r| assert!(rig.serves(r, PATIENCE), "{}", rig.seats[r].text()));
+    rig.founded(PATIENCE).expect("a fleet");
+    let id = format!("{:016x}", 0x91ace);
+    match checkout(&rig, 0, &id) {
+        Some(Final::Served(bytes)) => (rig, id, bytes),
+        end => panic!("not served: {end:?}"),
+    }
+}
+
+/// Where the rig has the rules of all its routers: beside their folders.
+fn rules_file(rig: &Rig) -> PathBuf {
+    let file = rig.seats[0].folder.ancestors().nth(2).expect("the rig's folder").join("fleet.rules");
+    assert!(file.exists(), "{}", file.display());
+    file
+}
+
+fn checkout(rig: &Rig, router: usize, id: &str) -> Option<Final> {
+    let caller = rig.caller(router).expect("a connection");
+    rig.history.end(caller.checkout(id, WITHIN), PATIENCE).expect("an end")
+}
+
+fn version(rig: &Rig, router: usize) -> f64 {
+    rig.counters(router).get("table_version").copied().unwrap_or(0.0)
+}
+
+#[test]
+fn new_rules_at_one_router_are_adopted_by_all_and_what_was_promised_is_still_kept() {
+    let (mut rig, id, bytes) = founded();
+    let file = rules_file(&rig);
+    // What can't be met is refused with its place, and nothing changes.
+    std::fs::write(&file, FOUNDED.replace("copies 3", "copies 5")).expect("a file");
+    rig.seats[0].reload();
+    until("the rules are refused", || rig.seats[0].said("fleet.rules:1:"));
+    until("that is counted", || rig.counters(0).get("reloads_refused") == Some(&1.0));
+    std::fs::write(&file, NEW).expect("a file");
+    rig.seats[0].reload();
+    until("all go by the next table", || (0..3).all(|r| version(&rig, r) == 2.0));
+    until("all say so", || (0..3).all(|r| rig.seats[r].said("table: version 2 ")));
+    for router in 0..3 {
+        assert_eq!(checkout(&rig, router, &id), Some(Final::Served(bytes.clone())));
+        assert_eq!(rig.counters(router).get("tables_refused"), Some(&0.0));
+    }
+    assert_eq!(rig.archive.runs(&id), 1);
+}
