New rules that meet another router's offer are refused, naming the first

Need: rules that came while another table was on its way in waited for its end and were then offered on top of it, although whoever wrote them did not know of it: of two operators at once both were adopted, one after the other.

Change: rules that are not offered yet when the register shows another router's offer are refused, with the words of the register's own refusal, and counted.

--- a/crates/node/src/fleet/table/mod.rs
+++ b/crates/node/src/fleet/table/mod.rs
@@ -291,6 +291,7 @@
         self.stands = Some((serial, body.to_vec()));
         self.changed = now;
         steps.extend(self.handle(now, Event::Learnt(register)));
+        steps.extend(self.beside());
         // The founding table names this folder, which was empty: nothing was promised before this process began.
         self.founded_here |= self.new && first && self.is_member();
         match before {
--- a/crates/node/src/fleet/table/offers.rs
+++ b/crates/node/src/fleet/table/offers.rs
@@ -3,7 +3,7 @@
 use super::{Step, TableKeeper};
 use crate::fleet::words::Word;
 use basaltgw_ids::{Member, Ms};
-use basaltgw_placement::{moves, Event, Offer, OfferNo, Register, Stage, Table};
+use basaltgw_placement::{moves, Event, Offer, OfferNo, Refused, Register, Stage, Table};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -20,6 +20,18 @@
         self.rules_offered = false;
     }
 
+    /// New rules that meet another router's offer are refused: whoever wrote them did not know of it.
+    pub(super) fn beside(&mut self) -> Vec<Step> {
+        let next = self.adoption.register().and_then(Register::next);
+        let Some(next) = next.filter(|n| !self.rules_offered && n.by != self.given.me.router) else {
+            return Vec::new();
+        };
+        let (version, hash) = (next.table.version(), next.table.hash());
+        log::warn!("the new rules are refused: {}", Refused::Busy { by: next.by.clone(), version, hash });
+        self.rules_offered = true;
+        vec![Step::Refused]
+    }
+
     fn offer(&mut self, now: Ms, offer: Offer) -> Vec<Step> {
         self.offers += 1;
         self.offered = now;
@@ -38,6 +50,7 @@
             self.lost.entry(member.router.clone()).or_insert(now);
         }
         if register.next().is_some() {
+            steps.extend(self.beside());
             // What was said of this turn may have been lost on its way.
             let turn = register.turn();
             let (checked, filled) = self.adoption.heard();
--- a/crates/node/tests/placement.rs
+++ b/crates/node/tests/placement.rs
@@ -143,3 +143,24 @@
     }
     assert_eq!(rig.archive.runs(&id), 1);
 }
+
+#[test]
+fn of_two_operators_at_once_one_is_adopted_and_the_other_refused_by_the_first_ones_name() {
+    let (mut rig, id, bytes) = founded();
+    let file = rules_file(&rig);
+    // With one that does not answer the first offer is still under way when the second comes.
+    rig.stop(2);
+    std::fs::write(&file, NEW).expect("a file");
+    rig.seats[0].reload();
+    until("the first is offered", || rig.seats[1].said(" by r1 is "));
+    std::fs::write(&file, format!("{NEW}# others\n")).expect("a file");
+    rig.seats[1].reload();
+    until("the second is refused", || rig.seats[1].said("the new rules are refused: "));
+    let said = rig.seats[1].text();
+    let refusal = said.lines().find(|l| l.contains("the new rules are refused: ")).unwrap_or_default();
+    assert!(refusal.contains("r1") && refusal.contains('2'), "{refusal}");
+    rig.wake(2);
+    until("all go by the first one's", || (0..3).all(|r| version(&rig, r) == 2.0));
+    assert_eq!(rig.counters(1).get("tables_refused"), Some(&1.0));
+    assert_eq!(checkout(&rig, 1, &id), Some(Final::Served(bytes)));
+}
