--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,5 +1,7 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
+pub mod parts;
+
 use crate::clock::late;
 use crate::inbox::{either, read_all};
 use crate::limits::{
@@ -50,6 +52,10 @@
     pub got: Option<String>,
     /// The client says that it has presented this id before, or does so elsewhere at once: heeded only in a fleet that keeps requests.
     pub again: bool,
+    /// Several parts instead of the one, as they were written; nobody has looked at them yet.
+    pub parts: Option<String>,
+    /// The debt that they are, likewise.
+    pub debt: Option<String>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -132,6 +138,8 @@
         left: fields.decimal("d").filter(|d| *d <= LONGEST_WAIT_MS)?,
         got: got.map(str::to_string),
         again: fields.get("again") == Some("1"),
+        parts: fields.get("parts").map(str::to_string),
+        debt: fields.get("debt").map(str::to_string),
         body,
     })
 }
--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -1,5 +1,6 @@
 //! The owner's side of the fleet: what it asks, what it is told, and how it is with the threads.
 
+use super::gather::GatherSet;
 use super::{FleetCounts, Question, Told};
 use crate::caches::RequestNo;
 use async_channel::Receiver;
@@ -44,6 +45,8 @@
     pub in_doubt: u64,
     /// Served here, but failed since others had taken over.
     pub fenced: u64,
+    /// Answered without a verdict, since the copies' thread stood still.
+    pub stalled: u64,
     /// Changes and purges for which the ring had no room.
     pub ring_full: u64,
     /// Messages of other routers that were not asked for.
@@ -75,6 +78,9 @@
     pub(super) threads: Option<(JoinHandle<String>, Rest)>,
     /// To other routers, for parts of gathers.
     pub(super) port: Port,
+    /// What the owner needs to take gathers, if it takes them; it is the owner's once that has joined.
+    pub gather: Option<GatherSet>,
+    pub(super) gathers: bool,
     pub(super) shown: Arc<Mutex<FleetCounts>>,
     /// Rings when something was told.
     pub bell: Receiver<()>,
@@ -87,6 +93,7 @@
         terms: Terms,
         (questions, told, bell): (rtrb::Producer<Question>, rtrb::Consumer<Told>, Receiver<()>),
         (copies, links, port): (JoinHandle<String>, Rest, Port),
+        gather: Option<GatherSet>,
         shown: Arc<Mutex<FleetCounts>>,
     ) -> Self {
         Self {
@@ -103,27 +110,29 @@
             told,
             threads: Some((copies, links)),
             port,
+            gathers: gather.is_some(),
+            gather,
             shown,
             bell,
         }
     }
 
-    fn put(&mut self, question: Question) -> bool {
+    pub(super) fn put(&mut self, question: Question) -> bool {
         let put = self.questions.push(question).is_ok();
         self.counters.ring_full += u64::from(!put);
         self.threads.iter().for_each(|(copies, _)| copies.thread().unpark());
         put
     }
 
-    /// Asks for a request; false if there is no room.
-    pub fn ask(&mut self, request: RequestNo, key: HoldKey, change: Change, within: Ms) -> bool {
+    /// Asks for a request; nothing if there is no room.
+    pub fn ask(&mut self, request: RequestNo, key: HoldKey, change: Change, within: Ms) -> Option<AskNo> {
         self.ever += 1;
         let no = AskNo(self.ever);
         let put = self.put(Question::Ask { no, key, change, within });
         if put {
             self.asks.insert(no, (request, key));
         }
-        put
+        put.then_some(no)
     }
 
     /// Puts down how something ended; nobody waits.
@@ -162,8 +171,8 @@
     /// The next that was told.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<Told> {
-        // Nothing is asked of other routers directly yet; what they send all the same is counted and dropped.
-        for told in self.port.by_ref() {
+        // Without gathers nothing is asked of other routers directly; what they send all the same is counted and dropped.
+        while let Some(told) = (!self.gathers).then(|| self.port.next()).flatten() {
             self.counters.unasked += u64::from(matches!(told, basaltgw_peers::Told::Got { .. }));
         }
         self.told.pop().ok()
@@ -198,7 +207,11 @@
             c.promised, c.unkept, c.turned_away
         );
         let _ = write!(text, "looks={} told_again={} in_doubt={} ", c.looks, c.told_again, c.in_doubt);
-        let _ = write!(text, "fenced={} ring_full={} peers_unasked={} ", c.fenced, c.ring_full, c.unasked);
+        let _ = write!(
+            text,
+            "fenced={} stalled={} ring_full={} peers_unasked={} ",
+            c.fenced, c.stalled, c.ring_full, c.unasked
+        );
         if let Ok(shown) = self.shown.lock() {
             let _ = write!(text, "{shown}");
         }
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use basaltgw::api::{AttemptNo, Event, Ms};
 use basaltgw::rules::carry::Learnt;
+use basaltgw_holds::AskNo;
 use futures_lite::future;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -24,6 +25,8 @@
     Module(u64),
     Attempt(RequestNo, AttemptNo),
     Look(RequestNo),
+    Promise(RequestNo, AskNo),
+    Gather,
 }
 
 /// Timers, by their time and then in the order in which they were set.
@@ -136,6 +139,8 @@
                 Due::Module(token) => self.tell(Event::Timer(token)),
                 Due::Attempt(no, n) => self.time_out((no, n)),
                 Due::Look(no) => self.look(no),
+                Due::Promise(no, ask) => self.stalled(no, ask),
+                Due::Gather => self.gather_due(),
             }
         }
         if self.now >= self.tidied + TIDY_MS {
@@ -153,6 +158,7 @@
         self.caches.tidy(self.now);
         let events = self.tree.tick(self.now);
         self.fleet_told();
+        self.gather_tidy();
         self.tell_all(events);
         // Nothing was written on them, so they count as never up.
         for at in self.caches.unproved(self.now) {
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -10,11 +10,15 @@
 use crate::outbox::Counted;
 use basaltgw::api::{ClassId, Effect, End, Event, GroupId, Ms, ObjectId};
 use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Kind, Outcome, Verdict};
+use std::sync::Arc;
 
 /// What another router has out is asked after so often, until its outcome is known or the client's time is over.
 const LOOK_MS: Ms = 30.0;
 /// So much of a request's time is left for its answer to be written, once its promise is waited for no longer.
 const SPARE_MS: Ms = 15.0;
+/// A verdict is due by its time; the copies' thread may wait for a disk that stands still, and the client may not wait for that. No more than
+/// [`SPARE_MS`], so that it is answered before its own time is over.
+const STALLED_MS: Ms = 8.0;
 /// A process that has not come to its queues for so long may have been stopped, and others may have taken over what it held: what
 /// it has not sent yet it gives back instead.
 const STOPPED_MS: Ms = 750.0;
@@ -82,8 +86,13 @@
         open.promise = Promise::Asked;
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
         let change = Change::Take(fleet.me.clone());
-        let asked = within > 0.0 && fleet.ask(no, effect(&open.request.id), change, within);
-        if !asked {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, effect(&open.request.id), change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
+        } else {
             fleet.counters.turned_away += 1;
             let stay_away = fleet.terms.stay_away;
             self.not_taken(no, stay_away);
@@ -111,9 +120,14 @@
                     self.heed(object, group, purge.time as Ms);
                 }
                 Told::PurgesKnown(known) => self.purges_known(known),
+                Told::Policies(policies) => {
+                    self.gathering.iter_mut().for_each(|g| g.policies = Arc::clone(&policies))
+                }
+                Told::Evidence(from, word) => self.gather_tell(basaltgw_gather::Event::Heard(from, word)),
                 Told::Table(version, hash) => log::info!("goes by table {} ({hash})", version.0),
             }
         }
+        self.gather_heard();
         if let Some(why) = self.fleet.as_mut().and_then(Fleet::lost) {
             self.fleet_lost(&why);
         }
@@ -135,7 +149,10 @@
             if !known {
                 log::warn!("purges of before this start can't be had: copies of before it are not served until they have settled");
                 let groups = 0..=crate::limits::MOST_GROUP;
-                groups.for_each(|g| self.tell(Event::Purged(GroupId(g), None, 0.0)));
+                groups.for_each(|g| {
+                    self.tell(Event::Purged(GroupId(g), None, 0.0));
+                    self.gather_purged(None, GroupId(g), self.now);
+                });
             }
         }
     }
@@ -143,6 +160,8 @@
     fn verdict(&mut self, ask: AskNo, verdict: Verdict) {
         let Some(fleet) = &mut self.fleet else { return };
         let Some((no, key)) = fleet.asks.remove(&ask) else { return };
+        let Some(verdict) = self.gather_verdict(no, verdict) else { return };
+        let Some(fleet) = &mut self.fleet else { return };
         let waits = |open: &Open| !matches!(open.promise, Promise::Over);
         let Some(open) = self.requests.get_mut(no).filter(|o| waits(o)) else {
             // Nobody waits for it any more. What was taken for a client that has left is given back: it was never sent.
@@ -173,6 +192,29 @@
         }
     }
 
+    /// The time for a verdict is over, and none has come: the copies' thread stands still. The verdict that comes later finds nobody.
+    pub(super) fn stalled(&mut self, no: RequestNo, ask: AskNo) {
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.asks.contains_key(&ask)) else { return };
+        let Some(open) = self.requests.get_mut(no) else { return };
+        match std::mem::take(&mut open.promise) {
+            Promise::Asked | Promise::Elsewhere => {
+                fleet.counters.stalled += 1;
+                fleet.give_back(effect(&open.request.id));
+                open.promise = Promise::Over;
+                let stay_away = fleet.terms.stay_away;
+                self.not_taken(no, stay_away);
+            }
+            Promise::Ending { turn, body } => {
+                // It was served; that goes on being put down.
+                fleet.counters.stalled += 1;
+                fleet.put_down(effect(&open.request.id), turn, fleet.outcome(body.bytes()));
+                open.promise = Promise::Over;
+                self.pay_out(no, Reply::Served(body.bytes()));
+            }
+            other @ (Promise::None | Promise::Mine { .. } | Promise::Over) => open.promise = other,
+        }
+    }
+
     /// What came of asking the keepers to take a request, or how it stands.
     fn taken(&mut self, no: RequestNo, verdict: Verdict) {
         let Some(fleet) = &mut self.fleet else { return };
@@ -235,7 +277,13 @@
         }
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
         let change = Change::Take(fleet.me.clone());
-        if within <= 0.0 || !fleet.ask(no, effect(&open.request.id), change, within) {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, effect(&open.request.id), change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
+        } else {
             // It may run at the other router: whoever waits is not invited to repeat it.
             fleet.counters.in_doubt += 1;
             self.answer(no, Reply::Failed);
@@ -265,8 +313,13 @@
         let outcome = fleet.outcome(bytes);
         let change = Change::Done(fleet.me.clone(), turn, outcome.clone());
         let within = fleet.terms.promise.min(open.deadline - self.now - SPARE_MS);
-        if within > 0.0 && fleet.ask(no, key, change, within) {
+        let asked = match within > 0.0 {
+            true => fleet.ask(no, key, change, within),
+            false => None,
+        };
+        if let Some(ask) = asked {
             open.promise = Promise::Ending { turn, body: Counted::new(bytes.to_vec(), &[&self.meter]) };
+            self.timers.set(self.now + within + STALLED_MS, Due::Promise(no, ask));
             return true;
         }
         fleet.put_down(key, turn, outcome);
@@ -318,6 +371,6 @@
 
     /// Prints what the fleet counts.
     pub(super) fn fleet_words(&self) -> String {
-        self.fleet.as_ref().map(Fleet::words).unwrap_or_default()
+        self.fleet.as_ref().map(Fleet::words).unwrap_or_default() + &self.gather_words()
     }
 }
