The tests of rules share how the program is run, and cover other changes at SIGHUP

Need: the command line's tests and those of rules ran the program by the same lines, and nothing showed that another change of the section stays out.

Change: the runner is in the tests' common module; the test of new rules first brings them together with another number of shards, which is warned about and offered to nobody.

With the compile check of SIGHUP taken out, or the refusal beside another offer, the test for it fails.

--- a/crates/node/tests/command_line.rs
+++ b/crates/node/tests/command_line.rs
@@ -2,21 +2,7 @@
 
 mod common;
 
-use common::{configuration, ChangeLog};
-use std::process::{Command, Output};
-
-fn run(args: &[&str], config: Option<&str>) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltgw"));
-    command.args(args).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
-    config.into_iter().for_each(|c| {
-        command.env("GW_CONFIG", c);
-    });
-    command.output().expect("the program")
-}
-
-fn text(bytes: &[u8]) -> String {
-    String::from_utf8_lossy(bytes).into_owned()
-}
+use common::{configuration, run, text, ChangeLog};
 
 #[test]
 fn version_and_help_are_printed() {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub use basaltgw_emulator::standin::*;
 use serde_json::Value;
 use std::path::Path;
+use std::process::{Command, Output};
 
 /// The program.
 pub fn binary() -> &'static Path {
@@ -27,3 +28,18 @@
         assert!(start.elapsed() < PATIENCE, "never: {what}");
     }
 }
+
+/// Runs the program to its end, with a configuration or without.
+pub fn run(args: &[&str], config: Option<&str>) -> Output {
+    let mut command = Command::new(binary());
+    command.args(args).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
+    config.into_iter().for_each(|c| {
+        command.env("GW_CONFIG", c);
+    });
+    command.output().expect("the program")
+}
+
+/// What it said.
+pub fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
--- a/crates/node/tests/placement.rs
+++ b/crates/node/tests/placement.rs
@@ -3,27 +3,13 @@
 mod common;
 
 use basaltgw_emulator::rig::{Final, Rig, Spec};
-use common::{binary, configuration, until, ChangeLog, PATIENCE};
+use common::{binary, configuration, run, text, until, ChangeLog, PATIENCE};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
 
 const WITHIN: u64 = 4_000;
 const FOUNDED: &str = "holds { shards 8 copies 3 spread machines }\nroot { copies 3 spread machines }\n";
 const NEW: &str = "holds { shards 8 copies 3 spread branches }\nroot { copies 3 spread branches }\n";
 
-fn run(args: &[&str], config: Option<&Path>) -> Output {
-    let mut command = Command::new(binary());
-    command.args(args).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
-    config.into_iter().for_each(|c| {
-        command.env("GW_CONFIG", c);
-    });
-    command.output().expect("the program")
-}
-
-fn text(bytes: &[u8]) -> String {
-    String::from_utf8_lossy(bytes).into_owned()
-}
-
 /// The own settings of `r1` among so many routers, with rules beside them.
 fn own(dir: &Path, name: &str, routers: usize, rules: &str) -> PathBuf {
     let peers: String = (2..=routers)
@@ -44,7 +30,7 @@
     let dir = tempfile::tempdir().expect("a folder");
     let config = dir.path().join("router.json");
     std::fs::write(&config, configuration(&[], ChangeLog::start().address).to_string()).expect("a file");
-    let check = |own: PathBuf| run(&["check-config", "--with", &own.display().to_string()], Some(&config));
+    let check = |own: PathBuf| run(&["check-config", "--with", &own.display().to_string()], config.to_str());
     let good = check(own(dir.path(), "good", 3, FOUNDED));
     assert!(good.status.success(), "{}", text(&good.stderr));
     let said = text(&good.stdout);
@@ -133,8 +119,16 @@
     rig.seats[0].reload();
     until("the rules are refused", || rig.seats[0].said("fleet.rules:1:"));
     until("that is counted", || rig.counters(0).get("reloads_refused") == Some(&1.0));
+    // Neither are rules taken that come with another change of the section.
+    let own = rig.seats[0].folder.with_file_name("router-0.yaml");
+    let before = std::fs::read_to_string(&own).expect("a file");
+    std::fs::write(&own, before.replace("\"copies\": 3", "\"copies\": 3, \"shards\": 9")).expect("a file");
     std::fs::write(&file, NEW).expect("a file");
     rig.seats[0].reload();
+    until("the change is warned about", || rig.seats[0].said("of fleet nothing but the rules can change"));
+    assert!(!rig.seats[0].said("are offered to the fleet"));
+    std::fs::write(&own, before).expect("a file");
+    rig.seats[0].reload();
     until("all go by the next table", || (0..3).all(|r| version(&rig, r) == 2.0));
     until("all say so", || (0..3).all(|r| rig.seats[r].said("table: version 2 ")));
     for router in 0..3 {
