--- a/crates/node/src/tree.rs
+++ b/crates/node/src/tree.rs
@@ -5,7 +5,6 @@
 use basaltgw_config::{Hierarchy, Member};
 use basaltgw_hierarchy as hierarchy;
 use basaltgw_hierarchy::{Act, How, NodeId, PlanSpec, Reshape};
-use std::fmt;
 use std::sync::Arc;
 
 /// What came of plans.
@@ -23,13 +22,6 @@
     pub set_aside: u64,
 }
 
-impl fmt::Display for TreeCounters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "plans={} plans_refused={} plans_ended={} ", self.offered, self.refused, self.ended)?;
-        write!(f, "loops={} loops_set_aside={}", self.loops, self.set_aside)
-    }
-}
-
 /// A router's plan and the change under way; without one it does nothing.
 #[derive(Default)]
 pub struct Tree {
