Lab: run placement, rules changed under load, two at once, one taken back

Change: faults rules_one (one router reads new rules, all go by them), rules_two (two operators at once), rules_stuck and rules_cut (a router that is needed is stopped or cut off until the table is taken back); counts of tables, with what routers had counted when killed, and of routers behind the last version; the experiment placement on five routers in three branches, beside the same faults without a fleet. The tests of drawn faults and the fault dark have files of their own.

--- a/crates/emulator/src/rig/faults.rs
+++ b/crates/emulator/src/rig/faults.rs
@@ -1,12 +1,12 @@
 //! Faults of links and processes: scripted, or drawn from a seed, one after another, each mended before the next.
 
+mod dark;
+
 use super::relay::Once;
-use super::{Final, Limits, Rig};
-use crate::standin::comes;
+use super::Rig;
 use basaltgw_model::{draw, rng};
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A router has to serve again within this time after a fault is mended.
@@ -56,11 +56,19 @@
     Dark,
     /// The rules' file is replaced at all routers, which read it again.
     Rules,
+    /// It is replaced, and one router reads it again: all go by it.
+    RulesOne,
+    /// Two operators at once: this router reads other rules than another one does.
+    RulesTwo,
+    /// Another router is stopped while this one offers new rules, until their table is taken back.
+    RulesStuck,
+    /// The same with the other one cut off from all routers.
+    RulesCut,
 }
 
 impl What {
     /// All of them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 20] = [
         Self::Kill,
         Self::Wipe,
         Self::Elsewhere,
@@ -77,6 +85,10 @@
         Self::Reset,
         Self::Dark,
         Self::Rules,
+        Self::RulesOne,
+        Self::RulesTwo,
+        Self::RulesStuck,
+        Self::RulesCut,
     ];
 
     /// Its name in tables.
@@ -98,6 +110,10 @@
             Self::Reset => "reset",
             Self::Dark => "dark",
             Self::Rules => "rules",
+            Self::RulesOne => "rules_one",
+            Self::RulesTwo => "rules_two",
+            Self::RulesStuck => "rules_stuck",
+            Self::RulesCut => "rules_cut",
         }
     }
 }
@@ -118,8 +134,10 @@
     /// How long it lasts, in milliseconds.
     #[serde(default = "second")]
     pub for_ms: f64,
-    /// The new rules, for [`What::Rules`].
+    /// The new rules, for [`What::Rules`] and its like.
     pub rules: Option<String>,
+    /// Those of the other operator, for [`What::RulesTwo`].
+    pub rules_other: Option<String>,
 }
 
 fn second() -> f64 {
@@ -163,7 +181,15 @@
             let what = deck.swap_remove(between([0.0, deck.len() as f64]) as usize);
             let router = between([0.0, routers as f64]) as usize;
             let other = (router + 1 + between([0.0, (routers - 1) as f64]) as usize) % routers;
-            all.push(Moment { at_ms: at, what, router, other: Some(other), for_ms, rules: None });
+            all.push(Moment {
+                at_ms: at,
+                what,
+                router,
+                other: Some(other),
+                for_ms,
+                rules: None,
+                rules_other: None,
+            });
             at += for_ms;
         }
     }
@@ -173,11 +199,13 @@
 
 /// Plays faults on a rig.
 pub struct Player<'a> {
-    rig: &'a mut Rig,
+    pub(super) rig: &'a mut Rig,
     /// What was provoked, by name.
     pub done: BTreeMap<&'static str, u64>,
     /// What did not mend, in words.
     pub unmended: Vec<String>,
+    /// What routers had counted when they were killed.
+    pub lost: Vec<BTreeMap<String, f64>>,
     /// Objects that [`What::Dark`] purges: the load reads none of them.
     object: u64,
     ids: u64,
@@ -189,7 +217,14 @@
 impl<'a> Player<'a> {
     /// For this rig.
     pub fn new(rig: &'a mut Rig) -> Self {
-        Self { rig, done: BTreeMap::new(), unmended: Vec::new(), object: OWN_IDS, ids: OWN_IDS }
+        Self {
+            rig,
+            done: BTreeMap::new(),
+            unmended: Vec::new(),
+            lost: Vec::new(),
+            object: OWN_IDS,
+            ids: OWN_IDS,
+        }
     }
 
     /// The rig.
@@ -203,13 +238,13 @@
         }
     }
 
-    fn serves(&mut self, router: usize) {
+    pub(super) fn serves(&mut self, router: usize) {
         if !self.rig.serves(router, MENDED) {
             self.unmended.push(format!("router {router} does not serve again"));
         }
     }
 
-    fn heals(&mut self) {
+    pub(super) fn heals(&mut self) {
         if !self.rig.heal() {
             self.unmended.push("links between routers are not up again".into());
         }
@@ -234,6 +269,7 @@
         match m.what {
             What::Kill | What::Wipe | What::Elsewhere => {
                 let before = self.rig.versions();
+                self.lost.push(self.rig.counters(a));
                 let done = match m.what {
                     What::Wipe => self.rig.kill_wiped(a),
                     _ => {
@@ -323,77 +359,12 @@
                 }
                 lasts();
             }
+            What::RulesOne => self.rules_one(a, m),
+            What::RulesTwo => self.rules_two(a, b, m),
+            What::RulesStuck | What::RulesCut => self.rules_stuck(a, b, m),
         }
     }
-
-    /// Reads an object through a router; whether it was served.
-    fn reads(&mut self, router: usize, object: u64) -> bool {
-        self.ids += 1;
-        let Ok(caller) = self.rig.caller(router) else { return false };
-        let ask = caller.read(&format!("{:016x}", self.ids), object, 3_000);
-        matches!(self.rig.history.end(ask, MENDED), Some(Some(Final::Served(_))))
-    }
-
-    fn dark(&mut self, a: usize) {
-        let n = self.rig.len();
-        self.object += 1;
-        let object = self.object;
-        if !self.reads((a + 1) % n, object) {
-            self.unmended.push("an object was not read before its purge".into());
-        }
-        let kept = |rig: &Rig| rig.counters(a).get("holds_kept").copied();
-        let before = kept(self.rig);
-        self.rig.purge(object, &[a]);
-        let told = self.rig.history.now();
-        if self.rig.spec.fleet && before.is_some() {
-            let rig = &*self.rig;
-            if !comes(MENDED, || kept(rig) > before) {
-                self.unmended.push(format!("router {a} does not keep a purge"));
-            }
-        }
-        // From here on it holds, as for any client.
-        let heeded = (told + Limits::default().heed_ms).saturating_sub(self.rig.history.now());
-        std::thread::sleep(Duration::from_millis(heeded));
-        self.rig.logs.iter().for_each(|l| l.down.store(true, Ordering::SeqCst));
-        let versions = self.rig.versions();
-        let gone = self.rig.kill_wiped(a);
-        self.unmended.extend(gone.err());
-        (0..n).filter(|r| *r != a).for_each(|r| self.rig.kill(r));
-        (0..n).for_each(|r| self.begin(r));
-        (0..n).for_each(|r| self.serves(r));
-        for r in 0..n {
-            if !self.reads(r, object) {
-                self.unmended.push(format!("router {r} does not read after it restarted without discovery"));
-            }
-        }
-        self.rig.logs.iter().for_each(|l| l.down.store(false, Ordering::SeqCst));
-        self.made_up(a, &versions);
-        self.heals();
-    }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_same_seed_draws_the_same_faults_and_each_kind_once_before_any_again() {
-        let kinds = vec![What::Kill, What::Wipe, What::Cut, What::Stop];
-        let draws = Draws { gap_ms: [300.0, 500.0], for_ms: [500.0, 700.0], kinds: kinds.clone() };
-        let scripted =
-            Moment { at_ms: 10.0, what: What::Rules, router: 0, other: None, for_ms: 1.0, rules: None };
-        let of = |seed| plan(std::slice::from_ref(&scripted), Some(&draws), 5, 30_000.0, seed);
-        let one = of(3);
-        assert_eq!(one, of(3));
-        assert_ne!(one, of(4));
-        assert_eq!(one[0], scripted);
-        for round in one[1..].chunks_exact(kinds.len()) {
-            let mut drawn: Vec<What> = round.iter().map(|m| m.what).collect();
-            drawn.sort_unstable();
-            let mut all = kinds.clone();
-            all.sort_unstable();
-            assert_eq!(drawn, all);
-        }
-        assert!(one.iter().skip(1).all(|m| m.router < 5 && m.other.is_some_and(|o| o < 5 && o != m.router)));
-    }
-}
+mod tests;
--- a/crates/emulator/src/rig/mod.rs
+++ b/crates/emulator/src/rig/mod.rs
@@ -7,6 +7,7 @@
 //! - [`whole`]: which routers the fleet has to do without, and when it is whole again;
 //! - [`archive`], [`caller`]: what routers stand before, and who asks them;
 //! - [`history`], [`checker`]: what was seen, and whether it is what was promised;
+//! - `tables`: faults of tables;
 //! - [`faults`], [`load`], [`play`]: faults scripted or drawn from a seed, clients at a rate, and a whole run of both.
 
 pub mod archive;
@@ -20,6 +21,7 @@
 mod register;
 pub mod relay;
 pub mod seat;
+mod tables;
 pub mod whole;
 
 pub use archive::Archive;
--- a/crates/emulator/src/rig/play.rs
+++ b/crates/emulator/src/rig/play.rs
@@ -71,7 +71,7 @@
     let clients = Clients::new(&rig, &game.load);
     let stop = AtomicBool::new(false);
     let begun = rig.history.now();
-    let (told, done, unmended) = std::thread::scope(|scope| {
+    let (told, done, unmended, lost) = std::thread::scope(|scope| {
         let load = scope.spawn(|| clients.run(&stop));
         let mut player = Player::new(&mut rig);
         let mut purges = 0.0;
@@ -97,8 +97,9 @@
         let mut done = std::mem::take(&mut player.done);
         done.insert("not_reached", late);
         let unmended = std::mem::take(&mut player.unmended);
+        let lost = std::mem::take(&mut player.lost);
         stop.store(true, Ordering::SeqCst);
-        (load.join().unwrap_or_default(), done, unmended)
+        (load.join().unwrap_or_default(), done, unmended, lost)
     });
     let (events, left_out) = rig.history.events();
     let (before, counted) = check(&events, left_out, &Limits::default());
@@ -113,7 +114,10 @@
         "faults".into(),
         done.iter().filter(|(n, _)| **n != "not_reached").map(|(_, n)| *n as f64).sum(),
     );
-    let last = [("audited", audited), ("audit_same", same), ("audit_in_doubt", doubt)];
+    figures.extend(rig.of_tables(&lost));
+    let other = audited - same - doubt;
+    let last =
+        [("audited", audited), ("audit_same", same), ("audit_in_doubt", doubt), ("audit_other", other)];
     figures.extend(last.map(|(name, n)| (name.to_string(), n as f64)));
     figures.insert("unmended".into(), unmended.len() as f64);
     let seconds = seconds(&events, begun, game.length_ms);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -66,7 +66,10 @@
 const SCHEMA: &str = include_str!("../experiments/fleet-schema.json");
 
 /// The experiments on a fleet that the program brings along, by name.
-pub const OWN: [(&str, &str); 1] = [("holds", include_str!("../experiments/holds.yaml"))];
+pub const OWN: [(&str, &str); 2] = [
+    ("holds", include_str!("../experiments/holds.yaml")),
+    ("placement", include_str!("../experiments/placement.yaml")),
+];
 
 /// Reads one of the program's own by name, or a file by its path; `None` if it is not one on a fleet.
 pub fn find(name: &str) -> Result<Option<(Experiment, String)>, BadFile> {
@@ -92,10 +95,16 @@
                 return Err(document.fault(&format!("/script/{i}/{key}"), what));
             }
         }
-        if m.what == What::Rules && (m.rules.is_none() || experiment.rules.is_none()) {
+        let rules =
+            [What::Rules, What::RulesOne, What::RulesTwo, What::RulesStuck, What::RulesCut].contains(&m.what);
+        if rules && (m.rules.is_none() || experiment.rules.is_none()) {
             let what = "expected `rules` here and for the start";
             return Err(document.fault(&format!("/script/{i}"), what));
         }
+        if m.what == What::RulesTwo && m.rules_other.is_none() {
+            let what = "expected `rules_other`, those of the other operator";
+            return Err(document.fault(&format!("/script/{i}"), what));
+        }
     }
     for (i, m) in experiment.must.iter().enumerate() {
         let runs = [Some(m.run), m.times_of];
@@ -177,11 +186,31 @@
 mod tests {
     use super::*;
 
+    /// What is replaced in an experiment of drawn faults, and what is said of it.
+    const WRONG: [(&str, &str, &str); 7] = [
+        ("twice:", "twise:", "load: "),
+        ("kinds: [", "kinds: [burn, ", "draws.kinds"),
+        ("figure: rules_broken", "figur: rules_broken", "must["),
+        ("runs: [described, alone]", "runs: [described]", "the run alone"),
+        ("copies: 3", "copies: 4", "copies"),
+        ("runs:", "script:\n  - {at_ms: 1, what: cut, router: 7}\nruns:", "expected a router from 0 to"),
+        ("runs:", "script:\n  - {at_ms: 1, what: rules, rules: x}\nruns:", "and for the start"),
+    ];
+
     #[test]
     fn the_programs_own_are_sound_and_faults_are_named_by_line_and_key() {
         for (name, text) in OWN {
             let (experiment, _) = find(name).expect("a form that can be read").expect("one on a fleet");
             assert_eq!(experiment.name, name);
+            let cases: &[(&str, &str, &str)] = if name == "placement" {
+                &[
+                    ("rules_other: |", "rulez_other: |", "script["),
+                    ("    router: 1\n", "    router: 5\n", "expected a router from 0 to"),
+                    ("what: rules_one", "what: rules_two", "expected `rules_other`"),
+                ]
+            } else {
+                &WRONG
+            };
             let dir = tempfile::tempdir().expect("a folder");
             let path = dir.path().join("wrong.yaml");
             let wrong = |from: &str, to: &str| {
@@ -189,19 +218,7 @@
                 std::fs::write(&path, text.replacen(from, to, 1)).expect("a file");
                 find(&path.display().to_string()).expect_err("a fault").to_string()
             };
-            for (from, to, says) in [
-                ("twice:", "twise:", "load: "),
-                ("kinds: [", "kinds: [burn, ", "draws.kinds"),
-                ("figure: rules_broken", "figur: rules_broken", "must["),
-                ("runs: [described, alone]", "runs: [described]", "the run alone"),
-                ("copies: 3", "copies: 4", "copies"),
-                (
-                    "runs:",
-                    "script:\n  - {at_ms: 1, what: cut, router: 7}\nruns:",
-                    "expected a router from 0 to",
-                ),
-                ("runs:", "script:\n  - {at_ms: 1, what: rules, rules: x}\nruns:", "and for the start"),
-            ] {
+            for (from, to, says) in cases {
                 let said = wrong(from, to);
                 assert!(said.contains(says) && said.contains("wrong.yaml:"), "{said}");
             }
