After a stop, what lay in the sockets meanwhile is in doubt and not refused

Requests had lain in the stopped router's sockets while their clients presented them elsewhere, where they ran; once it went on it read them, had no links yet, and refused them as if new (not_taken, owner/promise.rs). Requests asked for before the stop were covered already.

Change: for 1.5 s after a stop a request that can't be promised is failed, not refused. That is as long as links take to come up again.

--- a/crates/node/src/fleet/port.rs
+++ b/crates/node/src/fleet/port.rs
@@ -69,6 +69,8 @@
     pub purges_known: bool,
     /// Why the process has to end.
     pub fault: Option<String>,
+    /// The process was stopped, and until then nothing that it reads is known to be new.
+    pub stopped_until: Ms,
     /// It ends in order.
     pub ending: bool,
     pub(super) ever: u64,
@@ -104,6 +106,7 @@
             counters: PromiseCounters::default(),
             purges_known: false,
             fault: None,
+            stopped_until: 0.0,
             ending: false,
             ever: 0,
             questions,
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -19,6 +19,8 @@
 /// A verdict is due by its time; the copies' thread may wait for a disk that stands still, and the client may not wait for that. No more than
 /// [`SPARE_MS`], so that it is answered before its own time is over.
 const STALLED_MS: Ms = 8.0;
+/// After such a stop what is read for so long may have lain in the sockets meanwhile: links to peers take about as long to come up again.
+const LAIN_MS: Ms = 1_500.0;
 /// A process that has not come to its queues for so long may have been stopped, and others may have taken over what it held: what
 /// it has not sent yet it gives back instead.
 const STOPPED_MS: Ms = 750.0;
@@ -103,7 +105,9 @@
     /// A request can't be promised: it never ran here and is turned away at once. Of one that its client has presented elsewhere too nobody
     /// here knows whether it ran there: that is no refusal.
     fn not_taken(&mut self, no: RequestNo, stay_away: Ms) {
-        let again = self.requests.get(no).is_some_and(|o| o.request.again);
+        // What lay in the sockets of a process that was stopped may have been presented elsewhere since.
+        let lay = self.fleet.as_ref().is_some_and(|f| self.now < f.stopped_until);
+        let again = lay || self.requests.get(no).is_some_and(|o| o.request.again);
         if again {
             self.fleet.iter_mut().for_each(|f| f.counters.in_doubt += 1);
         }
@@ -345,6 +349,7 @@
         if gap < STOPPED_MS || self.fleet.is_none() {
             return;
         }
+        self.fleet.iter_mut().for_each(|f| f.stopped_until = self.now + LAIN_MS);
         // What it has asked to take, another may have taken meanwhile: nothing true can be said of it in time.
         for no in self.requests.asking() {
             self.fleet.iter_mut().for_each(|f| f.counters.in_doubt += 1);
