Lab: answers in part through sites slow, lost, flapping and restarted, beside simulated baselines

No run on sockets showed what gathers do when a site is in trouble, or that a debt is paid at another router.

Debts are asked for at the next router once the site is back. A checker that knows only what clients saw holds each answer to its fields, bytes, version, time and the debt it pays. The rig's archive gives an object one version for all parts.

--- a/crates/emulator/src/rig/archive.rs
+++ b/crates/emulator/src/rig/archive.rs
@@ -15,7 +15,7 @@
 struct Kept {
     /// Runs by id.
     runs: BTreeMap<String, u64>,
-    /// When the copy of each object's part was made, in Unix milliseconds.
+    /// When the copies of each object's parts were made, in Unix milliseconds: an object has one version, whatever part is asked for.
     copies: BTreeMap<String, u64>,
 }
 
@@ -71,11 +71,12 @@
             let ms = self.effect_ms.load(Ordering::SeqCst);
             return Do::OkWith(ms, format!("ver=1,born={now},note=via_origin,waited=0"), body);
         }
-        let key = format!("{}/{}", fetch.field("k").unwrap_or("?"), fetch.field("p").unwrap_or("?"));
+        let object = fetch.field("k").unwrap_or("?").to_string();
+        let key = format!("{object}/{}", fetch.field("p").unwrap_or("?"));
         let oldest: f64 = fetch.field("oldest").and_then(|o| o.parse().ok()).unwrap_or(0.0);
         let born = {
             let mut kept = self.kept();
-            let born = kept.copies.entry(key.clone()).or_insert(now);
+            let born = kept.copies.entry(object).or_insert(now);
             if oldest > 0.0 && now.saturating_sub(*born) as f64 > oldest {
                 *born = now;
             }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod experiment;
 mod fleet;
 mod out;
+mod partial;
 mod runs;
 
 use experiment::{Experiment, Must, Variant, OWN};
@@ -81,6 +82,10 @@
                     Err(e) => return bad(e.to_string()),
                 }
             }
+            match partial::find(partial::OWN.0) {
+                Ok((e, _)) => println!("{}: {}", e.name, e.about),
+                Err(e) => return bad(e.to_string()),
+            }
             for (name, _) in fleet::OWN {
                 match fleet::find(name) {
                     Ok(Some((e, _))) => println!("{name}: {}", e.about),
@@ -113,6 +118,7 @@
 fn play(name: &str, quick: bool, seed: Option<u64>, out: Option<&Path>) -> Result<bool, String> {
     let (played, text) = match fleet::find(name).map_err(|e| e.to_string())? {
         Some((experiment, text)) => (of_fleet(&experiment, quick, seed)?, text),
+        None if partial::is(name) => partial::played(name, quick, seed)?,
         None => {
             let (experiment, text) = Experiment::find(name).map_err(|e| e.to_string())?;
             (of_model(&experiment, quick, seed)?, text)
