--- /dev/null
+++ b/crates/node/tests/crossing/cold.rs
@@ -0,0 +1,1 @@
+//! Cold servers, and descriptors that are all taken.
--- /dev/null
+++ b/crates/node/tests/crossing/leaving.rs
@@ -0,0 +1,1 @@
+//! Clients that close or cancel while their requests wait.
--- /dev/null
+++ b/crates/node/tests/crossing/watches.rs
@@ -0,0 +1,1 @@
+//! The change log: silence, reloads and lists that cross requests.
