A keyed request's key for repeats goes to servers with each of its attempts

It is now passed on as it came, bounded and checked as the tag of a copy is; a request without one sends none.

A request for several parts is safe by definition and carries none.

--- a/crates/node/src/caches/wire.rs
+++ b/crates/node/src/caches/wire.rs
@@ -144,6 +144,8 @@
     pub renew: bool,
     /// The tag of the client's copy.
     pub seen: Option<&'a str>,
+    /// The client's key for repeats.
+    pub key: Option<&'a str>,
     /// The body.
     pub body: &'a [u8],
 }
@@ -177,6 +179,9 @@
         if let Some(seen) = self.seen {
             fields.add("seen", seen);
         }
+        if let Some(key) = self.key {
+            fields.add("i", key);
+        }
         encode(&[b"fetch", self.id.0.as_bytes(), fields.text().as_bytes(), self.body])
     }
 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -50,6 +50,8 @@
     pub left: Ms,
     /// The tag of the copy that the client holds.
     pub got: Option<String>,
+    /// The key under which servers know a repeat of it, whatever its id: clients of keyed classes send one.
+    pub key: Option<String>,
     /// The client says that it has presented this id before, or does so elsewhere at once: heeded only in a fleet that keeps requests.
     pub again: bool,
     /// Several parts instead of the one, as they were written; nobody has looked at them yet.
@@ -103,8 +105,8 @@
     u64::from_str_radix(text, 16).ok().filter(|_| digits)
 }
 
-/// The tag of a copy, which is passed on: nothing in it may end a field.
-fn copy_tag(text: &str) -> bool {
+/// The tag of a copy, or a key for repeats, which are passed on as they are: nothing in them may end a field.
+fn opaque(text: &str) -> bool {
     (1..=COPY_TAG).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_alphanumeric())
 }
 
@@ -123,8 +125,8 @@
         Some(size) => decimal(size).filter(|m| *m > 0.0 && *m <= MOST_KB)?,
         None => 0.0,
     };
-    let got = fields.get("got");
-    if !got.is_none_or(copy_tag) {
+    let (got, key) = (fields.get("got"), fields.get("k"));
+    if !got.is_none_or(opaque) || !key.is_none_or(opaque) {
         return None;
     }
     Some(Do {
@@ -137,6 +139,7 @@
         size_kb,
         left: fields.decimal("d").filter(|d| *d <= LONGEST_WAIT_MS)?,
         got: got.map(str::to_string),
+        key: key.map(str::to_string),
         again: fields.get("again") == Some("1"),
         parts: fields.get("parts").map(str::to_string),
         debt: fields.get("debt").map(str::to_string),
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -75,6 +75,7 @@
             peek: fetch.held_only,
             renew: fetch.renew,
             seen: open.request.got.as_deref(),
+            key: open.request.key.as_deref(),
             body,
         };
         let (end, way) = match place {
--- a/crates/node/src/owner/gather/peers.rs
+++ b/crates/node/src/owner/gather/peers.rs
@@ -215,6 +215,7 @@
             size_kb: want.size_kb,
             left: want.left,
             got: None,
+            key: None,
             again: false,
             parts: None,
             debt: None,
--- a/crates/node/src/owner/gather/tries.rs
+++ b/crates/node/src/owner/gather/tries.rs
@@ -30,6 +30,7 @@
             size_kb: of.size_kb,
             left,
             got: None,
+            key: None,
             again: false,
             parts: None,
             debt: None,
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -133,6 +133,7 @@
         size_kb: 0.0,
         left: 60_000.0,
         got: None,
+        key: None,
         again: false,
         parts: None,
         debt: None,
