Change log: a second connection beside one that is quiet or names events it has not told

Cause, three at once in the follower. (1) `Follower::take` passed over empty frames whatever their number, so a stream that goes on with empty frames and no events looked healthy for good. (2) Silence was found after 2.5 s, on a reconnect as on a running watch: one reconnect that came up and stayed silent made 5.05 s, past the 4 s after which a watch that stopped counts as told. (3) While a connection came up nothing else was tried, for up to a second each.

Now one connection runs and a second is tried beside it, after 1.25 s without a whole frame or when the latest empty frame has a number above the last event's; with its first frame that is of use it takes over. The running one is kept until then. Two at most, so OWN_DESCRIPTORS still holds. A log that names what it never tells is asked after 0.1 s, doubled up to 4 s. Frames of both go through one Follower, so none is told twice; a bad frame ends both, since "met again" must mean a connection that has asked for it since (the test of the log that talks nonsense showed that). Counters log_quiet and log_behind; the test of the counters' line has the two words more.

The decoder took frames out of the front of its buffer one by one, a move of up to 16 KB for each 13 bytes; it does so once a piece now.

Ruled out, each by a test: bytes lost when a read is given up for a reload; events lost or told twice over a reload in mid-frame, with the connection coming up or at rest, there and back, and with a frame cut at any byte; a whole list that lacks servers or all, unknown ids, one id twice in an event, a new server at an old address; a drain read with requests; a start without discovery; clients on every descriptor.

Seen to fail without the number of empty frames (`behind` false): "never: the event is told", "never: it is asked some times". Without the second connection (doubt only after silence): over 4 s in the test of the silent reconnect.

--- a/crates/emulator/src/standin/changelog.rs
+++ b/crates/emulator/src/standin/changelog.rs
@@ -1,9 +1,9 @@
 //! The change log: it tells whoever connects what came after the number that it names.
 
 pub use crate::net::frame;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 type Frames = Vec<(u64, Vec<u8>)>;
 
 /// The change log: frames by number, sent to whoever connects; the numbers it was asked to go on from.
+#[derive(Clone)]
 pub struct ChangeLog {
     /// Where it listens.
     pub address: SocketAddr,
@@ -23,10 +24,20 @@
     pub skip: Arc<Mutex<Option<u64>>>,
     /// The next frame of this number is cut in the middle, with its connection.
     pub cut: Arc<Mutex<Option<u64>>>,
+    /// The next frame of this number is cut after so many bytes, with its connection.
+    pub cut_at: Arc<Mutex<Option<(u64, usize)>>>,
     /// Empty frames are sent.
     pub beats: Arc<AtomicBool>,
+    /// Empty frames have the number of the last event that there is, told on that connection or not.
+    pub names_last: Arc<AtomicBool>,
     /// While this is set, connections are ended at once: it is down.
     pub down: Arc<AtomicBool>,
+    /// Connections, counted from 1, up to this one are told no event any more, only empty frames.
+    pub starved: Arc<AtomicUsize>,
+    /// Connections up to this one stay open and are told nothing at all any more.
+    pub mute: Arc<AtomicUsize>,
+    /// The highest number that was written whole.
+    pub told: Arc<AtomicU64>,
 }
 
 impl ChangeLog {
@@ -39,52 +50,79 @@
             asked: Arc::default(),
             skip: Arc::default(),
             cut: Arc::default(),
+            cut_at: Arc::default(),
             beats: Arc::new(AtomicBool::new(true)),
+            names_last: Arc::default(),
             down: Arc::default(),
+            starved: Arc::default(),
+            mute: Arc::default(),
+            told: Arc::default(),
         };
-        let (frames, asked, skip, beats) =
-            (Arc::clone(&log.frames), Arc::clone(&log.asked), Arc::clone(&log.skip), Arc::clone(&log.beats));
-        let (cut, down) = (Arc::clone(&log.cut), Arc::clone(&log.down));
+        let of = log.clone();
         thread::spawn(move || {
             for mut socket in listener.incoming().flatten() {
-                if down.load(Ordering::SeqCst) {
+                if of.down.load(Ordering::SeqCst) {
                     continue;
                 }
                 let mut from = [0; 8];
                 if socket.read_exact(&mut from).is_err() {
                     continue;
                 }
-                let mut last = u64::from_be_bytes(from);
-                asked.lock().expect("lock").push(last);
-                let (frames, skip, beats) = (Arc::clone(&frames), Arc::clone(&skip), Arc::clone(&beats));
-                let (cut, down) = (Arc::clone(&cut), Arc::clone(&down));
-                thread::spawn(move || loop {
-                    if down.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let news: Vec<_> =
-                        frames.lock().expect("lock").iter().filter(|f| f.0 > last).cloned().collect();
-                    for (number, bytes) in news {
-                        last = number;
-                        if cut.lock().expect("lock").take_if(|c| *c == number).is_some() {
-                            let _ = socket.write_all(&bytes[..bytes.len() / 2]);
-                            return;
-                        }
-                        let left_out = skip.lock().expect("lock").take_if(|s| *s == number).is_some();
-                        if !left_out && socket.write_all(&bytes).is_err() {
-                            return;
-                        }
-                    }
-                    if beats.load(Ordering::SeqCst) && socket.write_all(&frame(last, 0, &[])).is_err() {
-                        return;
-                    }
-                    thread::sleep(Duration::from_millis(50));
-                });
+                let last = u64::from_be_bytes(from);
+                let conn = {
+                    let mut asked = of.asked.lock().expect("lock");
+                    asked.push(last);
+                    asked.len()
+                };
+                let of = of.clone();
+                thread::spawn(move || of.serve(conn, last, socket));
             }
         });
         log
     }
 
+    /// Tells one connection what it has, until that or the router's side of it is over.
+    fn serve(&self, conn: usize, mut last: u64, mut socket: TcpStream) {
+        while !self.down.load(Ordering::SeqCst) {
+            if conn <= self.mute.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            if conn > self.starved.load(Ordering::SeqCst) && self.news(&mut last, &mut socket).is_err() {
+                return;
+            }
+            let beat = if self.names_last.load(Ordering::SeqCst) { self.last().max(last) } else { last };
+            if self.beats.load(Ordering::SeqCst) && socket.write_all(&frame(beat, 0, &[])).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn last(&self) -> u64 {
+        self.frames.lock().expect("lock").iter().map(|f| f.0).max().unwrap_or(0)
+    }
+
+    /// Tells the events after the last one; an error once the connection is to end.
+    fn news(&self, last: &mut u64, socket: &mut TcpStream) -> std::io::Result<()> {
+        let news: Vec<_> =
+            self.frames.lock().expect("lock").iter().filter(|f| f.0 > *last).cloned().collect();
+        for (number, bytes) in news {
+            *last = number;
+            let half = self.cut.lock().expect("lock").take_if(|c| *c == number).map(|_| bytes.len() / 2);
+            let cut = self.cut_at.lock().expect("lock").take_if(|(c, _)| *c == number).map(|(_, at)| at);
+            if let Some(at) = half.or(cut) {
+                socket.write_all(&bytes[..at])?;
+                return Err(ErrorKind::BrokenPipe.into());
+            }
+            if self.skip.lock().expect("lock").take_if(|s| *s == number).is_none() {
+                socket.write_all(&bytes)?;
+                self.told.fetch_max(number, Ordering::SeqCst);
+            }
+        }
+        Ok(())
+    }
+
     /// Tells an event.
     pub fn tell(&self, number: u64, kind: u8, payload: &[u8]) {
         self.frames.lock().expect("lock").push((number, frame(number, kind, payload)));
--- /dev/null
+++ b/crates/node/src/changelog/mod.rs
@@ -0,0 +1,137 @@
+//! The change log: a stream of numbered frames, followed from the last event that is known.
+//!
+//! - here: frames, and what is read from them;
+//! - `follower`: which event comes next, over all connections;
+//! - `watch`: one connection; `follow`: the one that runs, and the one that is tried beside it.
+
+mod follow;
+mod follower;
+mod watch;
+
+pub use follow::{follow, Doubt};
+pub use follower::Follower;
+
+use crate::limits::LOG_FRAME;
+use basaltgw::api::{GroupId, Listed, ObjectId, ServerEntry, ServerId};
+use basaltgw_config::{Member, Names, News, Seq};
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+/// Number and kind, which every frame has.
+const HEAD: usize = 9;
+const RECORD: usize = 27;
+
+/// A frame that can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadFrame(&'static str);
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// A frame: the event's number and the event; none in an empty frame.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Frame {
+    /// The number.
+    pub seq: Seq,
+    /// What it tells, if that can be read.
+    pub news: Result<Option<News>, BadFrame>,
+}
+
+/// Reads big-endian numbers off a payload.
+struct Bytes<'a>(&'a [u8]);
+
+impl Bytes<'_> {
+    fn number(&mut self, width: usize) -> Result<u64, BadFrame> {
+        let (head, rest) = self.0.split_at_checked(width).ok_or(BadFrame("a payload that is too short"))?;
+        self.0 = rest;
+        Ok(head.iter().fold(0, |n, b| n << 8 | u64::from(*b)))
+    }
+}
+
+/// Takes bytes in any pieces and gives whole frames. Fed only when it has no whole frame left, it holds less than the longest frame
+/// and a piece.
+#[derive(Default)]
+pub struct Decoder {
+    bytes: Vec<u8>,
+    /// Those before this are done with.
+    from: usize,
+}
+
+impl Decoder {
+    /// Takes bytes in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        // Once for each piece, not for each frame: a piece may hold a thousand.
+        self.bytes.drain(..self.from);
+        self.from = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The next whole frame, if there is one.
+    pub fn frame(&mut self, names: &Names) -> Result<Option<Frame>, BadFrame> {
+        let unread = self.bytes.get(self.from..).unwrap_or_default();
+        let Some((length, rest)) = unread.split_first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if !(HEAD..=LOG_FRAME).contains(&length) {
+            return Err(BadFrame("a length out of bounds"));
+        }
+        let Some(body) = rest.get(..length) else { return Ok(None) };
+        let mut body = Bytes(body);
+        let frame = Frame { seq: Seq(body.number(8)?), news: news(body, names) };
+        self.from += 4 + length;
+        Ok(Some(frame))
+    }
+}
+
+fn news(mut b: Bytes<'_>, names: &Names) -> Result<Option<News>, BadFrame> {
+    let news = match b.number(1)? {
+        0 => None,
+        kind @ (1 | 2) => {
+            let mut members = Vec::with_capacity(b.0.len() / RECORD);
+            while !b.0.is_empty() {
+                members.push(record(&mut b, names)?);
+            }
+            Some(News::Servers { whole: kind == 1, members })
+        }
+        3 => {
+            let object = Some(ObjectId(b.number(8)?));
+            Some(News::Purge { object, group: GroupId(0), time: b.number(8)? as f64 })
+        }
+        4 => {
+            let group = GroupId(b.number(2)?);
+            Some(News::Purge { object: None, group, time: b.number(8)? as f64 })
+        }
+        _ => return Err(BadFrame("an unknown kind")),
+    };
+    if b.0.is_empty() {
+        Ok(news)
+    } else {
+        Err(BadFrame("a payload that is too long"))
+    }
+}
+
+fn record(b: &mut Bytes<'_>, names: &Names) -> Result<Member, BadFrame> {
+    let id = ServerId(Arc::from(format!("s-{:08x}", b.number(4)?)));
+    let ip = Ipv4Addr::from(b.number(4)? as u32);
+    let address = SocketAddr::from((ip, b.number(2)? as u16));
+    let listed = match b.number(1)? {
+        0 => Listed::Up,
+        1 => Listed::Draining,
+        2 => Listed::Gone,
+        _ => return Err(BadFrame("an unknown state")),
+    };
+    let zone = names.zone_at(b.number(1)? as usize).ok_or(BadFrame("an unknown zone"))?;
+    let role = names.role_at(b.number(1)? as usize).ok_or(BadFrame("an unknown kind of server"))?;
+    let cell = b.number(2)?;
+    let weight = b.number(4)? as f64 / 1000.0;
+    let started = Some(b.number(8)? as f64).filter(|t| *t > 0.0);
+    Ok(Member { entry: ServerEntry { id, zone, role, cell, listed, weight, started }, address })
+}
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -103,6 +103,10 @@
         purges: Count = "purges",
         /// Connections to the change log that ended, whatever for.
         lost: Count = "log_lost",
+        /// Second connections to the change log tried since the first was quiet.
+        quiet: Count = "log_quiet",
+        /// Second connections to the change log tried since the first named events that it had not told.
+        behind: Count = "log_behind",
     }
 }
 
--- a/crates/node/src/counters/mod.rs
+++ b/crates/node/src/counters/mod.rs
@@ -6,6 +6,7 @@
 pub use groups::{Attempts, Batches, ChangeLog, Clients, Conns, Files, Memory, Tree};
 pub use kinds::{Count, Level};
 
+use crate::changelog::Doubt;
 use crate::clients::Reply;
 use crate::tree::TreeCounters;
 use basaltgw::api::End;
@@ -52,6 +53,17 @@
     }
 }
 
+impl ChangeLog {
+    /// Counts a second connection, by its cause.
+    pub fn doubted(&self, doubt: Doubt) {
+        match doubt {
+            Doubt::Quiet => &self.quiet,
+            Doubt::Behind => &self.behind,
+        }
+        .one();
+    }
+}
+
 impl Clients {
     /// Counts an answer to a client.
     pub fn answered(&self, reply: &Reply<'_>) {
@@ -146,8 +158,8 @@
              failed=0 turned_away=0 taken_back=0 withheld=0 attempts=0 attempts_served=0 attempts_error=0 \
              attempts_full=0 attempts_late=0 attempts_no_connection=0 attempts_broken=0 attempts_cancelled=0 \
              attempts_not_sent=0 attempts_miss=1 late_answers=0 conns=0 conns_now=0 conns_failed=0 \
-             conns_unreadable=0 conns_unfinished=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 reloads=0 \
-             reloads_refused=0 carried=0 held=0 held_most=0 plans=0 plans_refused=0 plans_ended=0 loops=0 \
+             conns_unreadable=0 conns_unfinished=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 log_quiet=0 \
+             log_behind=0 reloads=0 reloads_refused=0 carried=0 held=0 held_most=0 plans=0 plans_refused=0 plans_ended=0 loops=0 \
              loops_set_aside=0 batches=0 batch_longest_ms=1.24"
         );
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -52,6 +52,8 @@
     News(News),
     /// The change log's connection was lost, or it moved.
     LogLost,
+    /// A second connection to the change log is tried, for a doubt about the first.
+    LogDoubted(changelog::Doubt),
     /// The configuration was read again; false if it could not be used.
     Reloaded(bool),
     /// The project's own file was read again.
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -62,7 +62,7 @@
 pub const ROOM_IDLE_MS: Ms = 4_200.0;
 /// Where those are not enough, the ones that have had their answers and been idle for longest make room, if for this long.
 pub const ROOM_REST_MS: Ms = 50.0;
-/// Descriptors that are neither clients' nor servers': listener, change log, reactor, signals, standard streams.
+/// Descriptors that are neither clients' nor servers': listener, change log (two at most), reactor, signals, standard streams.
 pub const OWN_DESCRIPTORS: u64 = 16;
 /// The listener's address may still be held by the process before; it is tried for this long.
 pub const BIND: Duration = Duration::from_secs(5);
@@ -99,10 +99,19 @@
 pub const CLIENT_IDLE_MS: Ms = 6_000.0;
 /// After a failed accept, such as for want of descriptors, the listener rests for this.
 pub const ACCEPT_REST: Duration = Duration::from_millis(20);
-/// The change log sends a frame each second; after so long without one its connection is given up.
+/// The change log sends a frame each second; after so long without one another connection is tried beside, which takes over with its
+/// first. What a watch that stopped would have told counts as told 4 s later: two more that stay silent still fit in.
+pub const LOG_DOUBT: Duration = Duration::from_millis(1250);
+/// After so long without a frame a connection is given up.
 pub const LOG_SILENT: Duration = Duration::from_millis(2500);
-/// Time for its connection to come up.
-pub const LOG_CONNECT: Duration = Duration::from_millis(1000);
+/// Time for its connection to come up; another is tried beside it meanwhile.
+pub const LOG_CONNECT: Duration = Duration::from_millis(2000);
+/// A log whose empty frame names an event that it has not told is asked anew after this, since the event may just be on its way;
+/// doubled up to [`LOG_ASK_MOST`] for each time in vain.
+pub const LOG_ASK: Duration = Duration::from_millis(100);
+/// With a second until the next empty frame, one to connect and one to spare, what is held back is found in the 7 s after which it
+/// counts as told.
+pub const LOG_ASK_MOST: Duration = Duration::from_millis(4000);
 /// Rest before it is tried again, doubled up to the second.
 pub const LOG_REST: Duration = Duration::from_millis(50);
 /// See [`LOG_REST`].
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -145,6 +145,7 @@
             Input::CacheDown(at, down) => self.conn_down(at, down),
             Input::News(news) => self.news(news),
             Input::LogLost => self.counters.log.lost.one(),
+            Input::LogDoubted(doubt) => self.counters.log.doubted(doubt),
             Input::Reloaded(true) => self.counters.files.reloads.one(),
             Input::Reloaded(false) => self.counters.files.reloads_refused.one(),
             Input::Plan(hierarchy) => {
--- a/crates/node/tests/crossing/watches.rs
+++ b/crates/node/tests/crossing/watches.rs
@@ -1,1 +1,391 @@
 //! The change log: silence, reloads and lists that cross requests.
+
+use crate::common::*;
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// A router before an edge cache, a parent and an origin.
+struct Rig {
+    edge: Cache,
+    origin: Cache,
+    log: ChangeLog,
+    config: Value,
+    router: Process,
+}
+
+fn rig_of(log: ChangeLog, change: impl FnOnce(&mut Value)) -> Rig {
+    let (edge, origin) = (Cache::full(), Cache::full());
+    let mut config = configuration(&three(&edge, &Cache::full(), &origin), log.address);
+    change(&mut config);
+    let router = router(&config);
+    Rig { edge, origin, log, config, router }
+}
+
+fn rig() -> Rig {
+    rig_of(ChangeLog::start(), |_| {})
+}
+
+fn purge(object: u64) -> Vec<u8> {
+    [object.to_be_bytes(), unix_ms().to_be_bytes()].concat()
+}
+
+/// How often it was asked.
+fn asks(log: &ChangeLog) -> usize {
+    log.asked.lock().expect("lock").len()
+}
+
+#[test]
+fn a_log_whose_empty_frames_name_an_event_that_it_does_not_tell_is_asked_anew() {
+    let rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    rig.log.names_last.store(true, Ordering::SeqCst);
+    rig.log.starved.store(1, Ordering::SeqCst);
+    rig.log.tell(2, 3, &purge(77));
+    until("the event is told", || rig.router.counter("purges") == 1);
+    assert_eq!((asks(&rig.log), rig.router.counter("log_behind")), (2, 1));
+    assert_eq!(
+        rig.log.asked.lock().expect("lock")[..],
+        [1, 1],
+        "asked for what comes after the last that is known"
+    );
+    // The one that was asked runs from now on, and tells what comes.
+    rig.log.tell(3, 3, &purge(78));
+    until("the next is told", || rig.router.counter("purges") == 2);
+}
+
+#[test]
+fn a_log_that_never_tells_what_it_names_is_asked_more_and_more_seldom_and_followed_on() {
+    let start = Instant::now();
+    let rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    rig.log.names_last.store(true, Ordering::SeqCst);
+    rig.log.starved.store(usize::MAX, Ordering::SeqCst);
+    rig.log.tell(2, 3, &purge(77));
+    // After 0.1, 0.2, 0.4, 0.8 and 1.6 s more.
+    until("it is asked some times", || asks(&rig.log) >= 6);
+    assert!(start.elapsed() >= Duration::from_millis(3100), "{:?}", start.elapsed());
+    assert_eq!(rig.router.counter("purges"), 0);
+    let asked = asks(&rig.log);
+    rig.log.starved.store(0, Ordering::SeqCst);
+    until("what it then tells is heard", || rig.router.counter("purges") == 1);
+    assert!(asks(&rig.log) <= asked + 1, "on a connection that was open");
+}
+
+#[test]
+fn a_reconnect_that_comes_up_and_stays_silent_is_overtaken_by_another() {
+    let rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    until("a frame was heard", || rig.router.counter("batches") > 0);
+    let stopped = Instant::now();
+    rig.log.mute.store(2, Ordering::SeqCst);
+    rig.log.tell(2, 3, &purge(77));
+    until("the event is told", || rig.router.counter("purges") == 1);
+    // A watch that stopped counts as told after 4 s.
+    assert!(stopped.elapsed() < Duration::from_secs(4), "{:?}", stopped.elapsed());
+    assert_eq!((asks(&rig.log), rig.router.counter("log_quiet")), (3, 2));
+}
+
+// ---- New configurations ----
+
+/// Has the router follow the change log at this address; waits until it has read so.
+fn reload(rig: &mut Rig, at: SocketAddr) {
+    let before = rig.router.counter("reloads");
+    rig.config["changelog"] = json!(at.to_string());
+    rig.router.rewrite(&rig.config.to_string());
+    rig.router.signal("HUP");
+    until("it is read", || rig.router.counter("reloads") == before + 1);
+}
+
+#[test]
+fn a_reload_in_the_middle_of_a_frame_loses_no_event_and_tells_none_twice() {
+    let mut rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    // The next one begins event 3, and then nothing more comes of it.
+    let half = TcpListener::bind("127.0.0.1:0").expect("a port");
+    reload(&mut rig, half.local_addr().expect("an address"));
+    let (mut socket, _) = half.accept().expect("the router");
+    let mut from = [0; 8];
+    socket.read_exact(&mut from).expect("the last event");
+    assert_eq!(u64::from_be_bytes(from), 1);
+    let third = frame(3, 3, &purge(3));
+    socket.write_all(&[&frame(2, 3, &purge(2)), &third[..third.len() - 1]].concat()).expect("written");
+    until("event 2 is told", || rig.router.counter("purges") == 1);
+    (2..=4).for_each(|n| rig.log.tell(n, 3, &purge(n)));
+    let back = rig.log.address;
+    reload(&mut rig, back);
+    until("the rest is told", || rig.router.counter("purges") == 3);
+    assert_eq!(rig.log.asked.lock().expect("lock")[..], [1, 2], "from the last whole event on");
+    // The connection is left, not kept for what may still come on it.
+    socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    assert!(matches!(socket.read(&mut from), Ok(0) | Err(_)));
+    assert_eq!(rig.router.counter("purges"), 3);
+}
+
+#[test]
+fn an_event_that_comes_as_its_connection_is_given_up_is_told_once() {
+    let mut rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    let other = ChangeLog::start();
+    (2..=5).for_each(|n| other.tell(n, 3, &purge(n)));
+    // All in one moment: two events on the old connection, and that it is to be left.
+    rig.router.signal("STOP");
+    (2..=3).for_each(|n| rig.log.tell(n, 3, &purge(n)));
+    until("they are written", || rig.log.told.load(Ordering::SeqCst) == 3);
+    rig.config["changelog"] = json!(other.address.to_string());
+    rig.router.rewrite(&rig.config.to_string());
+    rig.router.signal("HUP");
+    rig.router.signal("CONT");
+    until("all is told", || rig.router.counter("purges") >= 4);
+    until("it is read", || rig.router.counter("reloads") == 1);
+    assert_eq!((rig.router.counter("purges"), asks(&other)), (4, 1));
+}
+
+/// A machine that answers no connection: what would be accepted waits already.
+struct Full {
+    address: SocketAddr,
+    _waiting: Vec<TcpStream>,
+    _listener: TcpListener,
+}
+
+fn full() -> Full {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    rustix::net::listen(&listener, 0).expect("a short queue");
+    let address = listener.local_addr().expect("an address");
+    let waiting: Vec<TcpStream> =
+        std::iter::from_fn(|| TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok())
+            .collect();
+    Full { address, _waiting: waiting, _listener: listener }
+}
+
+#[test]
+fn a_reload_is_heeded_while_a_connection_comes_up_and_while_none_may_be_tried() {
+    let mut rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    let (back, silent) = (rig.log.address, full());
+    let refusing = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
+    for (round, elsewhere) in [silent.address, refusing].into_iter().enumerate() {
+        let round = round as u64;
+        reload(&mut rig, elsewhere);
+        // It has left, and goes from try to try without an end.
+        let lost = rig.router.counter("log_lost");
+        until("tries fail", || rig.router.counter("log_lost") >= lost + 2);
+        rig.log.tell(2 + round, 3, &purge(round));
+        let asked = asks(&rig.log);
+        reload(&mut rig, back);
+        until("the event is told", || rig.router.counter("purges") == 1 + round);
+        assert_eq!(rig.log.asked.lock().expect("lock")[asked..], [1 + round]);
+    }
+}
+
+#[test]
+fn two_reloads_at_once_end_at_the_last_address() {
+    let mut rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    let (back, silent) = (rig.log.address, full());
+    for round in 0..5 {
+        reload(&mut rig, silent.address);
+        rig.log.tell(2 + round, 3, &purge(round));
+        reload(&mut rig, back);
+        until("the event is told", || rig.router.counter("purges") == 1 + round);
+    }
+    assert_eq!(rig.log.asked.lock().expect("lock")[..], [1, 1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_frame_cut_at_any_byte_is_told_once_by_the_next_connection() {
+    let rig = rig();
+    until("it is followed", || asks(&rig.log) == 1);
+    let whole = frame(2, 3, &purge(2)).len();
+    for at in 0..whole {
+        let number = 2 + at as u64;
+        *rig.log.cut_at.lock().expect("lock") = Some((number, at));
+        rig.log.tell(number, 3, &purge(number));
+        until("it is told", || rig.router.counter("purges") == 1 + at as u64);
+    }
+    assert_eq!(rig.router.counter("log_lost"), whole as u64);
+    let after: Vec<u64> = (0..=whole as u64).map(|n| n.max(1)).collect();
+    assert_eq!(rig.log.asked.lock().expect("lock")[1..], after[1..]);
+}
+
+// ---- Lists ----
+
+/// Asks for some objects; each gets one answer. Gives how many were served.
+fn round(client: &mut Client, from: u64) -> usize {
+    (from..from + 20).for_each(|t| {
+        client.ask(t, "pages", t * 7919, "", b"");
+    });
+    let answers: Vec<Got> = (0..20).map(|_| client.must()).collect();
+    let mut tags: Vec<u64> = answers.iter().map(|g| g.tag).collect();
+    tags.sort_unstable();
+    assert_eq!(tags, (from..from + 20).collect::<Vec<_>>());
+    assert_eq!(client.settle(), []);
+    answers.iter().filter(|g| g.word == "200").count()
+}
+
+fn listed(rig: &Rig, number: u64, kind: u8, records: &[Vec<u8>]) {
+    let before = rig.router.counter("lists");
+    rig.log.tell(number, kind, &records.concat());
+    until("the list is in", || rig.router.counter("lists") == before + 1);
+}
+
+#[test]
+fn a_whole_list_after_a_break_takes_out_what_it_lacks() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(round(&mut client, 1), 20);
+    let before = rig.edge.count();
+    assert!(before > 0);
+    rig.log.down.store(true, Ordering::SeqCst);
+    until("the break is seen", || rig.router.counter("log_lost") >= 1);
+    rig.log.tell(2, 1, &record(ORIGIN, rig.origin.address, 0, 2));
+    rig.log.down.store(false, Ordering::SeqCst);
+    until("the list is in", || rig.router.counter("lists") == 2);
+    assert_eq!(rig.router.counter("servers_now"), 1);
+    round(&mut client, 101);
+    assert_eq!(rig.edge.count(), before, "nothing to a cache that is no longer listed");
+    // Without any server each request still has its answer.
+    listed(&rig, 3, 1, &[]);
+    assert_eq!((rig.router.counter("servers_now"), round(&mut client, 201)), (0, 0));
+    // Ids that were never heard of, in any state.
+    let (edge, unknown) = (rig.edge.address, full().address);
+    let changes = [
+        record(0x77, unknown, 2, 0),
+        record(0x78, unknown, 1, 0),
+        record(EDGE, edge, 0, 0),
+        record(ORIGIN, rig.origin.address, 0, 2),
+    ];
+    listed(&rig, 4, 2, &changes);
+    assert_eq!(rig.router.counter("servers_now"), 3);
+    assert_eq!(round(&mut client, 301), 20);
+    assert!(rig.edge.count() > before, "it is back");
+}
+
+#[test]
+fn of_one_server_twice_in_an_event_the_last_holds() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    let (edge, moved) = (rig.edge.address, Cache::full());
+    listed(&rig, 2, 2, &[record(EDGE, edge, 1, 0), record(EDGE, moved.address, 0, 0)]);
+    assert_eq!(round(&mut client, 1), 20);
+    assert_eq!(rig.edge.count(), 0);
+    let before = moved.count();
+    assert!(before > 0);
+    listed(&rig, 3, 2, &[record(EDGE, moved.address, 0, 0), record(EDGE, moved.address, 1, 0)]);
+    round(&mut client, 101);
+    assert_eq!(moved.count(), before, "nothing to a draining cache");
+}
+
+#[test]
+fn a_new_server_at_the_address_of_one_that_has_gone_is_reached_by_new_connections() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(round(&mut client, 1), 20);
+    let old = rig.edge.conns.load(Ordering::SeqCst);
+    let before = rig.edge.count();
+    listed(&rig, 2, 2, &[record(EDGE, rig.edge.address, 2, 0), record(EDGE_2, rig.edge.address, 0, 0)]);
+    assert_eq!(round(&mut client, 101), 20);
+    let since = rig.edge.all().split_off(before);
+    assert!(!since.is_empty() && since.iter().all(|s| s.conn > old), "the old connections are another's");
+}
+
+#[test]
+fn a_drain_that_is_read_with_requests_goes_before_them() {
+    let second = Cache::full();
+    let rig = rig_of(ChangeLog::start(), |c| {
+        with_second(c, &second);
+        // What comes in one moment is one batch.
+        c["settings"]["tick"] = json!(50.0);
+    });
+    let mut client = rig.router.client();
+    for at in 0..5 {
+        let from = 1 + 1000 * at;
+        assert_eq!(round(&mut client, from), 20);
+        let before = rig.edge.count();
+        assert!(before > 0 && second.count() > 0, "both are in use");
+        let number = 2 + 2 * at;
+        let lists = rig.router.counter("lists");
+        rig.router.signal("STOP");
+        rig.log.tell(number, 2, &record(EDGE, rig.edge.address, 1, 0));
+        until("the drain is written", || rig.log.told.load(Ordering::SeqCst) == number);
+        (from + 100..from + 120).for_each(|t| {
+            client.ask(t, "pages", t * 7919, "", b"");
+        });
+        rig.router.signal("CONT");
+        (0..20).for_each(|_| assert_eq!(client.must().word, "200"));
+        assert_eq!(rig.router.counter("lists"), lists + 1);
+        assert_eq!(rig.edge.count(), before, "nothing to a draining cache");
+        listed(&rig, number + 1, 2, &[record(EDGE, rig.edge.address, 0, 0)]);
+    }
+}
+
+// ---- Without the change log ----
+
+#[test]
+fn started_without_the_change_log_a_router_is_ready_by_its_list_alone() {
+    let log = ChangeLog::start();
+    log.down.store(true, Ordering::SeqCst);
+    let rig = rig_of(log, |_| {});
+    let mut client = rig.router.client();
+    client.say("PING", 1);
+    assert_eq!(client.must().word, "serving", "what it was started with is a list");
+    assert_eq!(round(&mut client, 2), 20);
+}
+
+#[test]
+fn started_without_the_change_log_and_without_a_list_a_router_says_so_and_is_ready_soon_after_its_return() {
+    let log = ChangeLog::start();
+    log.down.store(true, Ordering::SeqCst);
+    let rig = rig_of(log, |c| c["known"] = json!({"seq": 0, "results": []}));
+    // Long enough for the rest between tries to be the longest.
+    until("it has tried some times", || rig.router.counter("log_lost") >= 7);
+    let mut client = rig.router.client();
+    client.say("PING", 1);
+    assert_eq!(client.must().word, "not_serving");
+    assert_ne!(round(&mut client, 2), 20, "no server is known");
+    rig.log.tell(
+        1,
+        1,
+        &[record(EDGE, rig.edge.address, 0, 0), record(ORIGIN, rig.origin.address, 0, 2)].concat(),
+    );
+    let back = Instant::now();
+    rig.log.down.store(false, Ordering::SeqCst);
+    let mut tag = 1000;
+    until_asked("it is ready", || {
+        tag += 1;
+        client.say("PING", tag);
+        client.must().word == "serving"
+    });
+    // Nine in ten have 10 s from their start on.
+    assert!(back.elapsed() < Duration::from_secs(5), "{:?}", back.elapsed());
+    assert_eq!(round(&mut client, 100), 20);
+}
+
+#[test]
+fn clients_that_hold_every_descriptor_do_not_keep_the_change_log_away() {
+    let log = ChangeLog::start();
+    let (edge, origin) = (Cache::full(), Cache::full());
+    let mut config = configuration(&three(&edge, &Cache::full(), &origin), log.address);
+    config["limits"]["sockets"] = json!(64);
+    let router = router_by(&config, "ulimit -n 64; exec \"$0\" serve");
+    until("it is followed", || asks(&log) == 1);
+    log.down.store(true, Ordering::SeqCst);
+    until("discovery is down", || router.counter("log_lost") >= 3);
+    // All ask once and keep their connections; more than there is room for.
+    let idle: Vec<Client> = (0..80).map(|_| router.client()).collect();
+    until("the places are taken", || router.counter("clients_now") >= 20);
+    log.tell(2, 3, &purge(77));
+    log.down.store(false, Ordering::SeqCst);
+    until("the change log is reached again", || router.counter("purges") == 1);
+    // New clients are served meanwhile, and by connections to servers.
+    let mut client = router.client();
+    client.ask(1, "pages", 77, "", b"");
+    assert_eq!(client.must().word, "200");
+    assert!(edge.count() > 0);
+    until("those that were closed are counted by cause", || {
+        router.counter("closed_for_room") + router.counter("closed_silent") > 0
+    });
+    drop(idle);
+}
