Tests of the change log: quicker ends, lists apart, and descriptors that clients hold

Three tests were too weak, as deliberately broken builds showed. The reload in mid-frame hung where a router never left the old address; it fails now. Two reloads at once passed with moves left unheeded while a connection comes up; the quickest of five rounds now has to be under a second, and a try lasts two. Descriptors passed with clients on all of them, since silent ones go after 2 s; they ask once now and keep their connection, and none may have been closed for having been idle.

--- a/crates/node/tests/crossing/watches.rs
+++ b/crates/node/tests/crossing/watches.rs
@@ -1,5 +1,7 @@
 //! The change log: silence, reloads and lists that cross requests.
 
+mod lists;
+
 use crate::common::*;
 use serde_json::{json, Value};
 use std::io::{Read, Write};
@@ -106,7 +108,14 @@
     // The next one begins event 3, and then nothing more comes of it.
     let half = TcpListener::bind("127.0.0.1:0").expect("a port");
     reload(&mut rig, half.local_addr().expect("an address"));
-    let (mut socket, _) = half.accept().expect("the router");
+    half.set_nonblocking(true).expect("a listener that does not wait");
+    let mut taken = None;
+    until_asked("the router connects", || {
+        taken = half.accept().ok();
+        taken.is_some()
+    });
+    let (mut socket, _) = taken.expect("the router");
+    socket.set_nonblocking(false).expect("a socket that waits");
     let mut from = [0; 8];
     socket.read_exact(&mut from).expect("the last event");
     assert_eq!(u64::from_be_bytes(from), 1);
@@ -185,13 +194,17 @@
     let mut rig = rig();
     until("it is followed", || asks(&rig.log) == 1);
     let (back, silent) = (rig.log.address, full());
+    let mut quickest = Duration::MAX;
     for round in 0..5 {
+        let start = Instant::now();
         reload(&mut rig, silent.address);
         rig.log.tell(2 + round, 3, &purge(round));
         reload(&mut rig, back);
         until("the event is told", || rig.router.counter("purges") == 1 + round);
+        quickest = quickest.min(start.elapsed());
     }
     assert_eq!(rig.log.asked.lock().expect("lock")[..], [1, 1, 2, 3, 4, 5]);
+    assert!(quickest < Duration::from_secs(1), "no try at the other address is waited for: {quickest:?}");
 }
 
 #[test]
@@ -210,8 +223,6 @@
     assert_eq!(rig.log.asked.lock().expect("lock")[1..], after[1..]);
 }
 
-// ---- Lists ----
-
 /// Asks for some objects; each gets one answer. Gives how many were served.
 fn round(client: &mut Client, from: u64) -> usize {
     (from..from + 20).for_each(|t| {
@@ -225,102 +236,6 @@
     answers.iter().filter(|g| g.word == "200").count()
 }
 
-fn listed(rig: &Rig, number: u64, kind: u8, records: &[Vec<u8>]) {
-    let before = rig.router.counter("lists");
-    rig.log.tell(number, kind, &records.concat());
-    until("the list is in", || rig.router.counter("lists") == before + 1);
-}
-
-#[test]
-fn a_whole_list_after_a_break_takes_out_what_it_lacks() {
-    let rig = rig();
-    let mut client = rig.router.client();
-    assert_eq!(round(&mut client, 1), 20);
-    let before = rig.edge.count();
-    assert!(before > 0);
-    rig.log.down.store(true, Ordering::SeqCst);
-    until("the break is seen", || rig.router.counter("log_lost") >= 1);
-    rig.log.tell(2, 1, &record(ORIGIN, rig.origin.address, 0, 2));
-    rig.log.down.store(false, Ordering::SeqCst);
-    until("the list is in", || rig.router.counter("lists") == 2);
-    assert_eq!(rig.router.counter("servers_now"), 1);
-    round(&mut client, 101);
-    assert_eq!(rig.edge.count(), before, "nothing to a cache that is no longer listed");
-    // Without any server each request still has its answer.
-    listed(&rig, 3, 1, &[]);
-    assert_eq!((rig.router.counter("servers_now"), round(&mut client, 201)), (0, 0));
-    // Ids that were never heard of, in any state.
-    let (edge, unknown) = (rig.edge.address, full().address);
-    let changes = [
-        record(0x77, unknown, 2, 0),
-        record(0x78, unknown, 1, 0),
-        record(EDGE, edge, 0, 0),
-        record(ORIGIN, rig.origin.address, 0, 2),
-    ];
-    listed(&rig, 4, 2, &changes);
-    assert_eq!(rig.router.counter("servers_now"), 3);
-    assert_eq!(round(&mut client, 301), 20);
-    assert!(rig.edge.count() > before, "it is back");
-}
-
-#[test]
-fn of_one_server_twice_in_an_event_the_last_holds() {
-    let rig = rig();
-    let mut client = rig.router.client();
-    let (edge, moved) = (rig.edge.address, Cache::full());
-    listed(&rig, 2, 2, &[record(EDGE, edge, 1, 0), record(EDGE, moved.address, 0, 0)]);
-    assert_eq!(round(&mut client, 1), 20);
-    assert_eq!(rig.edge.count(), 0);
-    let before = moved.count();
-    assert!(before > 0);
-    listed(&rig, 3, 2, &[record(EDGE, moved.address, 0, 0), record(EDGE, moved.address, 1, 0)]);
-    round(&mut client, 101);
-    assert_eq!(moved.count(), before, "nothing to a draining cache");
-}
-
-#[test]
-fn a_new_server_at_the_address_of_one_that_has_gone_is_reached_by_new_connections() {
-    let rig = rig();
-    let mut client = rig.router.client();
-    assert_eq!(round(&mut client, 1), 20);
-    let old = rig.edge.conns.load(Ordering::SeqCst);
-    let before = rig.edge.count();
-    listed(&rig, 2, 2, &[record(EDGE, rig.edge.address, 2, 0), record(EDGE_2, rig.edge.address, 0, 0)]);
-    assert_eq!(round(&mut client, 101), 20);
-    let since = rig.edge.all().split_off(before);
-    assert!(!since.is_empty() && since.iter().all(|s| s.conn > old), "the old connections are another's");
-}
-
-#[test]
-fn a_drain_that_is_read_with_requests_goes_before_them() {
-    let second = Cache::full();
-    let rig = rig_of(ChangeLog::start(), |c| {
-        with_second(c, &second);
-        // What comes in one moment is one batch.
-        c["settings"]["tick"] = json!(50.0);
-    });
-    let mut client = rig.router.client();
-    for at in 0..5 {
-        let from = 1 + 1000 * at;
-        assert_eq!(round(&mut client, from), 20);
-        let before = rig.edge.count();
-        assert!(before > 0 && second.count() > 0, "both are in use");
-        let number = 2 + 2 * at;
-        let lists = rig.router.counter("lists");
-        rig.router.signal("STOP");
-        rig.log.tell(number, 2, &record(EDGE, rig.edge.address, 1, 0));
-        until("the drain is written", || rig.log.told.load(Ordering::SeqCst) == number);
-        (from + 100..from + 120).for_each(|t| {
-            client.ask(t, "pages", t * 7919, "", b"");
-        });
-        rig.router.signal("CONT");
-        (0..20).for_each(|_| assert_eq!(client.must().word, "200"));
-        assert_eq!(rig.router.counter("lists"), lists + 1);
-        assert_eq!(rig.edge.count(), before, "nothing to a draining cache");
-        listed(&rig, number + 1, 2, &[record(EDGE, rig.edge.address, 0, 0)]);
-    }
-}
-
 // ---- Without the change log ----
 
 #[test]
@@ -373,19 +288,25 @@
     until("it is followed", || asks(&log) == 1);
     log.down.store(true, Ordering::SeqCst);
     until("discovery is down", || router.counter("log_lost") >= 3);
-    // All ask once and keep their connections; more than there is room for.
-    let idle: Vec<Client> = (0..80).map(|_| router.client()).collect();
-    until("the places are taken", || router.counter("clients_now") >= 20);
+    // More than there is room for; all ask once and keep their connections for good.
+    let idle: Vec<Client> = (0..80)
+        .map(|n| {
+            let mut client = router.client();
+            client.try_ask(1, "pages", n);
+            client
+        })
+        .collect();
+    // Of 64, a third are servers' and 16 the process's own.
+    until("the places are taken", || router.counter("clients_now") == 27);
     log.tell(2, 3, &purge(77));
     log.down.store(false, Ordering::SeqCst);
     until("the change log is reached again", || router.counter("purges") == 1);
+    assert_eq!(router.counter("closed_idle"), 0, "not for a place that an idle one left");
     // New clients are served meanwhile, and by connections to servers.
     let mut client = router.client();
     client.ask(1, "pages", 77, "", b"");
     assert_eq!(client.must().word, "200");
     assert!(edge.count() > 0);
-    until("those that were closed are counted by cause", || {
-        router.counter("closed_for_room") + router.counter("closed_silent") > 0
-    });
+    assert!(router.counter("closed_for_room") > 0, "those that made room are counted");
     drop(idle);
 }
--- /dev/null
+++ b/crates/node/tests/crossing/watches/lists.rs
@@ -0,0 +1,102 @@
+//! Lists that cross breaks, each other and requests.
+
+use super::{full, rig, rig_of, round, Rig};
+use crate::common::*;
+use serde_json::json;
+use std::sync::atomic::Ordering;
+
+fn listed(rig: &Rig, number: u64, kind: u8, records: &[Vec<u8>]) {
+    let before = rig.router.counter("lists");
+    rig.log.tell(number, kind, &records.concat());
+    until("the list is in", || rig.router.counter("lists") == before + 1);
+}
+
+#[test]
+fn a_whole_list_after_a_break_takes_out_what_it_lacks() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(round(&mut client, 1), 20);
+    let before = rig.edge.count();
+    assert!(before > 0);
+    rig.log.down.store(true, Ordering::SeqCst);
+    until("the break is seen", || rig.router.counter("log_lost") >= 1);
+    rig.log.tell(2, 1, &record(ORIGIN, rig.origin.address, 0, 2));
+    rig.log.down.store(false, Ordering::SeqCst);
+    until("the list is in", || rig.router.counter("lists") == 2);
+    assert_eq!(rig.router.counter("servers_now"), 1);
+    round(&mut client, 101);
+    assert_eq!(rig.edge.count(), before, "nothing to a cache that is no longer listed");
+    // Without any server each request still has its answer.
+    listed(&rig, 3, 1, &[]);
+    assert_eq!((rig.router.counter("servers_now"), round(&mut client, 201)), (0, 0));
+    // Ids that were never heard of, in any state.
+    let (edge, unknown) = (rig.edge.address, full().address);
+    let changes = [
+        record(0x77, unknown, 2, 0),
+        record(0x78, unknown, 1, 0),
+        record(EDGE, edge, 0, 0),
+        record(ORIGIN, rig.origin.address, 0, 2),
+    ];
+    listed(&rig, 4, 2, &changes);
+    assert_eq!(rig.router.counter("servers_now"), 3);
+    assert_eq!(round(&mut client, 301), 20);
+    assert!(rig.edge.count() > before, "it is back");
+}
+
+#[test]
+fn of_one_server_twice_in_an_event_the_last_holds() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    let (edge, moved) = (rig.edge.address, Cache::full());
+    listed(&rig, 2, 2, &[record(EDGE, edge, 1, 0), record(EDGE, moved.address, 0, 0)]);
+    assert_eq!(round(&mut client, 1), 20);
+    assert_eq!(rig.edge.count(), 0);
+    let before = moved.count();
+    assert!(before > 0);
+    listed(&rig, 3, 2, &[record(EDGE, moved.address, 0, 0), record(EDGE, moved.address, 1, 0)]);
+    round(&mut client, 101);
+    assert_eq!(moved.count(), before, "nothing to a draining cache");
+}
+
+#[test]
+fn a_new_server_at_the_address_of_one_that_has_gone_is_reached_by_new_connections() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(round(&mut client, 1), 20);
+    let old = rig.edge.conns.load(Ordering::SeqCst);
+    let before = rig.edge.count();
+    listed(&rig, 2, 2, &[record(EDGE, rig.edge.address, 2, 0), record(EDGE_2, rig.edge.address, 0, 0)]);
+    assert_eq!(round(&mut client, 101), 20);
+    let since = rig.edge.all().split_off(before);
+    assert!(!since.is_empty() && since.iter().all(|s| s.conn > old), "the old connections are another's");
+}
+
+#[test]
+fn a_drain_that_is_read_with_requests_goes_before_them() {
+    let second = Cache::full();
+    let rig = rig_of(ChangeLog::start(), |c| {
+        with_second(c, &second);
+        // What comes in one moment is one batch.
+        c["settings"]["tick"] = json!(50.0);
+    });
+    let mut client = rig.router.client();
+    for at in 0..5 {
+        let from = 1 + 1000 * at;
+        assert_eq!(round(&mut client, from), 20);
+        let before = rig.edge.count();
+        assert!(before > 0 && second.count() > 0, "both are in use");
+        let number = 2 + 2 * at;
+        let lists = rig.router.counter("lists");
+        rig.router.signal("STOP");
+        rig.log.tell(number, 2, &record(EDGE, rig.edge.address, 1, 0));
+        until("the drain is written", || rig.log.told.load(Ordering::SeqCst) == number);
+        (from + 100..from + 120).for_each(|t| {
+            client.ask(t, "pages", t * 7919, "", b"");
+        });
+        rig.router.signal("CONT");
+        (0..20).for_each(|_| assert_eq!(client.must().word, "200"));
+        assert_eq!(rig.router.counter("lists"), lists + 1);
+        assert_eq!(rig.edge.count(), before, "nothing to a draining cache");
+        listed(&rig, number + 1, 2, &[record(EDGE, rig.edge.address, 0, 0)]);
+    }
+}
