The process's own descriptors, counted with two connections to the change log

A running router's table of descriptors was read while a silent watch had a second connection beside it: 15 of its own, listed in the comment now, and one more while a file is read at a reload. OWN_DESCRIPTORS is 16, so nothing changes.

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -62,7 +62,8 @@
 pub const ROOM_IDLE_MS: Ms = 4_200.0;
 /// Where those are not enough, the ones that have had their answers and been idle for longest make room, if for this long.
 pub const ROOM_REST_MS: Ms = 50.0;
-/// Descriptors that are neither clients' nor servers': listener, change log (two at most), reactor, signals, standard streams.
+/// Descriptors that are neither clients' nor servers': standard streams 3, reactor 3, signals 6, listener 1, change log 2 at most, and one
+/// for a file that is read.
 pub const OWN_DESCRIPTORS: u64 = 16;
 /// The listener's address may still be held by the process before; it is tried for this long.
 pub const BIND: Duration = Duration::from_secs(5);
