A client's connection closes by one set of states, with FIN and lingering, never over a request

Cause: `clients::connection` returned as soon as its reader or its writer was over, and dropped the socket. Bytes unread in it made that close a reset, which took written answers along. `close_idle` and `make_room` dropped a client at once, so a request that its reader had in hand or in the socket found no client and vanished. Bytes that can't be read dropped the requests read whole before them. `Ending::over` looked at the owner's table alone, and `drop(listener)` reset the backlog.

Now reader, writer and owner meet in `clients/life.rs` (open, closing, half-closed, closed; one match). The owner asks for a close of a connection at rest; its reader makes it only if the socket is empty, no message has begun and none is on its way. What is read whole before bytes that can't be read is answered. What is in line is written, then FIN, then what comes is discarded until the client's end, 0.3 s (50 ms for room) or 1 MiB. Nothing is discarded for, nor does a place wait on, a client that never sent a message: nothing was written to it. Room counts the places that are about to be free. New counters: closed_at_end, closes_crossed, closes_unread, closes_lingered.

No peek is needed: the read is tried before the wish is heeded, in one poll. Connections to servers are as before.

Tests in crossing/closing.rs. The unit test on room now plays the readers too and is as strict; the line of counters has the four new words.

--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -149,7 +149,7 @@
     if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
         let read = async {
             let typed = |words, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
-            read_all(&socket, FROM_CACHE, shared, || false, typed).await
+            read_all(&socket, FROM_CACHE, shared, || false, typed, None).await
         };
         let over = either(read, write_all(&socket, parcels, || late(SERVER_STALLED))).await;
         log::debug!("connection {} to {}: {over:?}", at.0, place.address);
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,12 +1,14 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
+pub mod life;
 pub mod parts;
+pub mod places;
 
 use crate::clock::late;
-use crate::inbox::{either, read_all};
+use crate::inbox::{read_all, Over};
 use crate::limits::{
-    ACCEPT_REST, ACCEPT_ROW, BODY, CLIENT_STALLED, CLIENT_UNSENT, COPY_TAG, FROM_CLIENT, LONGEST_WAIT_MS,
-    MOST_GROUP, MOST_KB, MOST_PART, WAIT,
+    ACCEPT_REST, ACCEPT_ROW, BACKLOG, BODY, CLIENT_STALLED, CLIENT_UNSENT, COPY_TAG, FROM_CLIENT,
+    LONGEST_WAIT_MS, MOST_GROUP, MOST_KB, MOST_PART, WAIT,
 };
 use crate::outbox::{outbox, write_all, Meter};
 use crate::resp::{decimal, encode, whole, FieldList, Fields};
@@ -14,7 +16,8 @@
 use async_io::{Async, Timer};
 use basaltgw::api::{GroupId, Ms, ObjectId, Part};
 use futures_lite::future;
-use std::cell::Cell;
+use life::{Event, Life};
+use places::{Place, Places};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -184,46 +187,38 @@
     encode(&[tag.0.to_string().as_bytes(), word, b"", b""])
 }
 
-/// The place of a connected client, free again when dropped.
-struct Slot(Rc<Cell<usize>>);
-
-impl Slot {
-    fn take(taken: &Rc<Cell<usize>>) -> Self {
-        taken.set(taken.get() + 1);
-        Self(Rc::clone(taken))
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Accepts clients for good. Without a free place the owner is asked to make room; until there is, they wait in the listener's
-/// backlog.
-pub async fn accept(listener: Async<TcpListener>, most: usize, shared: Shared) {
-    let taken = Rc::new(Cell::new(0));
+/// Accepts clients until the end is told, and then those in the listener's backlog. Without a free place the owner is asked to make room;
+/// until there is, they wait in the backlog.
+pub async fn accept(listener: Async<TcpListener>, most: usize, places: Rc<Places>, shared: Shared) {
     let mut count = 0;
     let mut row = 0;
-    loop {
-        while taken.get() >= most {
+    // Whoever connects on and on does not hold up the end.
+    let mut at_end = 0;
+    while at_end < BACKLOG {
+        while places.taken() >= most {
             if shared.queue.send(Input::RoomWanted).await.is_err() {
                 return;
             }
             Timer::after(WAIT).await;
         }
-        match listener.accept().await {
-            Ok((socket, _)) => {
+        let ended = async {
+            places.ended().await;
+            None
+        };
+        // What waits in the backlog is accepted before the end is heeded.
+        match future::or(async { Some(listener.accept().await) }, ended).await {
+            Some(Ok((socket, _))) => {
                 count += 1;
-                let slot = Slot::take(&taken);
-                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), slot)).detach();
+                let place = Place::take(&places);
+                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), place)).detach();
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 log::debug!("accept: {e}");
                 Timer::after(ACCEPT_REST).await;
             }
+            None => return,
         }
+        at_end += i32::from(places.ending());
         row += 1;
         if row % ACCEPT_ROW == 0 {
             future::yield_now().await;
@@ -232,22 +227,33 @@
 }
 
 /// A client's connection from its start to its end; the socket is closed when this returns.
-async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, _slot: Slot) {
+async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, place: Place) {
     if let Err(e) = socket.get_ref().set_nodelay(true) {
         log::debug!("client {}: {e}", id.0);
     }
     let own = Rc::new(Meter::default());
+    let life = Rc::new(Life::new(place.of()));
     let (outbox, parcels) = outbox(&shared.meter, &own);
-    if shared.queue.send(Input::ClientOpen(id, outbox)).await.is_err() {
+    if shared.queue.send(Input::ClientOpen(id, outbox, Rc::clone(&life))).await.is_err() {
         return;
     }
     let read = async {
         let full = || own.held() > CLIENT_UNSENT;
         let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
-        read_all(&socket, FROM_CLIENT, &shared, full, typed).await
+        let over = read_all(&socket, FROM_CLIENT, &shared, full, typed, Some(&life)).await;
+        log::debug!("client {}: {over:?}", id.0);
+        life.tell(Event::Stopped);
+        if over != Over::Ended && shared.queue.send(Input::ClientStopped(id, over)).await.is_ok() {
+            place.discard(&socket, &life, over).await;
+        }
+    };
+    let write = async {
+        if write_all(&socket, parcels, || late(CLIENT_STALLED)).await {
+            place.linger(&socket, &life).await;
+        }
     };
-    let over = either(read, write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
-    log::debug!("client {}: {over:?}", id.0);
+    future::or(read, write).await;
+    life.tell(Event::Over);
     // The owner is gone only when the process ends.
-    let _ = shared.queue.send(Input::ClientClosed(id, over)).await;
+    let _ = shared.queue.send(Input::ClientClosed(id)).await;
 }
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -22,6 +22,8 @@
         closed_idle: Count = "closed_idle",
         /// Clients' connections closed here for the place.
         closed_for_room: Count = "closed_for_room",
+        /// Clients' connections closed here at the end of the process.
+        closed_at_end: Count = "closed_at_end",
         /// Clients' connections closed here for a tag used twice, too many requests at once, or going on with what can't be
         /// understood.
         closed_broken_rule: Count = "closed_broken_rule",
@@ -43,6 +45,12 @@
         taken_back: Count = "taken_back",
         /// Served, but failed for want of memory before they were begun.
         withheld: Count = "withheld",
+        /// Closes of connections at rest that were not made, since something was on its way from the client.
+        closes_crossed: Count = "closes_crossed",
+        /// Closes of connections at rest after which something came that was not read.
+        closes_unread: Count = "closes_unread",
+        /// Closes that waited for the client's own up to the bound in time or bytes.
+        closes_lingered: Count = "closes_lingered",
     }
 }
 
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -1,5 +1,6 @@
 //! Messages on their way from a socket: the one loop that reads, decodes and hands them to the owner.
 
+use crate::clients::life::{Life, Quiet};
 use crate::limits::{READ_BYTES, WAIT};
 use crate::outbox::Holding;
 use crate::resp::{Bounds, Decoder, Malformed};
@@ -35,10 +36,21 @@
     Silent,
     /// It stopped in mid-message.
     Unfinished,
+    /// The owner wanted it closed, and nothing crossed that.
+    Quiet(Quiet),
+    /// The owner has dropped it.
+    Dropped,
+}
+
+/// What a reader waits for.
+enum Next {
+    Read(std::io::Result<usize>),
+    Late,
+    Wanted,
 }
 
 /// Runs a connection's two sides until one is over. What is written ends when its outbox is dropped, or the peer takes no more.
-pub async fn either(read: impl Future<Output = Over>, write: impl Future<Output = ()>) -> Over {
+pub async fn either(read: impl Future<Output = Over>, write: impl Future<Output = bool>) -> Over {
     let written = async {
         write.await;
         Over::Ended
@@ -47,13 +59,15 @@
 }
 
 /// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
-/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all.
+/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all. Where the connection
+/// has a `life`, the owner may want it closed.
 pub async fn read_all(
     mut socket: &Async<TcpStream>,
     terms: Terms,
     shared: &Shared,
     full: impl Fn() -> bool,
     typed: impl Fn(Vec<Vec<u8>>, Ms) -> Option<Input>,
+    life: Option<&Life>,
 ) -> Over {
     let mut decoder = Decoder::new(terms.bounds);
     let mut piece = vec![0; READ_BYTES];
@@ -76,14 +90,26 @@
                 Some(end) => Timer::at(end).await,
                 None => future::pending().await,
             };
-            None
+            Next::Late
+        };
+        let wanted = async {
+            match life {
+                Some(life) => life.wanted().await,
+                None => future::pending().await,
+            }
+            Next::Wanted
         };
-        // What has come is read before it is called late.
-        let n = match future::or(async { Some(socket.read(&mut piece).await) }, late).await {
-            Some(Ok(n)) if n > 0 => n,
-            Some(Ok(_) | Err(_)) => return Over::Ended,
-            None if begun.is_none() => return Over::Silent,
-            None => return Over::Unfinished,
+        // What has come is read before it is called late, and before the connection is said to rest.
+        let read = async { Next::Read(socket.read(&mut piece).await) };
+        let n = match future::or(read, future::or(late, wanted)).await {
+            Next::Read(Ok(n)) if n > 0 => n,
+            Next::Read(Ok(_) | Err(_)) => return Over::Ended,
+            Next::Late if begun.is_none() => return Over::Silent,
+            Next::Late => return Over::Unfinished,
+            Next::Wanted => match life.and_then(|l| l.stops(begun.map(|t| t.elapsed()))) {
+                Some(over) => return over,
+                None => continue,
+            },
         };
         decoder.feed(piece.get(..n).unwrap_or_default());
         let now = shared.clock.now();
@@ -95,6 +121,9 @@
             };
             (begun, first) = (None, None);
             let Some(input) = typed(words, now) else { return Over::Unreadable(Malformed::SENSELESS) };
+            if !life.is_none_or(Life::hands) {
+                return Over::Dropped;
+            }
             if shared.queue.send(input).await.is_err() {
                 return Over::Ended;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,11 +35,13 @@
 /// What sockets tell the owner of the module.
 pub enum Input {
     /// A client connected.
-    ClientOpen(clients::ClientId, outbox::Outbox),
+    ClientOpen(clients::ClientId, outbox::Outbox, Rc<clients::life::Life>),
     /// A client sent a message; its last byte was read at that time.
     Client(clients::ClientId, clients::FromClient, basaltgw::api::Ms),
+    /// Nothing more is read of a client, or is handed on.
+    ClientStopped(clients::ClientId, inbox::Over),
     /// A client's connection is over.
-    ClientClosed(clients::ClientId, inbox::Over),
+    ClientClosed(clients::ClientId),
     /// A client waits for a place.
     RoomWanted,
     /// A connection to a server came up.
@@ -140,7 +142,8 @@
     let listener = bind(config.listen)?;
     log::info!("{} listens at {}", config.name, listener.get_ref().local_addr()?);
     let executor = Rc::clone(&shared.executor);
-    let listener = executor.spawn(clients::accept(listener, clients as usize, shared.clone()));
+    let listener =
+        executor.spawn(clients::accept(listener, clients as usize, owner.places(), shared.clone()));
     let names = config.names.clone();
     let follow = changelog::follow(config.changelog, moved, config.known_seq, names, urgent.clone());
     executor.spawn(follow).detach();
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -97,6 +97,15 @@
 /// A client's connection on which nothing is open and nothing came for so long is closed: clients in service close their own
 /// after 4 s, so that only those are met that vanished or keep theirs for good.
 pub const CLIENT_IDLE_MS: Ms = 6_000.0;
+/// Once our side of a client's connection is shut, what comes is discarded until the client's own end, for no longer than this: a close
+/// over bytes unread is a reset, which takes what the client has not read of its answers. A client that takes its answers at once ends
+/// within a round trip; the bound is short of the shortest deadlines, and a place is held for no longer.
+pub const LINGER: Duration = Duration::from_millis(300);
+/// Where others wait for the place, only for as long as clients in service send what crosses a close: its answers were written
+/// [`ROOM_REST_MS`] ago.
+pub const LINGER_FOR_ROOM: Duration = Duration::from_millis(50);
+/// And no more is discarded than this.
+pub const LINGER_BYTES: usize = 1024 * 1024;
 /// After a failed accept, such as for want of descriptors, the listener rests for this.
 pub const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// The change log sends a frame each second; after so long without one its connection is given up.
@@ -112,5 +121,7 @@
 /// After SIGTERM clients are accepted and read for this long: 0.4 s of new connections, 0.2 s of requests on open ones,
 /// and 0.1 s to spare.
 pub const END_ACCEPT_MS: Ms = 700.0;
+/// At the end a message that has begun has to be whole after this.
+pub const HALF_AT_END: Duration = Duration::from_millis(300);
 /// And when nothing has been open for this long after that, the process ends.
 pub const END_QUIET_MS: Ms = 60.0;
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -170,8 +170,8 @@
     }
 }
 
-/// Writes messages until the outbox is dropped or the connection fails. `stall` bounds each write.
-pub async fn write_all<W, S, F>(mut socket: W, parcels: Receiver<Rc<Parcel>>, stall: S)
+/// Writes messages until the outbox is dropped or the connection fails; whether all were written. `stall` bounds each write.
+pub async fn write_all<W, S, F>(mut socket: W, parcels: Receiver<Rc<Parcel>>, stall: S) -> bool
 where
     W: AsyncWrite + Unpin,
     S: Fn() -> F,
@@ -184,9 +184,10 @@
         while !rest.is_empty() {
             match futures_lite::future::or(socket.write(rest), stall()).await {
                 Ok(n) if n > 0 => rest = rest.get(n..).unwrap_or_default(),
-                Ok(_) | Err(_) => return,
+                Ok(_) | Err(_) => return false,
             }
         }
         parcel.stage.set(Stage::Written);
     }
+    true
 }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -105,7 +105,7 @@
     pub(super) fn conn_down(&mut self, at: ConnId, down: Down) {
         match down {
             Down::NeverUp => self.counters.conns.failed.one(),
-            Down::Ended(Over::Ended | Over::Silent) => {}
+            Down::Ended(Over::Ended | Over::Silent | Over::Quiet(_) | Over::Dropped) => {}
             Down::Ended(Over::Unreadable(_)) => self.counters.conns.unreadable.one(),
             Down::Ended(Over::Unfinished) => self.counters.conns.unfinished.one(),
         }
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -2,6 +2,7 @@
 
 use super::Owner;
 use crate::caches::{Down, RequestNo};
+use crate::clients::life::Quiet;
 use crate::counters::Counters;
 use crate::limits::{CLIENT_IDLE_MS, LEAVING_MS, QUEUE};
 use crate::{Input, Inputs};
@@ -78,10 +79,8 @@
 }
 
 impl Owner {
-    /// Takes inputs in batches until the router has ended. `listener` accepts clients and is
-    /// dropped when none are taken any more.
+    /// Takes inputs in batches until the router has ended. `listener` accepts clients, and ends once it is told to and nobody waits there.
     pub async fn run(mut self, from: Inputs, listener: Task<()>) -> Ended {
-        let mut listener = Some(listener);
         let mut inputs = Vec::new();
         loop {
             // Something to do: an input, a timer, or what the last batch left.
@@ -108,8 +107,9 @@
             }
             self.batch(&mut inputs);
             if !self.ending.accepts(self.now) {
-                drop(listener.take());
-                let open = self.clients.any_open();
+                self.places.end();
+                // A client is in the table until its connection is over, and has its place until the socket is closed.
+                let open = !listener.is_finished() || self.clients.len() > 0 || self.places.taken() > 0;
                 if self.ending.over(self.now, open) {
                     self.count();
                     let fault = self.fleet.as_mut().and_then(|f| f.fault.take().or(f.end()));
@@ -148,6 +148,7 @@
             self.tidy();
         }
         self.relieve();
+        self.clients.let_go();
         self.counters.batches.given.one();
         self.counters.batches.longest.raise(self.clock.now() - begun);
         self.counters.memory.held_most.raise(self.meter.held() as u64);
@@ -164,7 +165,8 @@
         for at in self.caches.unproved(self.now) {
             self.input(Input::CacheDown(at, Down::NeverUp));
         }
-        let idle = if self.ending.accepts(self.now) { CLIENT_IDLE_MS } else { 0.0 };
-        self.counters.clients.closed_idle.more(self.clients.close_idle(self.now, idle) as u64);
+        let ends = !self.ending.accepts(self.now);
+        let (why, idle) = if ends { (Quiet::End, 0.0) } else { (Quiet::Idle, CLIENT_IDLE_MS) };
+        self.clients.close_idle(self.now, idle, why);
     }
 }
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -4,6 +4,7 @@
 use super::batch::micros;
 use super::Owner;
 use crate::caches::RequestNo;
+use crate::clients::life::{Event, Life, Quiet};
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
 use crate::inbox::Over;
 use crate::limits::{
@@ -13,7 +14,7 @@
 use crate::outbox::{Outbox, Parcel, Stage};
 use basaltgw::api::Ms;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 pub(super) struct Client {
@@ -31,10 +32,14 @@
     pub spoke: bool,
     /// When it connected, sent its last message or got its last answer.
     pub active: Ms,
+    /// Its connection.
+    pub life: Rc<Life>,
+    /// Nothing more is taken from it: it is let go of when it has what it is owed.
+    closing: bool,
 }
 
 impl Client {
-    fn new(now: Ms, outbox: Outbox) -> Self {
+    fn new(now: Ms, outbox: Outbox, life: Rc<Life>) -> Self {
         Self {
             outbox,
             open: BTreeMap::new(),
@@ -44,6 +49,8 @@
             undone: 0,
             spoke: false,
             active: now,
+            life,
+            closing: false,
         }
     }
 
@@ -52,6 +59,11 @@
         self.open.is_empty() && self.outbox.unsent() == 0
     }
 
+    /// It is to be closed.
+    pub(super) fn going(&self) -> bool {
+        self.closing || self.life.asked().is_some()
+    }
+
     /// Whether it may open a request under this tag, which is used by that.
     fn opens(&mut self, tag: Tag) -> bool {
         if self.used.contains(&tag) || self.open.len() >= OPEN_PER_CLIENT {
@@ -65,20 +77,15 @@
     }
 }
 
-/// The clients that are connected. One that is dropped here is disconnected.
+/// The clients that are connected. Of one that is dropped here what is in line is written, and its connection ends.
 #[derive(Default)]
-pub(super) struct Clients(pub BTreeMap<ClientId, Client>);
+pub(super) struct Clients(pub BTreeMap<ClientId, Client>, BTreeSet<ClientId>);
 
 impl Clients {
     pub(super) fn len(&self) -> usize {
         self.0.len()
     }
 
-    /// Something is owed to one of them.
-    pub(super) fn any_open(&self) -> bool {
-        self.0.values().any(|c| !c.at_rest())
-    }
-
     pub(super) fn owe(&mut self, id: ClientId, tag: Tag, no: RequestNo) {
         self.0.get_mut(&id).into_iter().for_each(|client| {
             client.open.insert(tag, no);
@@ -102,23 +109,45 @@
         true
     }
 
-    /// Closes those that have been at rest for so long; gives how many.
-    pub(super) fn close_idle(&mut self, now: Ms, idle: Ms) -> usize {
-        let before = self.0.len();
-        self.0.retain(|_, c| !c.at_rest() || now - c.active < idle);
-        before - self.0.len()
+    /// Wants those closed that have been at rest for so long. What is on its way from one of them goes first.
+    pub(super) fn close_idle(&self, now: Ms, idle: Ms, why: Quiet) {
+        let idle = self.0.values().filter(|c| !c.going() && c.at_rest() && now - c.active >= idle);
+        idle.for_each(|c| {
+            c.life.tell(Event::Asked(why));
+        });
+    }
+
+    /// Lets go of those from which nothing more is taken and that have what they are owed.
+    pub(super) fn let_go(&mut self) {
+        let Self(clients, closing) = self;
+        closing.retain(|id| match clients.get(id) {
+            Some(client) if client.at_rest() => {
+                clients.remove(id);
+                false
+            }
+            Some(_) => true,
+            None => false,
+        });
     }
 
-    /// Who is closed for those that wait for a place; see [`Owner::make_room`].
-    fn least_missed(&self, now: Ms) -> Vec<ClientId> {
+    /// Takes nothing more from it.
+    fn close(&mut self, id: ClientId) {
+        self.0.get_mut(&id).into_iter().for_each(|client| client.closing = true);
+        self.1.insert(id);
+    }
+
+    /// Who is closed for those that wait for a place, when so many sockets are about to be closed; see [`Owner::make_room`].
+    fn least_missed(&self, now: Ms, lingering: usize) -> Vec<ClientId> {
         let idle = |c: &Client| now - c.active;
         let missed = |c: &Client| idle(c) < if c.spoke { ROOM_IDLE_MS } else { ROOM_SILENT_MS };
-        let at_rest = self.0.iter().filter(|(_, c)| c.at_rest());
+        let stay = self.0.iter().filter(|(_, c)| !c.going());
+        let at_rest = stay.clone().filter(|(_, c)| c.at_rest());
         let mut order: Vec<_> =
             at_rest.map(|(id, c)| (missed(c), c.spoke, Reverse(micros(idle(c))), *id)).collect();
         order.sort_unstable();
-        // Many at once, so that a crowd doesn't wait.
-        let many = self.0.len() / ROOM_SHARE + 1;
+        // Many at once, so that a crowd doesn't wait; what is about to be free counts.
+        let asked = self.0.values().filter(|c| c.life.asked().is_some()).count();
+        let many = (stay.count() / ROOM_SHARE + 1).saturating_sub(asked + lingering);
         let rested =
             |o: &&(bool, bool, Reverse<u64>, ClientId)| !o.0 || (o.1 && o.2 .0 >= micros(ROOM_REST_MS));
         order.iter().filter(rested).take(many).map(|o| o.3).collect()
@@ -126,23 +155,35 @@
 }
 
 impl Owner {
-    pub(super) fn connect(&mut self, id: ClientId, outbox: Outbox) {
+    pub(super) fn connect(&mut self, id: ClientId, outbox: Outbox, life: Rc<Life>) {
         self.counters.clients.connected.one();
-        self.clients.0.insert(id, Client::new(self.now, outbox));
+        self.clients.0.insert(id, Client::new(self.now, outbox, life));
     }
 
-    pub(super) fn client_over(&mut self, id: ClientId, over: Over) {
+    /// Nothing more is read of a client. What it asked before is answered.
+    pub(super) fn client_stopped(&mut self, id: ClientId, over: Over) {
+        let counted = &self.counters.clients;
         match over {
-            Over::Ended => {}
-            Over::Unreadable(_) => self.counters.clients.closed_unreadable.one(),
-            Over::Silent => self.counters.clients.closed_silent.one(),
-            Over::Unfinished => self.counters.clients.closed_unfinished.one(),
+            Over::Ended | Over::Dropped => {}
+            Over::Unreadable(_) => counted.closed_unreadable.one(),
+            Over::Silent => counted.closed_silent.one(),
+            Over::Unfinished => counted.closed_unfinished.one(),
+            Over::Quiet(Quiet::Idle) => counted.closed_idle.one(),
+            Over::Quiet(Quiet::Room) => counted.closed_for_room.one(),
+            Over::Quiet(Quiet::End) => counted.closed_at_end.one(),
         }
-        self.disconnect(id);
+        self.clients.close(id);
+    }
+
+    /// A client is gone; what it waits for is given up.
+    pub(super) fn client_over(&mut self, id: ClientId) {
+        let open = self.clients.0.remove(&id).map(|c| c.open).unwrap_or_default();
+        open.into_values().for_each(|no| self.left(no));
     }
 
     pub(super) fn message(&mut self, id: ClientId, message: FromClient, at: Ms) {
-        let Some(client) = self.clients.0.get_mut(&id) else { return };
+        let Some(client) = self.clients.0.get_mut(&id).filter(|c| !c.closing) else { return };
+        client.life.tell(Event::Taken);
         (client.spoke, client.active) = (true, self.now);
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
@@ -206,16 +247,20 @@
 
     /// Closes connections for those that wait for a place: first what clients in service would not miss, one that has said
     /// nothing yet or has been idle for longer than they are; else those that have been idle for longest after an answer.
-    /// One on which something is open is never closed for this.
+    /// One on which something is open, or from which something is on its way, is never closed for this.
     pub(super) fn make_room(&mut self) {
-        let closed = self.clients.least_missed(self.now);
-        self.counters.clients.closed_for_room.more(closed.len() as u64);
-        closed.into_iter().for_each(|id| self.disconnect(id));
+        let missed = self.clients.least_missed(self.now, self.places.lingering());
+        missed.iter().filter_map(|id| self.clients.0.get(id)).for_each(|client| {
+            client.life.tell(Event::Asked(Quiet::Room));
+        });
     }
 
-    /// Forgets a client and all that it waits for; its connection ends with its outbox.
+    /// Drops a client that broke a rule: what it waits for is given up, what is in line for it is still written.
     fn disconnect(&mut self, id: ClientId) {
-        let open = self.clients.0.remove(&id).map(|c| c.open).unwrap_or_default();
+        let Some(client) = self.clients.0.get_mut(&id) else { return };
+        client.life.tell(Event::Dropped);
+        let open = std::mem::take(&mut client.open);
+        self.clients.close(id);
         open.into_values().for_each(|no| self.left(no));
     }
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -20,6 +20,7 @@
 mod tests;
 
 use crate::caches::{Caches, RequestNo};
+use crate::clients::places::Places;
 use crate::clients::Reply;
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -55,6 +56,8 @@
     caches: Caches,
     now: Ms,
     clients: Clients,
+    /// Their connections, until the sockets are closed.
+    places: Rc<Places>,
     requests: Requests,
     /// Attempts that were given up and are out still.
     leaving: Vec<Leaving>,
@@ -97,6 +100,7 @@
             meter: Rc::clone(&shared.meter),
             caches,
             clients: Clients::default(),
+            places: Rc::default(),
             requests: Requests::new(config.transport.most_open),
             leaving: Vec::new(),
             servers: BTreeMap::new(),
@@ -118,6 +122,11 @@
         owner
     }
 
+    /// The places of clients' connections, for those that accept them.
+    pub fn places(&self) -> Rc<Places> {
+        Rc::clone(&self.places)
+    }
+
     /// Takes over what an earlier life has learnt.
     pub fn adopt(&mut self, learnt: Learnt) {
         let (servers, purges) = (learnt.servers.len(), learnt.purges.len());
@@ -136,9 +145,10 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::ClientOpen(id, outbox) => self.connect(id, outbox),
+            Input::ClientOpen(id, outbox, life) => self.connect(id, outbox, life),
             Input::Client(id, message, at) => self.message(id, message, at),
-            Input::ClientClosed(id, over) => self.client_over(id, over),
+            Input::ClientStopped(id, over) => self.client_stopped(id, over),
+            Input::ClientClosed(id) => self.client_over(id),
             Input::RoomWanted => self.make_room(),
             Input::CacheUp(at) => self.caches.up(self.now, at),
             Input::Cache(at, answer) => self.outcome(at, answer),
@@ -174,6 +184,10 @@
         self.counters.conns.now.set(conns_now);
         self.counters.conns.opened.reached(conns);
         self.counters.clients.now.set(self.clients.len() as u64);
+        let (crossed, unread, lingered) = self.places.counts();
+        self.counters.clients.closes_crossed.reached(crossed);
+        self.counters.clients.closes_unread.reached(unread);
+        self.counters.clients.closes_lingered.reached(lingered);
         self.counters.log.servers_now.set(self.servers.len() as u64);
         self.counters.memory.held.set(self.meter.held() as u64);
         self.counters.tree.reached(&self.tree.counters);
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -3,9 +3,10 @@
 use super::attempts::Attempt;
 use super::*;
 use crate::caches::{Answer, AttemptKey, Down};
+use crate::clients::life::{Life, Quiet, State};
 use crate::clients::{ClientId, Do, FromClient, Tag, WireId};
 use crate::inbox::Over;
-use crate::limits::{LEAVING_MS, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SILENT_MS};
+use crate::limits::{CLIENT_IDLE_MS, LEAVING_MS, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SILENT_MS};
 use crate::outbox::{outbox, Parcel};
 use async_executor::LocalExecutor;
 use basaltgw::api::{AttemptNo, GroupId, Listed, ObjectId, Part, Role, ServerEntry, ZoneId};
@@ -42,10 +43,15 @@
     let (out, written) = outbox(&shared.meter, &Rc::default());
     let caches = Caches::new(shared.clone(), 100, config.transport);
     let mut owner = Owner::new(&config, &OwnSettings::default(), &shared, caches);
-    owner.batch(&mut vec![Input::ClientOpen(CLIENT, out)]);
+    let open = Input::ClientOpen(CLIENT, out, life(&owner));
+    owner.batch(&mut vec![open]);
     (owner, written)
 }
 
+fn life(owner: &Owner) -> Rc<Life> {
+    Rc::new(Life::new(&owner.places))
+}
+
 fn first_attempt(owner: &Owner) -> &Attempt {
     owner.requests.attempt((RequestNo(1), AttemptNo(0))).expect("an attempt")
 }
@@ -187,6 +193,42 @@
     assert_eq!((owner.counters.clients.refused.get(), owner.counters.attempts.made.get()), (1, 1));
 }
 
+/// Room is wanted, and those that are asked for theirs find nothing that crosses it.
+fn make_room(owner: &mut Owner) {
+    owner.make_room();
+    owner.make_room();
+    let asked = owner.clients.0.iter().filter_map(|(id, c)| Some((*id, c.life.asked().map(|_| &c.life)?)));
+    let over: Vec<_> = asked.filter_map(|(id, life)| Some((id, life.stops(None)?))).collect();
+    over.into_iter().for_each(|(id, over)| owner.client_stopped(id, over));
+    owner.clients.let_go();
+}
+
+#[test]
+fn what_is_on_its_way_from_a_client_goes_before_its_close() {
+    for room in [true, false] {
+        let (mut owner, _written) = owner();
+        owner.clients.0.iter_mut().for_each(|(_, c)| c.active -= CLIENT_IDLE_MS);
+        let life = Rc::clone(&owner.clients.0.get(&CLIENT).expect("a client").life);
+        // The owner finds it at rest while its reader has a request for it in hand.
+        assert!(life.hands());
+        if room {
+            owner.batch(&mut vec![Input::RoomWanted]);
+        } else {
+            owner.tidied = 0.0;
+            owner.batch(&mut Vec::new());
+        }
+        let why = if room { Quiet::Room } else { Quiet::Idle };
+        assert_eq!(life.asked(), Some(why));
+        assert_eq!(life.stops(None), None);
+        let first = request(&owner, 1);
+        owner.batch(&mut vec![first]);
+        assert_eq!(owner.counters.clients.requests.get(), 1);
+        assert_eq!((life.state(), attempts(&owner, 1).len()), (State::Open { on_way: 0, asked: None }, 1));
+        owner.batch(&mut vec![Input::RoomWanted]);
+        assert_eq!(life.asked(), None, "something is open");
+    }
+}
+
 #[test]
 fn room_is_made_for_a_crowd_by_those_that_are_missed_least() {
     let (mut owner, _written) = owner();
@@ -196,7 +238,8 @@
     for id in 2..=17 {
         let (out, written) = outbox(&owner.meter, &Rc::default());
         outs.push(written);
-        owner.batch(&mut vec![Input::ClientOpen(ClientId(id), out)]);
+        let open = Input::ClientOpen(ClientId(id), out, life(&owner));
+        owner.batch(&mut vec![open]);
     }
     let now = owner.now;
     for (id, client) in &mut owner.clients.0 {
@@ -205,15 +248,15 @@
         client.active = if [8, 9].contains(&id.0) { now - ROOM_IDLE_MS } else { now };
     }
     let left = |owner: &Owner| owner.clients.0.keys().map(|id| id.0).collect::<Vec<_>>();
-    owner.make_room();
+    make_room(&mut owner);
     assert!(!left(&owner).contains(&8) && !left(&owner).contains(&9), "{:?}", left(&owner));
     assert_eq!(left(&owner).len(), 15, "the others were active just now");
     owner.now = now + ROOM_REST_MS;
-    owner.make_room();
+    make_room(&mut owner);
     let rested: Vec<u64> = left(&owner).into_iter().filter(|n| *n > 5).collect();
     assert_eq!(rested, [10, 11, 12, 13, 14, 15, 16, 17], "two of those that had their answers");
     owner.now = now + ROOM_SILENT_MS;
-    (0..20).for_each(|_| owner.make_room());
+    (0..20).for_each(|_| make_room(&mut owner));
     assert_eq!(left(&owner), [1], "one with something open stays");
 }
 
--- a/crates/node/tests/crossing/closing.rs
+++ b/crates/node/tests/crossing/closing.rs
@@ -1,1 +1,367 @@
 //! Connections to clients that are closed, and the end of the process.
+
+use crate::common::*;
+use rustix::net::{connect, socket, sockopt, AddressFamily, SocketType};
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A router before an edge cache, a parent and an origin.
+struct Rig {
+    edge: Cache,
+    log: ChangeLog,
+    config: Value,
+    router: Process,
+}
+
+fn rig_of(edge: Cache, change: impl FnOnce(&mut Value)) -> Rig {
+    let log = ChangeLog::start();
+    let mut config = configuration(&three(&edge, &Cache::full(), &Cache::full()), log.address);
+    change(&mut config);
+    let router = router(&config);
+    Rig { edge, log, config, router }
+}
+
+fn rig(edge: Cache) -> Rig {
+    rig_of(edge, |_| {})
+}
+
+/// An edge cache that answers nothing until it is released.
+fn held() -> (Cache, Arc<AtomicBool>) {
+    let released = Arc::new(AtomicBool::new(false));
+    let gate = Arc::clone(&released);
+    let edge = Cache::start(move |s| {
+        while !gate.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(2));
+        }
+        Do::Ok(content(s))
+    });
+    (edge, released)
+}
+
+fn serves(client: &mut Client, tag: u64) {
+    client.ask(tag, "pages", tag, "", b"");
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+}
+
+/// How a connection ends from which all answers are read: by a close in order, or by a reset.
+fn end(client: &mut Client) -> Result<usize, ErrorKind> {
+    client.socket.read(&mut [0; 1]).map_err(|e| e.kind())
+}
+
+/// A client that takes few bytes at a time, so that answers wait on the router's side.
+fn narrow(router: &Process) -> Client {
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    sockopt::set_socket_recv_buffer_size(&socket, 4096).expect("a small buffer");
+    connect(&socket, &router.address).expect("a connection");
+    Client::new(TcpStream::from(socket))
+}
+
+fn pings(many: u64) -> Vec<u8> {
+    let ping = |tag: u64| basaltgw_node::resp::encode(&[b"PING", tag.to_string().as_bytes(), b""]);
+    (1..=many).flat_map(|n| ping(1_000_000 + n)).collect()
+}
+
+// ---- Closes for what a client did ----
+
+#[test]
+fn an_answer_written_before_a_close_over_unread_bytes_arrives_whole() {
+    let rig = rig(Cache::start(|_| Do::Ok(vec![b'x'; 100_000])));
+    let mut client = narrow(&rig.router);
+    client.ask(1, "pages", 1, "", b"");
+    until("the answer is written", || rig.router.counter("served") == 1 && rig.router.counter("held") == 0);
+    // The tag a second time, and more behind it than the owner takes before it closes.
+    let id = "00000000000000aa";
+    let fields = format!("i={id},d=5000,o={id},nth=0,batch=17");
+    let again = basaltgw_node::resp::encode(&[b"DO", b"1", b"pages", fields.as_bytes(), b""]);
+    let mut all = client.socket.try_clone().expect("a socket");
+    let burst = thread::spawn(move || all.write_all(&[again, pings(5000)].concat()));
+    until("the router closes", || rig.router.counter("closed_broken_rule") == 1);
+    let _ = burst.join().expect("a thread that ends");
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str(), got.body.len()), (1, "200", 100_000));
+    assert_eq!(end(&mut client), Ok(0), "closed in order");
+    assert_eq!(rig.edge.count(), 1);
+}
+
+#[test]
+fn garbage_behind_good_requests_takes_no_answer_with_it() {
+    let (edge, released) = held();
+    let rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    client.ask(2, "pages", 2, "", b"");
+    client.write(&[&b"GET / HTTP/1.1\r\n\r\n"[..], &pings(100)].concat());
+    until("the garbage is read", || rig.router.counter("closed_unreadable") == 1);
+    released.store(true, Ordering::SeqCst);
+    let mut tags = [client.must().tag, client.must().tag];
+    tags.sort_unstable();
+    assert_eq!(tags, [1, 2]);
+    assert_eq!(end(&mut client), Ok(0), "and nothing behind the garbage is answered");
+    assert_eq!((rig.router.counter("requests"), rig.router.counter("left")), (2, 0));
+}
+
+#[test]
+fn a_client_that_closes_behind_its_garbage_is_gone_at_once() {
+    let (edge, _released) = held();
+    let rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    client.write(b"GET / HTTP/1.1\r\n\r\n");
+    until("the garbage is read", || rig.router.counter("closed_unreadable") == 1);
+    assert_eq!(rig.router.counter("left"), 0);
+    drop(client);
+    until("its request is given up", || rig.router.counter("left") == 1);
+    until("it is gone", || rig.router.counter("clients_now") == 0);
+}
+
+// ---- Closes of connections at rest ----
+
+#[test]
+fn a_request_that_crosses_an_idle_close_is_answered() {
+    let rig = rig(Cache::full());
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    // The router sleeps over the time of its close, and finds the request beside that when it wakes.
+    thread::sleep(Duration::from_millis(5000));
+    rig.router.signal("STOP");
+    thread::sleep(Duration::from_millis(1500));
+    client.ask(2, "pages", 2, "", b"");
+    rig.router.signal("CONT");
+    assert_eq!(client.must().tag, 2);
+    assert_eq!(client.settle(), []);
+    assert_eq!(rig.router.counter("requests"), 2);
+}
+
+#[test]
+fn a_request_that_crosses_a_close_for_room_is_answered_or_reaches_no_cache() {
+    let rig = rig_of(Cache::full(), |c| c["limits"]["sockets"] = json!(64));
+    let mut crowd: Vec<Client> = Vec::new();
+    let (mut asked, mut answered, mut closed) = (0, 0, 0);
+    // As many rest as there are places; each that comes has room made among them while they ask again.
+    for round in 0..40 {
+        let mut new = rig.router.client();
+        new.ask(1, "pages", 1, "", b"");
+        asked += 1;
+        crowd.iter_mut().for_each(|c| c.try_ask(100 + round, "pages", 1));
+        let mut stay = Vec::new();
+        for mut client in std::mem::take(&mut crowd) {
+            asked += 1;
+            match client.next() {
+                Some(got) => {
+                    // Under such a load the module refuses some; that is an answer too.
+                    assert!(got.tag == 100 + round && ["200", "503"].contains(&got.word.as_str()), "{got:?}");
+                    answered += 1;
+                    stay.push(client);
+                }
+                None => closed += 1,
+            }
+        }
+        assert_eq!(new.must().tag, 1);
+        answered += 1;
+        stay.push(new);
+        crowd = stay;
+    }
+    assert_eq!(answered + closed, asked);
+    assert_eq!(rig.router.counter("requests"), answered, "what is not answered was never taken in");
+    assert_eq!(rig.router.counter("served") + rig.router.counter("refused"), answered);
+}
+
+#[test]
+fn a_close_for_want_of_room_is_a_close_in_order() {
+    let rig = rig_of(Cache::full(), |c| c["limits"]["sockets"] = json!(64));
+    let mut crowd: Vec<Client> = (0..60).map(|_| rig.router.client()).collect();
+    // Those that go for others have had their answers, and send nothing.
+    for (tag, client) in (1..).zip(&mut crowd) {
+        client.try_ask(tag, "pages", tag);
+    }
+    for (tag, mut client) in (1..).zip(crowd) {
+        if let Some(got) = client.next() {
+            assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+            assert_eq!(end(&mut client), Ok(0));
+        }
+    }
+}
+
+// ---- The end ----
+
+/// A router that is told to end, and sleeps from before the time until which it accepts to after it; what is done meanwhile is found
+/// when it wakes. `None` if it was too late for that.
+fn over_its_end<T>(rig: &Rig, meanwhile: impl FnOnce() -> Option<T>) -> Option<T> {
+    rig.router.signal("TERM");
+    until("it is told", || rig.router.said("asked to end"));
+    rig.router.signal("STOP");
+    let done = meanwhile();
+    thread::sleep(Duration::from_millis(900));
+    rig.router.signal("CONT");
+    done
+}
+
+/// Nothing has been heard of its end yet.
+fn is_open(client: &Client) -> bool {
+    client.socket.set_nonblocking(true).expect("a socket");
+    let heard = client.socket.peek(&mut [0; 1]).map_err(|e| e.kind());
+    client.socket.set_nonblocking(false).expect("a socket");
+    heard == Err(ErrorKind::WouldBlock)
+}
+
+#[test]
+fn what_comes_in_the_moment_of_the_end_is_answered() {
+    for _ in 0..5 {
+        let mut rig = rig(Cache::full());
+        let (mut rests, mut half) = (rig.router.client(), rig.router.client());
+        serves(&mut rests, 1);
+        serves(&mut half, 1);
+        let second = basaltgw_node::resp::encode(&[
+            b"DO",
+            b"2",
+            b"pages",
+            b"i=00000000000000bb,d=5000,o=0000000000000002,nth=0,batch=17",
+            b"",
+        ]);
+        let (first, rest) = second.split_at(20);
+        half.write(first);
+        let asked = over_its_end(&rig, || {
+            // In the backlog, on a connection at rest, and the rest of half a message.
+            let mut new = Client::new(TcpStream::connect(rig.router.address).ok()?);
+            if !is_open(&rests) || !is_open(&half) {
+                return None;
+            }
+            new.ask(1, "pages", 3, "", b"");
+            rests.ask(2, "pages", 2, "", b"");
+            half.write(rest);
+            Some(new)
+        });
+        let Some(mut new) = asked else { continue };
+        for (client, tag) in [(&mut rests, 2), (&mut half, 2), (&mut new, 1)] {
+            let got = client.must();
+            assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+            assert_eq!(end(client), Ok(0));
+        }
+        drop((rests, half, new));
+        assert!(rig.router.ended().success());
+        assert_eq!(rig.edge.count(), 5);
+        return;
+    }
+    panic!("the router was never stopped in time");
+}
+
+#[test]
+fn those_in_the_backlog_at_the_end_are_answered_though_all_places_are_taken() {
+    for _ in 0..5 {
+        let mut rig = rig_of(Cache::full(), |c| c["limits"]["sockets"] = json!(40));
+        // 11 places.
+        let mut rest: Vec<Client> = (0..10).map(|_| rig.router.client()).collect();
+        rest.iter_mut().for_each(|c| serves(c, 1));
+        let asked = over_its_end(&rig, || {
+            let new = (0..30).map(|_| {
+                let mut new = Client::new(TcpStream::connect(rig.router.address).ok()?);
+                new.ask(1, "pages", 3, "", b"");
+                Some(new)
+            });
+            new.collect::<Option<Vec<_>>>()
+        });
+        let Some(mut new) = asked else { continue };
+        for client in &mut new {
+            assert_eq!(client.must().word, "200");
+            assert_eq!(end(client), Ok(0));
+        }
+        assert!(rig.router.ended().success());
+        return;
+    }
+    panic!("the router was never stopped in time");
+}
+
+#[test]
+fn half_a_message_at_the_end_is_closed_in_order_and_holds_up_nothing() {
+    let (edge, released) = held();
+    let mut rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    client.write(b"*5\r\n$2\r\nDO\r\n$1\r\n2\r\n");
+    until("it is open", || rig.router.counter("requests") == 1);
+    rig.router.signal("TERM");
+    until("nobody is accepted", || TcpStream::connect(rig.router.address).is_err());
+    released.store(true, Ordering::SeqCst);
+    assert_eq!(client.must().tag, 1);
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+    assert_eq!(rig.edge.count(), 1);
+}
+
+/// Ends a router with a request open, told in some way; the request is answered before the end.
+fn ends(tell: impl FnOnce(&Rig)) {
+    let (edge, released) = held();
+    let mut rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    until("it is open", || rig.router.counter("requests") == 1);
+    tell(&rig);
+    until("nobody is accepted", || TcpStream::connect(rig.router.address).is_err());
+    released.store(true, Ordering::SeqCst);
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str()), (1, "200"));
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+}
+
+#[test]
+fn two_orders_to_end_are_one() {
+    ends(|rig| {
+        rig.router.signal("TERM");
+        until("it is told", || rig.router.said("asked to end"));
+        rig.router.signal("TERM");
+    });
+}
+
+#[test]
+fn an_order_to_end_beside_a_new_configuration_is_heeded() {
+    ends(|rig| {
+        rig.router.rewrite(&rig.config.to_string());
+        rig.router.signal("HUP");
+        rig.router.signal("TERM");
+        rig.router.signal("HUP");
+    });
+}
+
+#[test]
+fn a_router_ends_in_order_while_discovery_is_down() {
+    ends(|rig| {
+        rig.log.down.store(true, Ordering::SeqCst);
+        until("it is lost", || rig.router.counter("log_lost") > 0);
+        rig.router.signal("TERM");
+    });
+}
+
+#[test]
+fn a_router_that_knows_no_list_yet_answers_and_ends() {
+    let edge = Cache::full();
+    let nothing = |c: &mut Value| c["known"] = json!({"seq": 0, "results": []});
+    let mut rig = rig_of(edge, nothing);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    rig.router.signal("TERM");
+    assert!(client.must().word != "200");
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+}
+
+#[test]
+fn those_that_never_close_hold_up_the_end_for_no_longer_than_the_bound() {
+    let mut rig = rig(Cache::full());
+    let mut all: Vec<Client> = (0..20).map(|_| rig.router.client()).collect();
+    all.iter_mut().for_each(|c| serves(c, 1));
+    let asked = Instant::now();
+    rig.router.signal("TERM");
+    assert!(rig.router.ended().success());
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+    let counted = rig.router.last_counters();
+    assert_eq!((counted["closed_at_end"], counted["closes_lingered"]), (20.0, 20.0));
+    // They find out whenever they look.
+    all.iter_mut().for_each(|c| assert_eq!(end(c), Ok(0)));
+}
