A request directly followed by bytes that can't be read is failed and reaches no server

Cause: since requests read whole before such bytes are answered, one that names four of its five words is whole without its body; the body then can't be read, and the request was served all the same, to a client that asked something else (`inbox::read_all` handed each message on before it looked at what follows). A sender that frames its messages wrongly must never be served.

Now the next message is tried first; where that can't be read, the request before it is answered as one that makes no sense. Earlier ones go on, and so do requests behind which the bytes came later. Connections to servers are as before.

Test: a_request_that_names_too_few_of_its_words_is_failed_and_reaches_no_cache. Seen to fail without `in_doubt` in `clients::connection`: left (3, "200"), right (3, "500"). half_a_message_at_the_end now also says by what it is closed.

--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -148,7 +148,7 @@
     }
     if shared.queue.send(Input::CacheUp(at)).await.is_ok() {
         let read = async {
-            let typed = |words, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
+            let typed = |words, _, _| Answer::read(words, &[&shared.meter]).map(|a| Input::Cache(at, a));
             read_all(&socket, FROM_CACHE, shared, || false, typed, None).await
         };
         let over = either(read, write_all(&socket, parcels, || late(SERVER_STALLED))).await;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -92,6 +92,15 @@
             _ => Self::Unreadable(tag),
         })
     }
+
+    /// The same where it can't be said that this is where the message ends, as where it names too few words: a request that nobody may
+    /// have worded so is none.
+    pub fn in_doubt(self) -> Self {
+        match self {
+            Self::Do(tag, _) => Self::Unreadable(tag),
+            Self::Undo(_) | Self::Ping(_) | Self::Unreadable(_) => self,
+        }
+    }
 }
 
 /// A number of 1 or more, written as the answer will repeat it.
@@ -239,7 +248,10 @@
     }
     let read = async {
         let full = || own.held() > CLIENT_UNSENT;
-        let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
+        let typed = |words, at, in_doubt| {
+            let message = FromClient::read(words)?;
+            Some(Input::Client(id, if in_doubt { message.in_doubt() } else { message }, at))
+        };
         let over = read_all(&socket, FROM_CLIENT, &shared, full, typed, Some(&life)).await;
         log::debug!("client {}: {over:?}", id.0);
         life.tell(Event::Stopped);
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -59,14 +59,14 @@
 }
 
 /// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
-/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all. Where the connection
-/// has a `life`, the owner may want it closed.
+/// `typed` makes an input of a message whose last byte was read at that time and behind which something came with it that can't be read,
+/// or not; `None` if it makes no sense at all. Where the connection has a `life`, the owner may want it closed.
 pub async fn read_all(
     mut socket: &Async<TcpStream>,
     terms: Terms,
     shared: &Shared,
     full: impl Fn() -> bool,
-    typed: impl Fn(Vec<Vec<u8>>, Ms) -> Option<Input>,
+    typed: impl Fn(Vec<Vec<u8>>, Ms, bool) -> Option<Input>,
     life: Option<&Life>,
 ) -> Over {
     let mut decoder = Decoder::new(terms.bounds);
@@ -113,14 +113,19 @@
         };
         decoder.feed(piece.get(..n).unwrap_or_default());
         let now = shared.clock.now();
+        let mut next = decoder.message();
         loop {
-            let words = match decoder.message() {
+            let words = match next {
                 Ok(Some(words)) => words,
                 Ok(None) => break,
                 Err(e) => return Over::Unreadable(e),
             };
+            // Where what follows can't be read, so is where this one ends.
+            next = decoder.message();
             (begun, first) = (None, None);
-            let Some(input) = typed(words, now) else { return Over::Unreadable(Malformed::SENSELESS) };
+            let Some(input) = typed(words, now, next.is_err()) else {
+                return Over::Unreadable(Malformed::SENSELESS);
+            };
             if !life.is_none_or(Life::hands) {
                 return Over::Dropped;
             }
--- a/crates/node/tests/crossing/closing.rs
+++ b/crates/node/tests/crossing/closing.rs
@@ -96,6 +96,7 @@
     let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
     client.ask(2, "pages", 2, "", b"");
+    until("both are open", || rig.router.counter("requests") == 2);
     client.write(&[&b"GET / HTTP/1.1\r\n\r\n"[..], &pings(100)].concat());
     until("the garbage is read", || rig.router.counter("closed_unreadable") == 1);
     released.store(true, Ordering::SeqCst);
@@ -106,12 +107,33 @@
     assert_eq!((rig.router.counter("requests"), rig.router.counter("left")), (2, 0));
 }
 
+#[test]
+fn a_request_that_names_too_few_of_its_words_is_failed_and_reaches_no_cache() {
+    let rig = rig(Cache::full());
+    let mut client = rig.router.client();
+    serves(&mut client, 1);
+    let request = |tag: &str, object: &str, body: &[u8]| {
+        let fields = format!("i=00000000000000{object},d=5000,o=00000000000000{object},nth=0,batch=17");
+        basaltgw_node::resp::encode(&[b"DO", tag.as_bytes(), b"pages", fields.as_bytes(), body])
+    };
+    // The second is whole without its body, which then can't be read.
+    let mut few = request("3", "bb", b"hello");
+    few[1] = b'4';
+    client.write(&[request("2", "aa", b""), few].concat());
+    let mut got = [client.must(), client.must()].map(|g| (g.tag, g.word));
+    got.sort_unstable();
+    assert_eq!(got, [(2, "200".to_string()), (3, "500".to_string())]);
+    assert_eq!(end(&mut client), Ok(0));
+    assert_eq!((rig.edge.count(), rig.router.counter("closed_unreadable")), (2, 1));
+}
+
 #[test]
 fn a_client_that_closes_behind_its_garbage_is_gone_at_once() {
     let (edge, _released) = held();
     let rig = rig(edge);
     let mut client = rig.router.client();
     client.ask(1, "pages", 1, "", b"");
+    until("it is open", || rig.router.counter("requests") == 1);
     client.write(b"GET / HTTP/1.1\r\n\r\n");
     until("the garbage is read", || rig.router.counter("closed_unreadable") == 1);
     assert_eq!(rig.router.counter("left"), 0);
@@ -292,6 +314,9 @@
     assert_eq!(end(&mut client), Ok(0));
     assert!(rig.router.ended().success());
     assert_eq!(rig.edge.count(), 1);
+    let counted = rig.router.last_counters();
+    let closed = (counted["closed_at_end"], counted["closed_unfinished"]);
+    assert_eq!(closed, (1.0, 0.0), "by the end, not by the time for a whole message");
 }
 
 /// Ends a router with a request open, told in some way; the request is answered before the end.
