A client that takes no byte of its answers holds up the end for 2 s, no longer 30

Cause: `write_all` waited `CLIENT_STALLED` (30 s) for a client that takes nothing, also after SIGTERM. SIGKILL comes after 3.7 s or later, so that the process did not end by itself, and what it had learnt was not left behind (`carry`).

Now the time is 2 s without a byte from when no more clients are accepted, and each such close is counted (`closed_stalled`), in service too.

Test: one_that_takes_no_answers_does_not_hold_up_the_end. Seen to fail with `CLIENT_STALLED_AT_END` of 60 s: "the router's end".

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -4,11 +4,10 @@
 pub mod parts;
 pub mod places;
 
-use crate::clock::late;
 use crate::inbox::{read_all, Over};
 use crate::limits::{
-    ACCEPT_REST, ACCEPT_ROW, BACKLOG, BODY, CLIENT_STALLED, CLIENT_UNSENT, COPY_TAG, FROM_CLIENT,
-    LONGEST_WAIT_MS, MOST_GROUP, MOST_KB, MOST_PART, WAIT,
+    ACCEPT_REST, ACCEPT_ROW, BACKLOG, BODY, CLIENT_UNSENT, COPY_TAG, FROM_CLIENT, LONGEST_WAIT_MS,
+    MOST_GROUP, MOST_KB, MOST_PART, WAIT,
 };
 use crate::outbox::{outbox, write_all, Meter};
 use crate::resp::{decimal, encode, whole, FieldList, Fields};
@@ -260,7 +259,7 @@
         }
     };
     let write = async {
-        if write_all(&socket, parcels, || late(CLIENT_STALLED)).await {
+        if write_all(&socket, parcels, || place.stalled()).await {
             place.linger(&socket, &life).await;
         }
     };
--- a/crates/node/src/clients/places.rs
+++ b/crates/node/src/clients/places.rs
@@ -1,10 +1,14 @@
 //! The places that clients' connections have, and the end of accepting.
 
-use crate::limits::{LINGER, LINGER_BYTES, LINGER_FOR_ROOM, READ_BYTES};
+use crate::clock::late;
+use crate::limits::{
+    CLIENT_STALLED, CLIENT_STALLED_AT_END, LINGER, LINGER_BYTES, LINGER_FOR_ROOM, READ_BYTES,
+};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt};
 use std::cell::Cell;
+use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
@@ -23,6 +27,8 @@
     unread: Cell<u64>,
     /// Closes that were not met by the client's own within the bound.
     lingered: Cell<u64>,
+    /// Closes for want of any progress in writing.
+    stalled: Cell<u64>,
     /// Closed once no more than the backlog is to be accepted.
     end: (Sender<()>, Receiver<()>),
 }
@@ -35,6 +41,7 @@
             crossed: Cell::default(),
             unread: Cell::default(),
             lingered: Cell::default(),
+            stalled: Cell::default(),
             end: async_channel::bounded(1),
         }
     }
@@ -60,9 +67,10 @@
         up(&self.crossed);
     }
 
-    /// Wishes that something crossed, closes with something unread behind them, closes that lingered to their bound.
-    pub fn counts(&self) -> (u64, u64, u64) {
-        (self.crossed.get(), self.unread.get(), self.lingered.get())
+    /// Wishes that something crossed, closes with something unread behind them, closes that lingered to their bound, closes of clients
+    /// that took no byte.
+    pub fn counts(&self) -> [u64; 4] {
+        [&self.crossed, &self.unread, &self.lingered, &self.stalled].map(Cell::get)
     }
 
     /// From now on only what is in the backlog is accepted.
@@ -100,6 +108,17 @@
         &self.places
     }
 
+    /// Waits until a client that takes no byte is taken for gone; at the end of the process that is sooner.
+    pub(super) async fn stalled(&self) -> io::Result<usize> {
+        let at_end = async {
+            self.places.ended().await;
+            late(CLIENT_STALLED_AT_END).await
+        };
+        let gone = future::or(late(CLIENT_STALLED), at_end).await;
+        up(&self.places.stalled);
+        gone
+    }
+
     /// Shuts our side and waits for the client's end, which its reader sees; to a bound. A socket that is closed with bytes unread, or
     /// to which bytes come later, is reset, and what the client has not taken by then is lost.
     pub(super) async fn linger(&self, socket: &Async<TcpStream>, life: &Life) {
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -51,6 +51,8 @@
         closes_unread: Count = "closes_unread",
         /// Closes that waited for the client's own up to the bound in time or bytes.
         closes_lingered: Count = "closes_lingered",
+        /// Clients' connections closed here for having taken no byte of an answer for long.
+        closed_stalled: Count = "closed_stalled",
     }
 }
 
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -92,6 +92,8 @@
 /// A client that takes no byte of an answer for so long is gone. Long, since what is open on its connection goes with it;
 /// until then its answers wait, or are failed for want of memory.
 pub const CLIENT_STALLED: Duration = Duration::from_secs(30);
+/// At the end of the process it is gone after this, so that the process can end in order by itself.
+pub const CLIENT_STALLED_AT_END: Duration = Duration::from_secs(2);
 /// A server that takes no byte for so long is gone.
 pub const SERVER_STALLED: Duration = Duration::from_secs(6);
 /// A client's connection on which nothing is open and nothing came for so long is closed: clients in service close their own
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -184,10 +184,11 @@
         self.counters.conns.now.set(conns_now);
         self.counters.conns.opened.reached(conns);
         self.counters.clients.now.set(self.clients.len() as u64);
-        let (crossed, unread, lingered) = self.places.counts();
+        let [crossed, unread, lingered, stalled] = self.places.counts();
         self.counters.clients.closes_crossed.reached(crossed);
         self.counters.clients.closes_unread.reached(unread);
         self.counters.clients.closes_lingered.reached(lingered);
+        self.counters.clients.closed_stalled.reached(stalled);
         self.counters.log.servers_now.set(self.servers.len() as u64);
         self.counters.memory.held.set(self.meter.held() as u64);
         self.counters.tree.reached(&self.tree.counters);
--- a/crates/node/tests/crossing/closing.rs
+++ b/crates/node/tests/crossing/closing.rs
@@ -189,7 +189,7 @@
         stay.push(new);
         crowd = stay;
     }
-    assert_eq!(answered + closed, asked);
+    assert!(answered + closed == asked && rig.router.counter("closed_for_room") > 0);
     assert_eq!(rig.router.counter("requests"), answered, "what is not answered was never taken in");
     assert_eq!(rig.router.counter("served") + rig.router.counter("refused"), answered);
 }
@@ -390,3 +390,20 @@
     // They find out whenever they look.
     all.iter_mut().for_each(|c| assert_eq!(end(c), Ok(0)));
 }
+
+#[test]
+fn one_that_takes_no_answers_does_not_hold_up_the_end() {
+    let mut rig = rig(Cache::start(|_| Do::Ok(vec![b'x'; 240_000])));
+    let (mut slow, mut good) = (narrow(&rig.router), rig.router.client());
+    for tag in 1..=30 {
+        slow.ask(tag, "pages", tag, "", b"");
+    }
+    until("they are all answered", || rig.router.counter("served") == 30);
+    assert!(rig.router.counter("held") > 1_000_000, "more than the system takes");
+    good.ask(1, "pages", 99, "", b"");
+    rig.router.signal("TERM");
+    assert_eq!(good.must().body.len(), 240_000);
+    assert!(rig.router.ended().success());
+    assert_eq!(rig.router.last_counters()["closed_stalled"], 1.0);
+    drop(slow);
+}
--- a/crates/node/tests/life.rs
+++ b/crates/node/tests/life.rs
@@ -1,6 +1,7 @@
 //! A client's connection under any order of what its reader, its writer and the owner tell.
 
 use basaltgw_node::clients::life::{Event, Life, Quiet, State};
+use basaltgw_node::clients::places::Places;
 use basaltgw_node::inbox::Over;
 use basaltgw_node::limits::HALF_AT_END;
 use proptest::prelude::*;
@@ -117,7 +118,7 @@
 
 #[test]
 fn each_wish_that_is_crossed_is_counted_once() {
-    let places = Rc::default();
+    let places: Rc<Places> = Rc::default();
     let life = Life::new(&places);
     assert!(life.hands());
     life.tell(Event::Asked(Quiet::Room));
@@ -126,9 +127,9 @@
     life.tell(Event::Asked(Quiet::Idle));
     life.tell(Event::Asked(Quiet::End));
     assert_eq!(life.stops(Some(Duration::ZERO)), None);
-    assert_eq!(places.counts().0, 2);
+    assert_eq!(places.counts()[0], 2);
     life.tell(Event::Asked(Quiet::Idle));
     assert_eq!(life.stops(None), Some(Over::Quiet(Quiet::Idle)));
     assert!(!life.hands());
-    assert_eq!(places.counts().0, 2);
+    assert_eq!(places.counts()[0], 2);
 }
