A keyed request's further attempt begins within its window, or is taken back

Cause: `may_send` (src/rules/attempts.rs) looked at the window when it decided, and the attempt then waited for a connection that was coming up or had not answered its `alive` yet, up to the connect time-out (1 s and more). It was written whenever that came about, also after the window, when caches drop repeats no longer and the request would run again.

Now the module says in `Fetch::begin_by` until when the attempt may begin: the end of the window less the margin that final answers have already (25 ms, two ticks at least), since the rule counts the whole arrival. Infinite for safe requests and where none may have run. The node looks at it as the first byte is written (`Parcel`, by the monotonic clock), and by a timer takes back what still waits, told as NotSent, so that the client has its refusal at once and not at its deadline. `take_back` now says the same of what was taken back before: told so twice, an attempt of which no byte was written counted as perhaps run.

What was ruled out: the window counted from a late first byte (it counts from the decision, which is earlier); `may_have_run` moving while the attempt waits (nothing else is out then).

Counter `window_over`.

--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -141,6 +141,7 @@
 #[test]
 fn every_action_is_written_with_its_ids_unchanged() {
     let fetch = |join, held_only, renew| Fetch {
+        begin_by: f64::INFINITY,
         request: rid(),
         server: cache(),
         timeout: 900.0,
--- a/crates/emulator/src/standin/cache.rs
+++ b/crates/emulator/src/standin/cache.rs
@@ -1,11 +1,11 @@
 //! A cache, parent or origin that does what it is told with each fetch.
 
-use super::{unix_ms, WIDE};
+use super::{unix_ms, LOOK, WIDE};
 use basaltgw_resp::{encode, Decoder};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -63,6 +63,8 @@
     Yes,
     /// It says nothing.
     Mute,
+    /// It says `yes` once the stand-in is let go on.
+    Held,
     /// It ends the connection.
     Cut,
 }
@@ -79,6 +81,8 @@
     pub aborted: Arc<Mutex<Vec<String>>>,
     /// Connections taken so far.
     pub conns: Arc<AtomicUsize>,
+    /// What is held back (`Proof::Held`) waits for this.
+    pub go_on: Arc<AtomicBool>,
 }
 
 impl Cache {
@@ -94,17 +98,19 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let cache = Self { address, seen: Arc::default(), aborted: Arc::default(), conns: Arc::default() };
+        let (seen, aborted, conns, go_on) = Default::default();
+        let cache = Self { address, seen, aborted, conns, go_on };
         let (seen, aborted, conns) =
             (Arc::clone(&cache.seen), Arc::clone(&cache.aborted), Arc::clone(&cache.conns));
         let behaviour: Arc<Behaviour> = Arc::new(behaviour);
+        let go_on = Arc::clone(&cache.go_on);
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
                 let conn = conns.fetch_add(1, Ordering::SeqCst) + 1;
                 let (seen, aborted, behaviour) =
                     (Arc::clone(&seen), Arc::clone(&aborted), Arc::clone(&behaviour));
-                let proves = proves(conn);
-                thread::spawn(move || serve(conn, socket, proves, &seen, &aborted, &*behaviour));
+                let (proves, go_on) = (proves(conn), Arc::clone(&go_on));
+                thread::spawn(move || serve(conn, socket, (proves, &go_on), &seen, &aborted, &*behaviour));
             }
         });
         cache
@@ -134,7 +140,7 @@
 fn serve(
     conn: usize,
     mut socket: TcpStream,
-    proves: Proof,
+    (proves, go_on): (Proof, &AtomicBool),
     seen: &Mutex<Vec<Seen>>,
     aborted: &Mutex<Vec<String>>,
     behaviour: &Behaviour,
@@ -156,10 +162,15 @@
             let Some(id) = words.get(1).and_then(|id| String::from_utf8(id.clone()).ok()) else { return };
             if words[0] == b"alive" {
                 let yes = encode(&[&words[1], b"yes"]);
+                while proves == Proof::Held && !go_on.load(Ordering::SeqCst) {
+                    thread::sleep(LOOK);
+                }
                 match proves {
-                    Proof::Yes if writer.lock().expect("lock").write_all(&yes).is_ok() => continue,
+                    Proof::Yes | Proof::Held if writer.lock().expect("lock").write_all(&yes).is_ok() => {
+                        continue
+                    }
                     Proof::Mute => continue,
-                    Proof::Yes | Proof::Cut => return,
+                    Proof::Yes | Proof::Held | Proof::Cut => return,
                 }
             }
             if words[0] == b"abort" {
--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -16,7 +16,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Ids that a connection remembers as given up.
 const ABORTED_KEPT: usize = 1024;
@@ -78,17 +78,23 @@
     }
 
     /// Puts a request in line, behind a proof where one is needed.
-    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>) -> Rc<Parcel> {
+    pub(super) fn put(
+        &mut self,
+        now: Ms,
+        at: ConnId,
+        bytes: Vec<u8>,
+        begin_by: Option<Instant>,
+    ) -> Rc<Parcel> {
         if self.proving.is_none() && self.unproven(now) {
             let tag = WireId(Arc::from(at.0.to_string()));
             self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
             self.proving = Some(tag);
         }
-        if self.proving.is_none() {
-            return self.out.put(bytes);
+        let parcel = self.out.hold(bytes, begin_by);
+        match self.proving {
+            Some(_) => self.held.push(Rc::clone(&parcel)),
+            None => self.out.release(&parcel),
         }
-        let parcel = self.out.hold(bytes);
-        self.held.push(Rc::clone(&parcel));
         parcel
     }
 
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,13 +73,14 @@
 
     /// Puts an attempt on a connection to a server's process that was not `asked` for this request, the one that carries
     /// fewest; opens one if none takes it or all carry many (for one that is best `alone`: any); `None` if none may be opened.
+    /// Its first byte leaves before `begin_by`, or none does.
     pub fn send(
         &mut self,
         now: Ms,
         to: (&ServerId, Place),
         key: AttemptKey,
         (id, asked, alone): (&WireId, &[ConnId], bool),
-        bytes: Vec<u8>,
+        (bytes, begin_by): (Vec<u8>, Option<Instant>),
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
@@ -102,7 +103,7 @@
             (None, None) => return None,
         };
         let conn = self.conns.get_mut(&at)?;
-        let parcel = conn.put(now, at, bytes);
+        let parcel = conn.put(now, at, bytes, begin_by);
         conn.open.insert(id.clone(), key);
         conn.used = now;
         if conn.up {
@@ -204,12 +205,16 @@
         Some(conn)
     }
 
-    /// A server's process is at this place now, or nowhere: connections to another take no more requests.
-    pub fn moved(&mut self, server: &ServerId, place: Option<Place>) {
+    /// A server's process is at this place now, or nowhere: connections to another take no more requests; gives these.
+    pub fn moved(&mut self, server: &ServerId, place: Option<Place>) -> Vec<ConnId> {
+        let mut left = Vec::new();
         for at in self.of_server.get(server).into_iter().flatten() {
-            let conn = self.conns.get_mut(at).filter(|c| Some(c.place) != place);
-            conn.into_iter().for_each(|c| c.retired = true);
+            if let Some(conn) = self.conns.get_mut(at).filter(|c| Some(c.place) != place) {
+                conn.retired = true;
+                left.push(*at);
+            }
         }
+        left
     }
 
     /// Connections that were asked whether they work and have not said so in the time in which one has to come up.
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -71,6 +71,8 @@
         miss: Count = "attempts_miss",
         /// Answers of servers to no open attempt.
         late_answers: Count = "late_answers",
+        /// Attempts that had no connection before the time by which they had to begin.
+        window_over: Count = "window_over",
         /// Attempts given up whose server did not show in time that it knows.
         unheeded: Count = "unheeded",
     }
--- a/crates/node/src/counters/mod.rs
+++ b/crates/node/src/counters/mod.rs
@@ -145,7 +145,7 @@
              closed_idle=0 closed_for_room=0 closed_broken_rule=0 unreadable=0 left=0 served=0 same=1 refused=0 \
              failed=0 turned_away=0 taken_back=0 withheld=0 attempts=0 attempts_served=0 attempts_error=0 \
              attempts_full=0 attempts_late=0 attempts_no_connection=0 attempts_broken=0 attempts_cancelled=0 \
-             attempts_not_sent=0 attempts_miss=1 late_answers=0 conns=0 conns_now=0 conns_failed=0 \
+             attempts_not_sent=0 attempts_miss=1 late_answers=0 window_over=0 conns=0 conns_now=0 conns_failed=0 \
              conns_unreadable=0 conns_unfinished=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 reloads=0 \
              reloads_refused=0 carried=0 held=0 held_most=0 plans=0 plans_refused=0 plans_ended=0 loops=0 \
              loops_set_aside=0 batches=0 batch_longest_ms=1.24"
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncWrite, AsyncWriteExt};
@@ -95,6 +96,8 @@
 #[derive(Debug)]
 pub struct Parcel {
     stage: Cell<Stage>,
+    /// Its first byte is written before this, or none is.
+    begin_by: Option<Instant>,
     bytes: RefCell<Option<Counted>>,
 }
 
@@ -111,14 +114,19 @@
         self.bytes.take();
     }
 
-    /// Takes it back if no byte of it is written.
+    /// Takes it back unless it was begun; true if no byte of it is or ever will be written.
     pub fn take_back(&self) -> bool {
-        let waits = self.stage.get() == Stage::Waiting;
-        if waits {
+        let never = matches!(self.stage.get(), Stage::Waiting | Stage::TakenBack);
+        if never {
             self.stage.set(Stage::TakenBack);
             self.bytes.take();
         }
-        waits
+        never
+    }
+
+    /// The time in which it had to be begun is over.
+    fn too_late(&self) -> bool {
+        self.begin_by.is_some_and(|by| Instant::now() >= by)
     }
 }
 
@@ -140,15 +148,15 @@
 impl Outbox {
     /// Puts a message in line.
     pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
-        let parcel = self.hold(bytes);
+        let parcel = self.hold(bytes, None);
         self.release(&parcel);
         parcel
     }
 
-    /// A message that is not in line until it is released.
-    pub fn hold(&self, bytes: Vec<u8>) -> Rc<Parcel> {
-        let bytes = Counted::new(bytes, &[&self.all, &self.own]);
-        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)) })
+    /// A message that is not in line until it is released, and may have to be begun by some time.
+    pub fn hold(&self, bytes: Vec<u8>, begin_by: Option<Instant>) -> Rc<Parcel> {
+        let bytes = RefCell::new(Some(Counted::new(bytes, &[&self.all, &self.own])));
+        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), begin_by, bytes })
     }
 
     /// Puts a held message in line.
@@ -178,6 +186,10 @@
     F: std::future::Future<Output = std::io::Result<usize>>,
 {
     while let Ok(parcel) = parcels.recv().await {
+        // The owner may not have heard yet that it is too late.
+        if parcel.too_late() {
+            parcel.take_back();
+        }
         let Some(counted) = parcel.bytes.take() else { continue };
         parcel.stage.set(Stage::Begun);
         let mut rest = counted.bytes();
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -6,9 +6,11 @@
 use crate::caches::{Answer, Ask, AttemptKey, ConnId, Down, GivenUp};
 use crate::clients::{Reply, WireId};
 use crate::inbox::Over;
+use crate::limits::LONGEST_WAIT_MS;
 use crate::outbox::{Counted, Parcel, Stage};
 use basaltgw::api::{AttemptNo, End, Event, Fetch, Load, Ms, Note, Outcome, ServerId};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// An attempt that was asked for.
 pub(super) struct Attempt {
@@ -61,6 +63,8 @@
         let until = asked.map_or(open.deadline, |t| open.deadline.min(self.now + t));
         let in_time = !open.answered && until > self.now && n.0 < self.max_attempts;
         let place = self.servers.get(&fetch.server).filter(|_| in_time);
+        let bound = (fetch.begin_by - self.clock.now()).clamp(0.0, LONGEST_WAIT_MS) / 1000.0;
+        let begin_by = fetch.begin_by.is_finite().then(|| Instant::now() + Duration::from_secs_f64(bound));
         let body = open.body.as_ref().map_or(&[][..], Counted::bytes);
         let ask = Ask {
             id: &open.request.id,
@@ -87,7 +91,7 @@
                     to,
                     (no, n),
                     (&open.request.id, &used, !body.is_empty()),
-                    ask.encode(),
+                    (ask.encode(), begin_by),
                 );
                 (End::NoConnection, way)
             }
@@ -96,6 +100,9 @@
         open.attempts.push(Attempt { server: fetch.server, source, sent: self.now, on, way });
         if sent {
             self.timers.set(until, Due::Attempt(no, n));
+            if begin_by.is_some() {
+                self.timers.set(fetch.begin_by, Due::Begin(no, n));
+            }
         } else {
             self.report((no, n), end, UNTOLD, true);
         }
@@ -156,6 +163,15 @@
         self.give_up(key, (End::Late, never), false);
     }
 
+    /// Its time to begin is over: it ends unless it was begun.
+    pub(super) fn begun_late(&mut self, key: AttemptKey) {
+        let stage = self.requests.attempt(key).and_then(Attempt::stage);
+        if matches!(stage, Some(Stage::Waiting | Stage::TakenBack)) {
+            self.counters.attempts.window_over.one();
+            self.give_up(key, (End::NotSent, End::NotSent), false);
+        }
+    }
+
     /// A server answered.
     pub(super) fn outcome(&mut self, at: ConnId, answer: Answer) {
         // A server that knows of what was given up has answered no request by that.
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -24,6 +24,7 @@
 pub(super) enum Due {
     Module(u64),
     Attempt(RequestNo, AttemptNo),
+    Begin(RequestNo, AttemptNo),
     Look(RequestNo),
     Promise(RequestNo, AskNo),
     Gather,
@@ -138,6 +139,7 @@
             match what {
                 Due::Module(token) => self.tell(Event::Timer(token)),
                 Due::Attempt(no, n) => self.time_out((no, n)),
+                Due::Begin(no, n) => self.begun_late((no, n)),
                 Due::Look(no) => self.look(no),
                 Due::Promise(no, ask) => self.stalled(no, ask),
                 Due::Gather => self.gather_due(),
--- a/src/api.rs
+++ b/src/api.rs
@@ -277,6 +277,8 @@
     pub server: ServerId,
     /// Time-out of the attempt.
     pub timeout: Ms,
+    /// Its first byte leaves before this, or none does; infinite where any time will do.
+    pub begin_by: Ms,
     /// Who supplies a miss; the server itself to have none filled.
     pub fill_from: ServerId,
     /// How the copy is kept.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -87,7 +87,7 @@
         if self.open.contains_key(&req.id) {
             return;
         }
-        let margin = ANSWER_MARGIN_MS.max(2.0 * self.set.tick);
+        let margin = self.margin();
         let class = req.class.map(|c| c.0).filter(|c| *c < self.set.classes.len());
         let (Some(class), true) = (class, req.budget > margin) else {
             // Nothing was sent, so a refusal is harmless whatever the class.
@@ -100,6 +100,11 @@
         self.dispatch(at, acts);
     }
 
+    /// Left for the last leg to the other side.
+    fn margin(&self) -> Ms {
+        ANSWER_MARGIN_MS.max(2.0 * self.set.tick)
+    }
+
     /// Makes the next attempt, or gives up at once if none can help. Nothing of the request is out then.
     fn dispatch(&mut self, at: usize, acts: &mut Vec<Action>) {
         let open = &self.open[at];
@@ -107,7 +112,7 @@
         let through = self.set.classes[open.class].uncacheable || open.req.write;
         let hopeless = left <= 0.0 || (!through && self.own_time(&open.req).is_some_and(|own| own > left));
         let spent = open.tries.len() >= MAX_ATTEMPTS.min(self.set.max_attempts);
-        if hopeless || spent || !self.may_send(open) {
+        if hopeless || spent || self.now >= self.begin_by(open) {
             return self.give_up(at, acts);
         }
         match if through { self.pick_through(at) } else { self.pick_way(at) } {
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -14,16 +14,15 @@
 const AGE_LEAST_MS: Ms = 1.0;
 
 impl Router {
-    /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one
-    /// within its window if its group is all servers (narrower groups get none).
-    pub(super) fn may_send(&self, open: &Open) -> bool {
+    /// Until when another attempt may begin: an unsafe request's if none may have run, a keyed one's so that
+    /// it arrives within the window if its group is all servers (narrower groups get none).
+    pub(super) fn begin_by(&self, open: &Open) -> Ms {
         let class = &self.set.classes[open.class];
+        let all = class.key_scope == KeyScope::All;
         match (class.effect, open.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some(since)) => {
-                class.key_scope == KeyScope::All && self.now < since + class.key_window
-            }
+            (Effect::Safe, _) | (_, None) => f64::INFINITY,
+            (Effect::Keyed, Some(since)) if all => since + class.key_window - self.margin(),
+            (Effect::Keyed | Effect::Unsafe, Some(_)) => f64::NEG_INFINITY,
         }
     }
 
@@ -34,9 +33,9 @@
         let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
         let (key, now) = (self.keys, self.now);
-        let max_age = self.max_age(&self.open[at], source.is_none());
-        let class = &self.set.classes[self.open[at].class];
         let open = &self.open[at];
+        let class = &self.set.classes[open.class];
+        let (max_age, begin_by) = (self.max_age(open, source.is_none()), self.begin_by(open));
         let looked = open.tries.iter().all(|t| t.source.is_none());
         let (renew, join) = (class.fresh > 0.0, self.set.joins && looked);
         let edge = self.servers[server].entry.role == Role::Edge;
@@ -67,6 +66,7 @@
             request: open.req.id.clone(),
             server: self.servers[server].entry.id.clone(),
             timeout: open.end - now,
+            begin_by,
             fill_from: self.servers[source.unwrap_or(server)].entry.id.clone(),
             rank: if edge { open.rank } else { Rank::None },
             max_age,
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -89,6 +89,32 @@
     assert!(failed(&acts, 1) && !refused(&acts, 1));
 }
 
+#[test]
+fn a_further_attempt_of_a_keyed_request_has_to_begin_so_that_it_arrives_within_the_window() {
+    let mut d = Driver::new(settings(), fleet());
+    let (sent, window) = (d.now, settings().classes[KEYED.0].key_window);
+    let first = fetch(&d.ask(1, KEYED, 5)).expect("a fetch");
+    assert_eq!(first.begin_by, f64::INFINITY, "none may have run");
+    d.wait(200.0);
+    let second = fetch(&d.end(1, 0, &first.server, End::NotSent, Note::Untold)).expect("a fetch");
+    assert_eq!(second.begin_by, f64::INFINITY, "none has run");
+    let since = d.now;
+    d.wait(200.0);
+    let third = fetch(&d.end(1, 1, &second.server, End::Broken, Note::Untold)).expect("a fetch");
+    assert!(
+        sent < since && third.begin_by < since + window,
+        "it may have run since then: {}",
+        third.begin_by
+    );
+    let first = fetch(&d.ask(2, SAFE, 6)).expect("a fetch");
+    let again = fetch(&d.end(2, 0, &first.server, End::Broken, Note::Untold)).expect("a fetch");
+    assert_eq!(again.begin_by, f64::INFINITY);
+    // What is given back at the end of its time finds no other way.
+    d.wait(third.begin_by - d.now);
+    let acts = d.end(1, 2, &third.server, End::NotSent, Note::Untold);
+    assert!(fetch(&acts).is_none() && refused(&acts, 1), "{acts:?}");
+}
+
 #[test]
 fn a_keyed_request_goes_out_again_only_within_its_window_and_group() {
     let mut d = Driver::new(settings(), fleet());
