What waits for a server that was replaced is recalled; events that cross, in any order

Cause: `list` in owner/news.rs took back what waits for servers that drain, are gone or left out. One that is still listed as up, at a new address or with a new start, only had its connections retired: what waited on them, for the connection or behind its `alive`, was written to the former place, where by then another process may listen. `Caches::moved` now gives those connections, and what waits there is taken back as NotSent.

Ruled out, with tests: a server that goes and is back in one list (the entries are gone through in order, and the first one recalls); an attempt that the owner has not timed yet when its window ends (the writer looks itself). Half-written attempts stay: a drain counts from the first byte.

A property test plays outcome, time-out, deadline, UNDO, reset, drain, a new place, abort known and proof in any order and any batch against `Owner`, for a safe, an unsafe and a keyed class: one answer in time whatever is still out, as many ends told as attempts made, at most one out, an unsafe request again or refused only if none may have run, nothing left over.

Seen to fail without the recall: what_waits_for_a_server_that_was_replaced_is_recalled, "it would go to where the server was"; without the look at the time: what_had_to_be_begun_earlier_is_not_written, the bytes were written.

--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -36,12 +36,12 @@
 
     fn list(&mut self, whole: bool, members: Vec<Member>) {
         self.list_in = true;
-        let (mut leaving, mut left_out) = (Vec::new(), Vec::new());
+        let (mut leaving, mut left_out, mut left) = (Vec::new(), Vec::new(), Vec::new());
         if whole {
             let told = |id: &ServerId| members.iter().any(|m| m.entry.id == *id);
             leaving.extend(self.servers.keys().filter(|id| !told(id)).cloned());
             for id in &leaving {
-                self.caches.moved(id, None);
+                left.extend(self.caches.moved(id, None));
                 self.servers.remove(id);
             }
             left_out.clone_from(&leaving);
@@ -49,7 +49,7 @@
         for member in &members {
             let id = &member.entry.id;
             let up = member.entry.listed == Listed::Up;
-            self.caches.moved(id, up.then(|| member.place()));
+            left.extend(self.caches.moved(id, up.then(|| member.place())));
             if !up {
                 leaving.push(id.clone());
             }
@@ -63,8 +63,11 @@
         let mode = if whole { ListMode::Whole } else { ListMode::Changes };
         self.tell(Event::Servers(mode, members.into_iter().map(|m| m.entry).collect()));
         self.tell_all(planned);
+        // Also what waits for a server that stays, on a connection to where it was.
         self.recall(|_, a| {
-            leaving.contains(&a.server) || a.source.as_ref().is_some_and(|s| leaving.contains(s))
+            leaving.contains(&a.server)
+                || a.source.as_ref().is_some_and(|s| leaving.contains(s))
+                || a.way.as_ref().is_some_and(|(conn, _)| left.contains(conn))
         });
     }
 
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -13,6 +13,8 @@
 use serde_json::json;
 use std::time::Duration;
 
+mod crossing;
+
 const CLIENT: ClientId = ClientId(1);
 
 /// An owner before two edge caches whose connections never come up, since nothing runs its executor.
@@ -28,7 +30,9 @@
         "settings": {"areas": ["here"], "my-zone": "here", "kinds": ["box", "origin"],
                      "family-info": {"shield-kind": -1, "store-kind": 1, "purge-settles": 6000.0},
                      "services": [{"name": "pages", "idempotency": "read_like", "deadline": 5000.0, "slo": 400.0},
-                                  {"name": "loan", "idempotency": "non_idempotent", "deadline": 5000.0, "slo": 400.0}],
+                                  {"name": "loan", "idempotency": "non_idempotent", "deadline": 5000.0, "slo": 400.0},
+                                  {"name": "renewal", "idempotency": "idempotency_key", "deadline": 5000.0,
+                                   "slo": 400.0, "window": 5000.0}],
                      "limits": {"try-limit": 8, "cancel": true}}
     });
     let config = parse(&config, &Environment::default()).expect("a configuration");
