--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -13,7 +13,8 @@
     whole: Duration::from_millis(2000),
     gap: Duration::from_millis(2000),
 };
-/// Caches: an object holds up to 240,000 bytes.
+/// Caches: an object holds up to 240,000 bytes. Attempts have their own time-outs, which end them earlier where clients wait for less;
+/// what else is open on a connection that stops in mid-answer waits for no longer than its own.
 pub const FROM_CACHE: Terms = Terms {
     bounds: Bounds { words: 6, bytes: 256 * 1024 },
     first: None,
@@ -45,7 +46,8 @@
 /// So many requests that could not be understood end a client's connection.
 pub const UNREADABLE_MOST: u32 = 16;
 /// A server answers the question behind an `abort` within a round trip; one that has not after this is silent, and what was given up
-/// there is held to be over: it may have answered nothing else either, and the client waits.
+/// there is held to be over: it may have answered nothing else either, and the client waits. A client that waits for less has its
+/// answer in its own time all the same; only the request's next attempt is not made.
 pub const LEAVING_MS: Ms = 400.0;
 /// Servers hold one descriptor in so many; what is left is clients'. Those in service hold a third themselves.
 pub const SERVER_SHARE: u64 = 3;
@@ -75,7 +77,8 @@
 pub const PROVEN_MS: Ms = 50.0;
 /// Of its idle time a connection to a server uses this share, so that the server never closes one in use.
 pub const IDLE_SHARE: f64 = 0.8;
-/// A connection on which something was asked and nothing at all came for this long takes no more requests.
+/// A connection on which something was asked and nothing at all came for this long takes no more requests. Where clients wait
+/// for less, all that is open on it is given up before, and it is closed after [`ABANDONED_MS`] unless more is asked meanwhile.
 pub const SILENT_MS: Ms = 800.0;
 /// One on which all that was asked has been given up, and nothing came for this long, is closed: the next attempt learns by a
 /// new one whether the machine is there.
