--- a/crates/emulator/src/standin/cache.rs
+++ b/crates/emulator/src/standin/cache.rs
@@ -1,11 +1,11 @@
 //! A cache, parent or origin that does what it is told with each fetch.
 
-use super::{unix_ms, WIDE};
+use super::{unix_ms, LOOK, WIDE};
 use basaltgw_resp::{encode, Decoder};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -52,6 +52,10 @@
     TwiceWord(&'static str),
     /// Nothing.
     Silent,
+    /// Nothing is said or read on the connection until the stand-in is let go on; then `ok` with these bytes.
+    Held(Vec<u8>),
+    /// The same, and then the connection is reset and nothing is said.
+    Reset,
     /// Half of an answer, then the connection ends.
     Half,
 }
@@ -63,6 +67,8 @@
     Yes,
     /// It says nothing.
     Mute,
+    /// It says `yes` once the stand-in is let go on.
+    Held,
     /// It ends the connection.
     Cut,
 }
@@ -79,6 +85,8 @@
     pub aborted: Arc<Mutex<Vec<String>>>,
     /// Connections taken so far.
     pub conns: Arc<AtomicUsize>,
+    /// What is held back (`Proof::Held`, `Do::Held`, `Do::Reset`) waits for this.
+    pub go_on: Arc<AtomicBool>,
 }
 
 impl Cache {
@@ -94,17 +102,19 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let cache = Self { address, seen: Arc::default(), aborted: Arc::default(), conns: Arc::default() };
+        let (seen, aborted, conns, go_on) = Default::default();
+        let cache = Self { address, seen, aborted, conns, go_on };
         let (seen, aborted, conns) =
             (Arc::clone(&cache.seen), Arc::clone(&cache.aborted), Arc::clone(&cache.conns));
         let behaviour: Arc<Behaviour> = Arc::new(behaviour);
+        let go_on = Arc::clone(&cache.go_on);
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
                 let conn = conns.fetch_add(1, Ordering::SeqCst) + 1;
                 let (seen, aborted, behaviour) =
                     (Arc::clone(&seen), Arc::clone(&aborted), Arc::clone(&behaviour));
-                let proves = proves(conn);
-                thread::spawn(move || serve(conn, socket, proves, &seen, &aborted, &*behaviour));
+                let (proves, go_on) = (proves(conn), Arc::clone(&go_on));
+                thread::spawn(move || serve(conn, socket, (proves, &go_on), &seen, &aborted, &*behaviour));
             }
         });
         cache
@@ -134,7 +144,7 @@
 fn serve(
     conn: usize,
     mut socket: TcpStream,
-    proves: Proof,
+    (proves, go_on): (Proof, &AtomicBool),
     seen: &Mutex<Vec<Seen>>,
     aborted: &Mutex<Vec<String>>,
     behaviour: &Behaviour,
@@ -156,10 +166,15 @@
             let Some(id) = words.get(1).and_then(|id| String::from_utf8(id.clone()).ok()) else { return };
             if words[0] == b"alive" {
                 let yes = encode(&[&words[1], b"yes"]);
+                if proves == Proof::Held {
+                    wait_for(go_on);
+                }
                 match proves {
-                    Proof::Yes if writer.lock().expect("lock").write_all(&yes).is_ok() => continue,
+                    Proof::Yes | Proof::Held if writer.lock().expect("lock").write_all(&yes).is_ok() => {
+                        continue
+                    }
                     Proof::Mute => continue,
-                    Proof::Yes | Proof::Cut => return,
+                    Proof::Yes | Proof::Held | Proof::Cut => return,
                 }
             }
             if words[0] == b"abort" {
@@ -176,6 +191,15 @@
             let ok = |body: &[u8]| encode(&[id.as_bytes(), b"ok", b"ver=1,born=1,note=hit,waited=0", body]);
             let answer = match act {
                 Do::Silent => continue,
+                Do::Held(body) => {
+                    wait_for(go_on);
+                    ok(&body)
+                }
+                Do::Reset => {
+                    wait_for(go_on);
+                    let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
+                    return;
+                }
                 Do::Ok(body) => ok(&body),
                 Do::Word(word, fields) => encode(&[id.as_bytes(), word.as_bytes(), fields.as_bytes(), b""]),
                 Do::Raw(bytes) => bytes.to_vec(),
@@ -205,6 +229,13 @@
         }
     }
 }
+
+fn wait_for(flag: &AtomicBool) {
+    while !flag.load(Ordering::SeqCst) {
+        thread::sleep(LOOK);
+    }
+}
+
 /// Writes an answer after a time.
 fn later(writer: &Arc<Mutex<TcpStream>>, ms: u64, answer: Vec<u8>) {
     let writer = Arc::clone(writer);
