A new router process sends a cold server nothing until a window of its own has passed

Cause: `Router::has_room` holds what this process sent to a cold server against the budget. What the former process of the same router sent in the same window is not known to the new one, so routers that all restart together send their shares once more: up to twice the budget in sum. Fault: src/rules/room.rs, `has_room`, `sent`.

Change: where the server started before the router did, the router sends it nothing for the first window of its own life, and its turn, where a request is more than its share, is counted from its own start. To let it send only what the time since its start covers was reckoned with and left: the former process may have sent its whole share in the last moment, and both would still meet in one window.

A driver of tests/common starts at any time with any seed (`Driver::at`).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,8 +41,8 @@
     /// Takes an event in and appends what is to be done.
     pub fn handle(&mut self, now: Ms, event: Event, acts: &mut Vec<Action>) {
         self.now = now;
-        if !self.armed {
-            self.armed = true;
+        if self.born.is_none() {
+            self.born = Some(now);
             self.next_period = now + PERIOD_MS;
             acts.push(Action::Timer(SWEEP_MS, SWEEP_TOKEN));
             if self.set.must_subscribe {
--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -99,14 +99,18 @@
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let rate = rule.multiple * share * capacity;
         let (budget, s) = (rate * rule.window, &self.servers[i]);
+        // What this router's own former process sent is not known: for a window it may have been all.
+        let life = self.born.map_or(0.0, |t| self.now - t).min(age);
+        let spent = life < rule.window.min(age);
         // What its former process was sent does not count.
         let sent = |span: Ms| s.sent.since(self.now - span.min(age)) + weight;
         // With many routers a request may be more than one's share for a window. It goes in turn: in a time
         // in which the share covers it, at a moment of this router's own, if all shares cover it amply.
         let turn = rule.window.max(self.longest().max(weight) / rate);
-        let own = age >= turn * unit(mix(self.seed, s.hash));
+        let own = life >= turn * unit(mix(self.seed, s.hash));
         let ample = COLD_AMPLE * weight <= budget * s.gate.routers;
-        sent(turn) <= rate * turn && if weight <= budget { sent(rule.window) <= budget } else { own && ample }
+        let fits = if weight <= budget { sent(rule.window) <= budget } else { own && ample };
+        !spent && sent(turn) <= rate * turn && fits
     }
 
     /// By how much a class may go beyond a gate's limit: one that takes little earns more for the same
--- a/src/state.rs
+++ b/src/state.rs
@@ -229,7 +229,8 @@
 pub struct Router {
     pub(crate) set: Settings,
     pub(crate) now: Ms,
-    pub(crate) armed: bool,
+    /// When it was first told something.
+    pub(crate) born: Option<Ms>,
     pub(crate) servers: IndexMap<ServerId, Server>,
     /// By role: what the list has up, edge caches of the own zone only.
     pub(crate) up: [Vec<usize>; 3],
@@ -271,7 +272,7 @@
         let classes = set.classes.len();
         Self {
             now: 0.0,
-            armed: false,
+            born: None,
             servers: IndexMap::new(),
             up: Default::default(),
             order: Default::default(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -122,8 +122,13 @@
 
 impl Driver {
     pub fn new(settings: Settings, servers: Vec<ServerEntry>) -> Self {
-        let mut driver =
-            Self { router: Router::new(settings, 7), now: 1000.0, timers: Vec::new(), log: Vec::new() };
+        Self::at(1000.0, settings, 7, servers)
+    }
+
+    /// One of that seed that starts then.
+    pub fn at(now: Ms, settings: Settings, seed: u64, servers: Vec<ServerEntry>) -> Self {
+        let router = Router::new(settings, seed);
+        let mut driver = Self { router, now, timers: Vec::new(), log: Vec::new() };
         driver.tell(Event::Servers(ListMode::Whole, servers));
         driver
     }
