Unknown work weighs a whole share at a cold server, and a start by a clock that is ahead is one now

Two causes by which more than the settings allow reached a cold server, both seen with the simulated routers of tests/cold.rs.

Before a router's first answer nothing tells what a request takes to send; `mean_time` (split.rs) gives the class's aim then, which may be far less. Now, while no class's sending time is known, a request weighs a whole share in `has_room`: one a window. Not to send at all was left: a fresh router before a zone that is all cold would never learn.

A server listed with a start that is still to come, by a clock ahead of the router's, had a negative age: what it was sent until then was counted by nobody (`sent`, room.rs). `on_list` (servers.rs) and `Server::new` (state.rs) now take it for started when it is listed, at the latest.

Seen to fail without 1: `routers_that_know_no_work_yet_send_no_more_than_others`, "2 new routers, work of 2.5 aims: N 28.8, 1.58 of the bound". Without 2: `a_start_by_a_clock_that_is_ahead_is_one_now`, "133 of 14.4 at once" (known server), "245 of 1.86 at once" (new).

The other tests of the file catch a build in which a budget is not divided by the routers (all fail), and the one on turns a build in which a turn is no longer than a window (0.02 of N used).

--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -99,10 +99,10 @@
         let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
         let rate = rule.multiple * share * capacity;
         let (budget, s) = (rate * rule.window, &self.servers[i]);
-        // What this router's own former process sent is not known: for a window it may have been all.
+        // This router's former process may have sent all of a window; what the server's own got is void.
         let life = self.born.map_or(0.0, |t| self.now - t).min(age);
-        let spent = life < rule.window.min(age);
-        // What its former process was sent does not count.
+        // Before any answer nothing tells what work takes, and an aim may be far less: one a window.
+        let weight = if self.longest() > 0.0 { weight } else { weight.max(budget) };
         let sent = |span: Ms| s.sent.since(self.now - span.min(age)) + weight;
         // With many routers a request may be more than one's share for a window. It goes in turn: in a time
         // in which the share covers it, at a moment of this router's own, if all shares cover it amply.
@@ -110,7 +110,7 @@
         let own = life >= turn * unit(mix(self.seed, s.hash));
         let ample = COLD_AMPLE * weight <= budget * s.gate.routers;
         let fits = if weight <= budget { sent(rule.window) <= budget } else { own && ample };
-        !spent && sent(turn) <= rate * turn && fits
+        life >= rule.window.min(age) && sent(turn) <= rate * turn && fits
     }
 
     /// By how much a class may go beyond a gate's limit: one that takes little earns more for the same
--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -44,8 +44,8 @@
             let held = |i| self.open.values().flat_map(|o| &o.tries).any(|t| t.names(i));
             let server = place(&mut self.servers, &entry.id, new, held);
             if entry.started > server.entry.started {
-                // A new process: what was held against the old one is void, and it is cold.
-                server.started = entry.started;
+                // A new process, cold by now at the latest: what was held against the old one is void.
+                server.started = entry.started.map(|t| t.min(self.now));
                 (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
                 (server.lag, server.cut) = (Average::default(), 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -324,7 +324,8 @@
     /// A server that the list has just named.
     pub fn new(entry: ServerEntry, hash: u64, now: Ms, gate: Gate) -> Self {
         Self {
-            started: entry.started,
+            // By a clock ahead of this one's it would not have started yet, and what it is sent would not count.
+            started: entry.started.map(|t| t.min(now)),
             entry,
             hash,
             health: Health::Good,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -7,8 +7,6 @@
 use common::*;
 use std::collections::{BTreeMap, HashMap};
 
-/// Milliseconds that each request takes to send: the mean work.
-const WORK: Ms = 100.0;
 /// How long the routers see warm servers before the cold start, and how long is counted after it.
 const WARM: Ms = 500.0;
 const COUNTED: Ms = 3600.0;
@@ -32,6 +30,8 @@
     /// What comes to each server's share, as a multiple of what a cold one may get at first.
     demand: f64,
     seeds: u64,
+    /// What each request takes to send: the mean work.
+    work: Ms,
 }
 
 const USUAL: Case = Case {
@@ -45,6 +45,7 @@
     opening: 0.0,
     demand: 5.0,
     seeds: 3,
+    work: 100.0,
 };
 const TWENTY: Case = Case { routers: 20, size: 2.95, ..USUAL };
 const THIRTY: Case = Case { routers: 30, size: 4.4, ..USUAL };
@@ -63,7 +64,7 @@
 fn allowed(set: &Settings, case: &Case, age: Ms) -> f64 {
     let rule = set.cold(case.role);
     let share = rule.share + (1.0 - rule.share) * (age / rule.span).clamp(0.0, 1.0);
-    rule.multiple * share * case.size * rule.window / WORK
+    rule.multiple * share * case.size * rule.window / case.work
 }
 
 /// With chance: what is beyond is the routers' doing.
@@ -166,7 +167,7 @@
             Role::Edge => (Note::Hit, 0.0),
             _ => (Note::FilledBySource, 20.0 + way(&f.fill_from)),
         };
-        let delay = WORK + waited + way(&f.server);
+        let delay = case.work + waited + way(&f.server);
         let (end, last, load) = (End::Served, true, Load::default());
         let (request, attempt, server, source_wait) = (rid(n), AttemptNo(0), f.server, waited);
         let outcome = Outcome { request, attempt, server, end, delay, last, note, source_wait, load };
@@ -195,10 +196,12 @@
             }
             match due {
                 Due::Restart => {
+                    let mut list = self.fleet.clone();
+                    list.iter_mut().for_each(|e| e.started = e.started.filter(|at| *at <= self.now));
                     for k in 0..self.case.routers {
                         self.lives[k] += 1;
                         let seed = mix(self.seed, (k as u64) << (8 * self.lives[k]));
-                        self.routers[k] = Driver::at(self.now, self.set.clone(), seed, self.fleet.clone());
+                        self.routers[k] = Driver::at(self.now, self.set.clone(), seed, list.clone());
                     }
                     continue;
                 }
@@ -303,6 +306,44 @@
     ]);
 }
 
+#[test]
+fn routers_that_know_no_work_yet_send_no_more_than_others() {
+    let long = Case { restart: Some((-0.1, -0.1)), work: 1000.0, ..USUAL };
+    hold(&[
+        (Case { name: "2 new routers, work of 2.5 aims", size: 20.0, ..long }, 0.5),
+        (Case { name: "20 new routers, work of 2.5 aims", routers: 20, size: 29.5, ..long }, 0.5),
+    ]);
+}
+
+/// A list whose clock is ahead tells of a start that is still to come: what is sent until then counts all the same.
+#[test]
+fn a_start_by_a_clock_that_is_ahead_is_one_now() {
+    for known in [true, false] {
+        let list = |ahead: Ms| {
+            let mut all = fleet();
+            all[if known { 2 } else { 4 }].started = Some(1000.0 + WARM + ahead);
+            all
+        };
+        let mut d = Driver::new(set(&USUAL), if known { fleet() } else { fleet()[..2].to_vec() });
+        for n in 0..10 {
+            d.serve(n, SAFE, n as u64, Note::Hit);
+            d.wait(WARM / 10.0);
+        }
+        d.tell(Event::Servers(ListMode::Whole, list(1000.0)));
+        let cold = list(0.0).into_iter().find(|e| e.started.is_some()).expect("one").id;
+        let sent = (10..510).filter(|n| {
+            let f = d.serve(*n, SAFE, *n as u64, Note::FilledBySource);
+            f.server == cold || f.fill_from == cold
+        });
+        let (sent, case) = (
+            sent.count() as f64,
+            Case { role: if known { Role::Edge } else { Role::Parent }, size: 1.0, ..USUAL },
+        );
+        let may = allowed(&set(&case), &case, 0.0);
+        assert!(sent <= may, "{sent} of {may} at once");
+    }
+}
+
 #[test]
 fn two_cold_at_once() {
     hold(&[
