--- a/src/state.rs
+++ b/src/state.rs
@@ -229,7 +229,8 @@
 pub struct Router {
     pub(crate) set: Settings,
     pub(crate) now: Ms,
-    pub(crate) armed: bool,
+    /// When it was first told something.
+    pub(crate) born: Option<Ms>,
     pub(crate) servers: IndexMap<ServerId, Server>,
     /// By role: what the list has up, edge caches of the own zone only.
     pub(crate) up: [Vec<usize>; 3],
@@ -271,7 +272,7 @@
         let classes = set.classes.len();
         Self {
             now: 0.0,
-            armed: false,
+            born: None,
             servers: IndexMap::new(),
             up: Default::default(),
             order: Default::default(),
@@ -323,7 +324,8 @@
     /// A server that the list has just named.
     pub fn new(entry: ServerEntry, hash: u64, now: Ms, gate: Gate) -> Self {
         Self {
-            started: entry.started,
+            // By a clock ahead of this one's it would not have started yet, and what it is sent would not count.
+            started: entry.started.map(|t| t.min(now)),
             entry,
             hash,
             health: Health::Good,
