Rules hold under settings of any customer: windows, ticks, clocks, absent aims and rules

It and the tests beside it found, each mended at its cause:

- src/rules/servers.rs `resize`: a source that failed before any source had served was cut by inf - inf, which is no number; the next list put it first or last for every object until its process restarted.
Seen to fail without: "ServerId("parent-0") is cut by NaN".
- src/rules/attempts.rs `send`: a keyed repeat decided within its window had the whole time left, so that one waiting for a connection could go out after it.
Its time-out ends with the window.
Without: "sent after its window".
- src/rules/refusals.rs: a keyed request was refused after its window too, though trying again is harmless only within it; it is failed now.
Attempt and refusal go by one function, `harmless_until`.
Without: "refused though a repeat may run twice".
Without: "answered 2 ms late".
- src/rules/room.rs: an aim of 0 made the logarithm of the aim -inf, a quick hit infinitely slow and the cache full, and after two such answers its slowness no number for good.
Without: "full after 0 quick answers".
- src/state.rs, src/rules/servers.rs: a start in the future, by another machine's clock, left a cold server no budget at all until then (sends since a moment yet to come are none).
It counts as now.
Without, at either place: 200 requests for 6.
- src/rules/servers.rs `age_if_cold`: without a multiple or a window a server that had just started got nothing for the whole span; 0 stands for no such rule, as with the origin's.
Without: parent-0 for edge-0.

A deadline of 50 ms leaves 25 ms for an attempt.

The checker catches broken builds: `harmless_until` letting unsafe requests through ("refused though it may have run"), and `on_list` taking draining servers for up ("ServerId("edge-0") is not up").

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,8 @@
 
 /// Milliseconds between two sweeps over what is open: the grain of all guards that act by time.
 pub const SWEEP_MS: Ms = 20.0;
-/// Milliseconds before the client's time is up by which the final answer is out (and at least two ticks).
+/// Milliseconds before the client's time is up by which the final answer is out: at least two ticks, and a
+/// sweep that a tick holds up. Who waits no longer than that is refused at once.
 pub const ANSWER_MARGIN_MS: Ms = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 /// Attempts for one request; the site's limit holds too.
@@ -87,7 +88,7 @@
         if self.open.contains_key(&req.id) {
             return;
         }
-        let margin = ANSWER_MARGIN_MS.max(2.0 * self.set.tick);
+        let margin = ANSWER_MARGIN_MS.max(2.0 * self.set.tick).max(SWEEP_MS + self.set.tick);
         let class = req.class.map(|c| c.0).filter(|c| *c < self.set.classes.len());
         let (Some(class), true) = (class, req.budget > margin) else {
             // Nothing was sent, so a refusal is harmless whatever the class.
@@ -107,7 +108,7 @@
         let through = self.set.classes[open.class].uncacheable || open.req.write;
         let hopeless = left <= 0.0 || (!through && self.own_time(&open.req).is_some_and(|own| own > left));
         let spent = open.tries.len() >= MAX_ATTEMPTS.min(self.set.max_attempts);
-        if hopeless || spent || !self.may_send(open) {
+        if hopeless || spent || self.now >= self.harmless_until(open) {
             return self.give_up(at, acts);
         }
         match if through { self.pick_through(at) } else { self.pick_way(at) } {
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -14,16 +14,14 @@
 const AGE_LEAST_MS: Ms = 1.0;
 
 impl Router {
-    /// Whether the class allows another attempt: an unsafe request only if none may have run, a keyed one
-    /// within its window if its group is all servers (narrower groups get none).
-    pub(super) fn may_send(&self, open: &Open) -> bool {
+    /// Until when the class allows another attempt or a refusal: an unsafe request only if none may have run,
+    /// a keyed one within its window if its group is all servers (narrower groups get none).
+    pub(super) fn harmless_until(&self, open: &Open) -> Ms {
         let class = &self.set.classes[open.class];
-        match (class.effect, open.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some(since)) => {
-                class.key_scope == KeyScope::All && self.now < since + class.key_window
-            }
+        match (class.effect, open.may_run_since()) {
+            (Effect::Safe, _) | (_, None) => f64::INFINITY,
+            (Effect::Keyed, Some(since)) if class.key_scope == KeyScope::All => since + class.key_window,
+            (Effect::Keyed | Effect::Unsafe, Some(_)) => f64::NEG_INFINITY,
         }
     }
 
@@ -35,6 +33,8 @@
         self.keys += 1;
         let (key, now) = (self.keys, self.now);
         let max_age = self.max_age(&self.open[at], source.is_none());
+        // What waits for a connection still goes out as late as this.
+        let until = self.open[at].end.min(self.harmless_until(&self.open[at]));
         let class = &self.set.classes[self.open[at].class];
         let open = &self.open[at];
         let looked = open.tries.iter().all(|t| t.source.is_none());
@@ -66,7 +66,7 @@
         acts.push(Action::Fetch(Fetch {
             request: open.req.id.clone(),
             server: self.servers[server].entry.id.clone(),
-            timeout: open.end - now,
+            timeout: until - now,
             fill_from: self.servers[source.unwrap_or(server)].entry.id.clone(),
             rank: if edge { open.rank } else { Rank::None },
             max_age,
--- a/src/rules/refusals.rs
+++ b/src/rules/refusals.rs
@@ -10,17 +10,11 @@
     /// Gives a request up, at once: a refusal where trying again is harmless, else a failure.
     pub(super) fn give_up(&mut self, at: usize, acts: &mut Vec<Action>) {
         let open = &self.open[at];
-        let class = &self.set.classes[open.class];
-        let untouched = open.may_have_run.is_none() && open.out() == 0;
-        let refuse = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => untouched || class.key_scope == KeyScope::All,
-            Effect::Unsafe => untouched,
-        };
+        let refuse = self.now < self.harmless_until(open);
         let id = open.req.id.clone();
         if !open.done {
             // So long that the client's next try may still be in time.
-            let hold_off = (HOLD_OFF_OF_AIM * class.aim).min(self.set.max_retry_after);
+            let hold_off = (HOLD_OFF_OF_AIM * self.set.classes[open.class].aim).min(self.set.max_retry_after);
             let hold_off = if self.set.retry_after { hold_off } else { 0.0 };
             acts.push(if refuse { Action::Refuse(id, hold_off) } else { Action::Fail(id) });
         }
--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -195,8 +195,8 @@
                 self.fills[class].add(0.0, AVERAGE_SHARE);
                 // A router that starts amid overload has seen no unhurried answer; there the aim tells.
                 self.hits[class].add(o.delay.max(1.0).ln(), AVERAGE_SHARE);
-                let late =
-                    self.hits[class].get().map(|h| h - (HIT_OF_AIM * self.set.classes[class].aim).ln());
+                let aim = HIT_OF_AIM * self.set.classes[class].aim;
+                let late = self.hits[class].get().filter(|_| aim > 0.0).map(|h| h - aim.ln());
                 if known {
                     gate.answer(self.now, took.max(late.unwrap_or(took)), SLOW_CACHE, out);
                 }
--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -45,7 +45,7 @@
             let server = place(&mut self.servers, &entry.id, new, held);
             if entry.started > server.entry.started {
                 // A new process: what was held against the old one is void, and it is cold.
-                server.started = entry.started;
+                server.started = entry.started.map(|t| t.min(self.now));
                 (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
                 (server.lag, server.cut) = (Average::default(), 0.0);
@@ -109,7 +109,9 @@
 
     /// How long ago a server started that may still be cold.
     pub(super) fn age_if_cold(&self, s: &Server) -> Option<Ms> {
-        let span = self.set.cold(s.entry.role).span;
+        let rule = self.set.cold(s.entry.role);
+        // Without a multiple or a window nothing brings one down.
+        let span = if rule.multiple * rule.window > 0.0 { rule.span } else { 0.0 };
         s.started.map(|t| self.now - t).filter(|age| *age < span)
     }
 
@@ -144,7 +146,8 @@
     /// Holds how slow an answer was against the size that the list gives a server.
     pub(super) fn resize(&mut self, i: usize, slow: f64, served: bool) {
         let role = self.servers[i].entry.role;
-        let usual = self.usual_lag(role).unwrap_or(slow);
+        // Where nothing is usual yet, one without any answer moves the cut by a step, and not to no number.
+        let usual = self.usual_lag(role).unwrap_or(slow).min(f64::MAX);
         let s = &mut self.servers[i];
         if served {
             s.lag.add(slow, LAG_SHARE);
--- a/src/state.rs
+++ b/src/state.rs
@@ -203,6 +203,11 @@
         self.tries.iter().any(|t| !t.over && !t.held_only && t.source.is_some() && t.fill > 0.0)
     }
 
+    /// When the first attempt was sent that may have run, or may yet.
+    pub fn may_run_since(&self) -> Option<Ms> {
+        self.may_have_run.or_else(|| self.tries.iter().find(|t| !t.over).map(|t| t.sent))
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| !t.over).count()
@@ -323,7 +328,8 @@
     /// A server that the list has just named.
     pub fn new(entry: ServerEntry, hash: u64, now: Ms, gate: Gate) -> Self {
         Self {
-            started: entry.started,
+            // By another machine's clock it may not have started yet.
+            started: entry.started.map(|t| t.min(now)),
             entry,
             hash,
             health: Health::Good,
--- /dev/null
+++ b/tests/settings/drawn.rs
@@ -0,0 +1,165 @@
+//! What is drawn: settings within what customers may say, fleets, and steps.
+
+use crate::common::{self, entry, settings};
+use crate::world::NOTES;
+use basaltgw::api::*;
+use proptest::prelude::*;
+use proptest::sample::select;
+
+pub fn class() -> impl Strategy<Value = Class> {
+    let times = (
+        select(vec![0.0, 30.0, 400.0, 60_000.0]),
+        select(vec![0.0, 50.0, 100.0, 1000.0, 180_000.0]),
+        select(vec![0.0, 1.0, 30.0, 1000.0]),
+        select(vec![0.0, 100.0, 8000.0]),
+        select(vec![0.0, 500.0]),
+    );
+    let kinds = (
+        select(vec![Effect::Safe, Effect::Safe, Effect::Keyed, Effect::Keyed, Effect::Unsafe]),
+        select(vec![KeyScope::All, KeyScope::Zone, KeyScope::Cell]),
+        any::<bool>(),
+        select(vec![0.0, 1.0, 2.0]),
+    );
+    (times, kinds).prop_map(|((aim, deadline, key_window, fresh, grace), kinds)| {
+        let (effect, key_scope, uncacheable, aim_stretch) = kinds;
+        let base = common::class("drawn", effect);
+        Class { aim, aim_stretch, deadline, key_scope, key_window, fresh, grace, uncacheable, ..base }
+    })
+}
+
+pub fn cold() -> impl Strategy<Value = ColdRule> {
+    let shares = select(vec![0.0, 0.1, 1.0]);
+    let (spans, windows) = (select(vec![0.0, 300.0, 17_000.0]), select(vec![0.0, 100.0, 1500.0]));
+    (shares, spans, select(vec![0.0, 2.0, 4.0]), windows)
+        .prop_map(|(share, span, multiple, window)| ColdRule { share, span, multiple, window })
+}
+
+pub fn drawn_settings() -> impl Strategy<Value = Settings> {
+    let tick = select(vec![0.1, 1.0, 2.0, 6.0, 10.0, 15.0, 20.0, 35.0, 50.0]);
+    let rules = (cold(), cold(), tick, select(vec![0.0, 250.0]), select(vec![0.0, 300.0]));
+    let more = (select(vec![0.0, 6000.0]), select(vec![0.0, 500.0]), select(vec![0usize, 1, 2, 8]));
+    let flags = prop::array::uniform8(any::<bool>());
+    let size = (select(vec![1usize, 2, 30]), select(vec![1usize, 9, 500]), select(vec![0.0, 1.0, 8000.0]));
+    (prop::collection::vec(class(), 0..7), rules, more, flags, size).prop_map(
+        |(classes, (cold_edge, cold_parent, tick, drain_grace, purge_grace), more, f, size)| Settings {
+            zone: ZoneId(0),
+            zone_hub: Vec::new(),
+            zone_routers: size.0,
+            routers: size.0 * size.1,
+            classes,
+            cold_edge,
+            cold_parent,
+            drain_grace,
+            purge_grace,
+            purge_settles: more.0,
+            max_retry_after: more.1,
+            max_attempts: more.2,
+            second_copies: f[0],
+            cancel: f[1],
+            retry_after: f[2],
+            direct: f[3],
+            joins: f[4],
+            must_subscribe: f[5],
+            rough_sizes: f[6],
+            weights_move: f[7],
+            pace_kb_per_s: size.2,
+            tick,
+            ..settings()
+        },
+    )
+}
+
+/// Edge caches of a few zones and sizes, parents, the origin; each of them may be lacking.
+pub fn drawn_fleet() -> impl Strategy<Value = Vec<ServerEntry>> {
+    let weight = || select(vec![0.0, 1.0, 1.0, 4.0, -1.0, 1e-6, 1e6]);
+    let edge = (0usize..3, weight(), 0u64..3);
+    let edges = prop::collection::vec(edge, 0..6);
+    (edges, prop::collection::vec(weight(), 0..4), any::<bool>()).prop_map(|(edges, parents, origin)| {
+        let mut all = Vec::new();
+        for (n, (zone, weight, cell)) in edges.into_iter().enumerate() {
+            // Half of them stand in the router's own zone.
+            let zone = ZoneId(if n % 2 == 0 { 0 } else { zone });
+            all.push(ServerEntry { zone, weight, cell, ..entry(&format!("edge-{n}"), Role::Edge) });
+        }
+        for (n, weight) in parents.into_iter().enumerate() {
+            all.push(ServerEntry { weight, ..entry(&format!("parent-{n}"), Role::Parent) });
+        }
+        all.extend(origin.then(|| entry("origin", Role::Origin)));
+        all
+    })
+}
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    Ask {
+        class: Option<usize>,
+        object: u64,
+        part: u64,
+        budget: f64,
+        size: f64,
+        write: bool,
+    },
+    End {
+        pick: usize,
+        end: usize,
+        note: usize,
+        delay: f64,
+        wait: f64,
+    },
+    Unknown {
+        pick: usize,
+        attempt: usize,
+        end: usize,
+    },
+    Flow {
+        pick: usize,
+    },
+    Leave {
+        pick: usize,
+    },
+    List {
+        server: usize,
+        listed: u8,
+        started: Option<f64>,
+    },
+    Whole {
+        keep: u8,
+    },
+    Purge {
+        object: Option<u64>,
+        group: u64,
+        age: f64,
+    },
+    /// The process stands still for so long.
+    Stop {
+        span: f64,
+    },
+    /// Time passes in batches.
+    Wait {
+        span: f64,
+    },
+}
+
+pub fn step() -> impl Strategy<Value = Step> {
+    let budgets = select(vec![-10.0, 0.0, 20.0, 26.0, 41.0, 60.0, 75.0, 150.0, 700.0, 5000.0]);
+    let ask = (prop::option::weighted(0.95, 0usize..7), 0u64..5, 0u64..3, budgets);
+    let sizes = (select(vec![0.0, 0.0, 1.0, 900.0]), prop::bool::weighted(0.1));
+    let delays = || select(vec![0.0, 0.4, 12.0, 300.0, 9000.0]);
+    prop_oneof![
+        8 => (ask, sizes).prop_map(|((class, object, part, budget), (size, write))|
+            Step::Ask { class, object, part, budget, size, write }),
+        9 => (any::<usize>(), 0..End::ALL.len(), 0..NOTES.len(), delays(), delays())
+            .prop_map(|(pick, end, note, delay, wait)| Step::End { pick, end, note, delay, wait }),
+        1 => (any::<usize>(), 0usize..9, 0..End::ALL.len())
+            .prop_map(|(pick, attempt, end)| Step::Unknown { pick, attempt, end }),
+        1 => any::<usize>().prop_map(|pick| Step::Flow { pick }),
+        1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
+        2 => (any::<usize>(), 0u8..3, prop::option::of(select(vec![-20_000.0, -300.0, 0.0, 2000.0])))
+            .prop_map(|(server, listed, started)| Step::List { server, listed, started }),
+        1 => any::<u8>().prop_map(|keep| Step::Whole { keep }),
+        1 => (prop::option::of(0u64..5), 0u64..5, select(vec![0.0, 70.0, 500.0]))
+            .prop_map(|(object, group, age)| Step::Purge { object, group, age }),
+        1 => (100.0..20_000.0f64).prop_map(|span| Step::Stop { span }),
+        7 => select(vec![0.3, 3.0, 11.0, 24.0, 90.0, 600.0]).prop_map(|span| Step::Wait { span }),
+    ]
+}
--- /dev/null
+++ b/tests/settings/world.rs
@@ -0,0 +1,377 @@
+//! A router, the clock, and what has to hold after every event.
+
+use crate::common::{self, rid};
+use crate::drawn::Step;
+use basaltgw::api::*;
+use basaltgw::rules::Router;
+use proptest::prelude::*;
+use proptest::test_runner::TestCaseError;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const NOTES: [Note; 12] = [
+    Note::Untold,
+    Note::Hit,
+    Note::FilledBySource,
+    Note::FilledByOrigin,
+    Note::Joined,
+    Note::Old,
+    Note::SourceRefused,
+    Note::SourceFailed,
+    Note::SourceLacks,
+    Note::NoFillPlace,
+    Note::OriginFailed,
+    Note::Looped,
+];
+/// The least age limit that a request carries, since 0 stands for no limit.
+pub const AGE_LEAST: Ms = 1.0;
+
+pub struct Tried {
+    pub server: ServerId,
+    pub sent: Ms,
+    pub until: Ms,
+    pub over: bool,
+}
+
+/// What the checker knows of a request, from events and actions alone.
+pub struct Seen {
+    pub class: Option<usize>,
+    pub object: u64,
+    pub due: Ms,
+    pub answers: usize,
+    pub tries: Vec<Tried>,
+    /// When the first attempt was sent that is over and may have run.
+    pub ran: Option<Ms>,
+}
+
+impl Seen {
+    pub fn out(&self) -> usize {
+        self.tries.iter().filter(|t| !t.over).count()
+    }
+
+    /// When the first attempt was sent that may have run, or may yet.
+    pub fn since(&self) -> Option<Ms> {
+        self.ran.or_else(|| self.tries.iter().find(|t| !t.over).map(|t| t.sent))
+    }
+}
+
+/// A router, the clock, and what has to hold.
+pub struct World {
+    pub router: Router,
+    pub set: Settings,
+    pub now: Ms,
+    pub timers: Vec<(Ms, u64)>,
+    /// Attempts whose time is out end at once; else only as they are drawn.
+    pub prompt: bool,
+    pub seen: BTreeMap<RequestId, Seen>,
+    /// What the list has up.
+    pub up: BTreeMap<ServerId, ServerEntry>,
+    pub listed: BTreeSet<ServerId>,
+    pub purges: Vec<(Option<u64>, u64, Ms, Ms)>,
+}
+
+pub type Checked = Result<(), TestCaseError>;
+
+impl World {
+    pub fn new(set: Settings, prompt: bool) -> Self {
+        Self {
+            router: Router::new(set.clone(), 7),
+            set,
+            now: 1_000_000.0,
+            timers: Vec::new(),
+            prompt,
+            seen: BTreeMap::new(),
+            up: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            purges: Vec::new(),
+        }
+    }
+
+    pub fn tell(&mut self, event: Event) -> Checked {
+        let mut acts = Vec::new();
+        self.router.handle(self.now, event, &mut acts);
+        acts.into_iter().try_for_each(|act| self.check(act))?;
+        for s in self.router.learnt().servers {
+            prop_assert!(s.cut.is_finite() && s.cut <= 0.0, "{:?} is cut by {}", s.id, s.cut);
+            prop_assert!(s.lag.is_none_or(f64::is_finite), "{:?} lags by {:?}", s.id, s.lag);
+            prop_assert!(self.listed.contains(&s.id), "{:?} is not listed", s.id);
+        }
+        Ok(())
+    }
+
+    pub fn check(&mut self, act: Action) -> Checked {
+        match act {
+            Action::Fetch(fetch) => self.check_fetch(&fetch),
+            Action::Refuse(id, stay_away) => {
+                let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
+                prop_assert!((0.0..=most).contains(&stay_away), "away for {stay_away} of {most}");
+                let (class, since) = self.answered(&id)?;
+                let Some((class, since)) = class.map(|c| &self.set.classes[c]).zip(since) else {
+                    return Ok(());
+                };
+                let within = self.now < since + class.key_window;
+                match class.effect {
+                    Effect::Safe => {}
+                    Effect::Keyed => prop_assert!(
+                        class.key_scope == KeyScope::All && within,
+                        "refused though a repeat may run twice"
+                    ),
+                    Effect::Unsafe => prop_assert!(false, "refused though it may have run"),
+                }
+                Ok(())
+            }
+            Action::Fail(id) => self.answered(&id).map(|_| ()),
+            Action::Cancel(id, n) => {
+                prop_assert!(self.set.cancel, "called off where that is not allowed");
+                prop_assert!(n.0 < self.seen[&id].tries.len());
+                Ok(())
+            }
+            Action::Timer(after, token) => {
+                prop_assert!(after.is_finite() && after > 0.0 && self.timers.len() < 4);
+                self.timers.push((self.now + after, token));
+                Ok(())
+            }
+            Action::Subscribe => {
+                prop_assert!(self.set.must_subscribe);
+                Ok(())
+            }
+            Action::Report(_) => Ok(()),
+        }
+    }
+
+    /// The router gave its answer; the request's class, and since when it may have run.
+    pub fn answered(&mut self, id: &RequestId) -> Result<(Option<usize>, Option<Ms>), TestCaseError> {
+        let now = self.now;
+        let seen = self.seen.get_mut(id).expect("a request that came in");
+        prop_assert_eq!(seen.answers, 0, "answered after the end");
+        prop_assert!(now <= seen.due, "answered {} ms late", now - seen.due);
+        seen.answers += 1;
+        Ok((seen.class, seen.since()))
+    }
+
+    pub fn check_fetch(&mut self, f: &Fetch) -> Checked {
+        let (now, set) = (self.now, &self.set);
+        let seen = self.seen.get_mut(&f.request).expect("a request that came in");
+        prop_assert_eq!(seen.answers, 0, "sent after the end");
+        let class = &set.classes[seen.class.expect("a class of the settings")];
+        prop_assert!(f.timeout.is_finite() && f.timeout > 0.0 && now + f.timeout <= seen.due);
+        prop_assert!(seen.tries.len() < set.max_attempts, "beyond the limit of attempts");
+        let out = seen.out();
+        prop_assert!(out == 0 || (set.second_copies && out == 1 && class.effect == Effect::Safe));
+        if let Some(since) = seen.since() {
+            prop_assert!(class.effect != Effect::Unsafe, "run twice");
+            let ends = since + class.key_window;
+            if class.effect == Effect::Keyed {
+                prop_assert!(class.key_scope == KeyScope::All, "sent outside the first one's group");
+                // What waits for a connection may go out as late as its time-out.
+                prop_assert!(now < ends && now + f.timeout <= ends + 1e-6, "sent after its window");
+            }
+        }
+        let target = self.up.get(&f.server);
+        prop_assert!(target.is_some(), "{:?} is not up", f.server);
+        let target = target.expect("just seen");
+        let near = target.role != Role::Edge || target.zone == set.zone;
+        prop_assert!(near && (target.role == Role::Edge || set.direct), "{:?} may not be asked", f.server);
+        if f.fill_from != f.server {
+            let source = self.up.get(&f.fill_from);
+            prop_assert!(source.is_some_and(|s| s.role != Role::Edge), "{:?} is no source", f.fill_from);
+        }
+        for (object, group, purged, told) in &self.purges {
+            let named = object.map_or(*group == seen.object % 3, |o| o == seen.object);
+            if named && now > told + set.purge_grace && now < purged + set.purge_settles {
+                let age = f.max_age.unwrap_or(f64::INFINITY);
+                prop_assert!(
+                    age > 0.0 && age <= (now - purged).max(AGE_LEAST),
+                    "a copy of age {age} will do"
+                );
+            }
+        }
+        let server = f.server.clone();
+        seen.tries.push(Tried { server, sent: now, until: now + f.timeout, over: false });
+        Ok(())
+    }
+
+    /// Ends an attempt, as a transport tells it.
+    pub fn end(&mut self, id: &RequestId, n: usize, end: End, note: Note, delay: Ms, wait: Ms) -> Checked {
+        let seen = self.seen.get_mut(id).expect("a request that came in");
+        let over = std::mem::replace(&mut seen.tries[n].over, true);
+        let proved = matches!(end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
+        if !proved && !over {
+            seen.ran = seen.ran.or(Some(seen.tries[n].sent));
+        }
+        if end == End::Served && !over {
+            seen.answers = 1;
+        }
+        let (server, last) = (seen.tries[n].server.clone(), seen.answers > 0);
+        let outcome = Outcome {
+            request: id.clone(),
+            attempt: AttemptNo(n),
+            server,
+            end,
+            delay,
+            last,
+            note,
+            source_wait: wait,
+            load: Load::default(),
+        };
+        self.tell(Event::Outcome(outcome))
+    }
+
+    pub fn outs(&self) -> Vec<(RequestId, usize)> {
+        let of = |(id, s): (&RequestId, &Seen)| {
+            let out = s.tries.iter().enumerate().filter(|(_, t)| !t.over);
+            out.map(|(n, _)| (id.clone(), n)).collect::<Vec<_>>()
+        };
+        self.seen.iter().flat_map(of).collect()
+    }
+
+    /// What is due at this moment.
+    pub fn due(&mut self) -> Checked {
+        if self.prompt {
+            for (id, n) in self.outs() {
+                // Another one's end may have ended it as well.
+                let t = &self.seen[&id].tries[n];
+                if t.until <= self.now && !t.over {
+                    let took = self.now - t.sent;
+                    self.end(&id, n, End::Late, Note::Untold, took, 0.0)?;
+                }
+            }
+        }
+        let (due, later): (Vec<_>, Vec<_>) = self.timers.drain(..).partition(|t| t.0 <= self.now);
+        self.timers = later;
+        due.into_iter().try_for_each(|(_, token)| self.tell(Event::Timer(token)))
+    }
+
+    /// Time passes; what comes due is told in batches that are no nearer than the tick.
+    pub fn wait(&mut self, span: Ms) -> Checked {
+        let end = self.now + span;
+        loop {
+            let ends =
+                self.outs().into_iter().filter(|_| self.prompt).map(|(id, n)| self.seen[&id].tries[n].until);
+            let next = self.timers.iter().map(|t| t.0).chain(ends).fold(f64::INFINITY, f64::min);
+            let batch = next.max(self.now + self.set.tick);
+            if batch > end {
+                break;
+            }
+            self.now = batch;
+            self.due()?;
+        }
+        self.now = end.max(self.now + self.set.tick);
+        Ok(())
+    }
+
+    pub fn list(&mut self, mode: ListMode, entries: Vec<ServerEntry>) -> Checked {
+        if mode == ListMode::Whole {
+            self.up.clear();
+            self.listed.clear();
+        }
+        for e in &entries {
+            self.up.remove(&e.id);
+            self.listed.remove(&e.id);
+            if e.listed == Listed::Up {
+                self.up.insert(e.id.clone(), e.clone());
+            }
+            if e.listed != Listed::Gone {
+                self.listed.insert(e.id.clone());
+            }
+        }
+        self.tell(Event::Servers(mode, entries))
+    }
+
+    pub fn step(&mut self, step: Step, fleet: &[ServerEntry], count: usize) -> Checked {
+        let open = |w: &Self| {
+            let open = w.seen.iter().filter(|(_, s)| s.answers == 0);
+            open.map(|(id, _)| id.clone()).collect::<Vec<_>>()
+        };
+        match step {
+            Step::Ask { class, object, part, budget, size, write } => {
+                let known = class.filter(|c| *c < self.set.classes.len());
+                let due = self.now + budget.max(0.0);
+                let seen = Seen { class: known, object, due, answers: 0, tries: Vec::new(), ran: None };
+                self.seen.insert(rid(count), seen);
+                self.tell(Event::Request(Request {
+                    id: rid(count),
+                    class: class.map(ClassId),
+                    object: ObjectId(object),
+                    part: Part(part),
+                    group: GroupId(object % 3),
+                    size_kb: size,
+                    write,
+                    budget,
+                }))
+            }
+            Step::End { pick, end, note, delay, wait } => {
+                let outs = self.outs();
+                let Some((id, n)) = (!outs.is_empty()).then(|| outs[pick % outs.len()].clone()) else {
+                    return Ok(());
+                };
+                self.end(&id, n, End::ALL[end], NOTES[note], delay, wait)
+            }
+            Step::Unknown { pick, attempt, end } => {
+                // An attempt that never was, or one that is over already; of a request that never was, or any.
+                let asked: Vec<RequestId> = self.seen.keys().cloned().collect();
+                let id = asked.get(pick % (asked.len() + 1)).cloned().unwrap_or_else(|| rid(9999));
+                let tries = self.seen.get(&id).map_or(&[][..], |s| &s.tries);
+                if tries.get(attempt).is_some_and(|t| !t.over) {
+                    return Ok(());
+                }
+                let end = if End::ALL[end] == End::Served { End::Broken } else { End::ALL[end] };
+                self.tell(Event::Outcome(Outcome {
+                    request: id,
+                    attempt: AttemptNo(attempt),
+                    server: common::id("nobody"),
+                    end,
+                    delay: 10.0,
+                    last: false,
+                    note: Note::Untold,
+                    source_wait: 0.0,
+                    load: Load::default(),
+                }))
+            }
+            Step::Flow { pick } => {
+                let outs = self.outs().into_iter().filter(|(id, _)| self.seen[id].answers == 0);
+                let outs: Vec<_> = outs.collect();
+                let Some((id, n)) = (!outs.is_empty()).then(|| outs[pick % outs.len()].clone()) else {
+                    return Ok(());
+                };
+                self.seen.get_mut(&id).expect("seen").answers = 1;
+                self.tell(Event::Flowing(id, AttemptNo(n)))
+            }
+            Step::Leave { pick } => {
+                let open = open(self);
+                let Some(id) = (!open.is_empty()).then(|| open[pick % open.len()].clone()) else {
+                    return Ok(());
+                };
+                self.seen.get_mut(&id).expect("seen").answers = 1;
+                self.tell(Event::ClientLeft(id))
+            }
+            Step::List { server, listed, started } => {
+                let Some(e) = (!fleet.is_empty()).then(|| fleet[server % fleet.len()].clone()) else {
+                    return Ok(());
+                };
+                let listed = [Listed::Up, Listed::Draining, Listed::Gone][listed as usize];
+                let started = started.map(|ago| self.now + ago);
+                self.list(ListMode::Changes, vec![ServerEntry { listed, started, ..e }])
+            }
+            Step::Whole { keep } => {
+                let kept = fleet.iter().enumerate().filter(|(n, _)| keep >> (n % 8) & 1 == 1);
+                self.list(ListMode::Whole, kept.map(|(_, e)| e.clone()).collect())
+            }
+            Step::Purge { object, group, age } => {
+                self.purges.push((object, group, self.now - age, self.now));
+                self.tell(Event::Purged(GroupId(group), object.map(ObjectId), age))
+            }
+            Step::Stop { span } => {
+                self.now += span;
+                // What ran out meanwhile has to be answered with the first batch.
+                let now = self.now;
+                let late: Vec<RequestId> =
+                    open(self).into_iter().filter(|id| self.seen[id].due < now).collect();
+                late.iter().for_each(|id| self.seen.get_mut(id).expect("seen").due = now);
+                self.due()?;
+                prop_assert!(late.iter().all(|id| self.seen[id].answers == 1), "held back after a stop");
+                Ok(())
+            }
+            Step::Wait { span } => self.wait(span),
+        }
+    }
+}
