One request to a connection: all in use is the router's own limit, not a server that refuses

With `max-streams` 1 a server had eight connections, so eight requests; the ninth found none (caches/mod.rs `send`), which owner/attempts.rs `begin` told as NoConnection, and the second of those had the module take the server out as refusing connections, with eight requests on it that it served. It is told as NotSent now, which says nothing of the server, and where the settings let a connection carry fewer than three requests, as many connections more may be opened as carry what eight shared ones do: 24 or 12.

New tests on sockets (crossing/settings.rs) with a router of no parents and no origin, a tick of 20 ms, deadlines of 60 to 150 ms, a class keyed within zones, a connect time-out of 30 ms, and stand-ins that hold answers back until they are released (`Do::Held`). Seen to fail without: as NoConnection, "s- out for 1000 ms: refuses connections"; with eight connections, "never: all connections are in use".

--- a/crates/emulator/src/standin/cache.rs
+++ b/crates/emulator/src/standin/cache.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -40,6 +40,8 @@
     Ok(Vec<u8>),
     /// The same, after a time.
     Later(u64, Vec<u8>),
+    /// `ok` with these bytes, once this is set.
+    Held(Arc<AtomicBool>, Vec<u8>),
     /// An answer of this word, with these fields.
     Word(&'static str, &'static str),
     /// These bytes, whatever they are.
@@ -194,6 +196,10 @@
                     later(&writer, ms, ok(&body));
                     continue;
                 }
+                Do::Held(released, body) => {
+                    held(&writer, released, ok(&body));
+                    continue;
+                }
                 Do::OkWith(ms, fields, body) => {
                     later(&writer, ms, encode(&[id.as_bytes(), b"ok", fields.as_bytes(), &body]));
                     continue;
@@ -213,3 +219,12 @@
         let _ = writer.lock().expect("lock").write_all(&answer);
     });
 }
+
+/// Writes an answer once it is released.
+fn held(writer: &Arc<Mutex<TcpStream>>, released: Arc<AtomicBool>, answer: Vec<u8>) {
+    let writer = Arc::clone(writer);
+    thread::spawn(move || {
+        super::until("a held answer is released", || released.load(Ordering::SeqCst));
+        let _ = writer.lock().expect("lock").write_all(&answer);
+    });
+}
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -59,6 +59,11 @@
     count: u64,
 }
 
+/// Connections to one process of a server: where each carries fewer than others share, as many more as carry what those would.
+fn most_of_server(streams: usize) -> usize {
+    CONNS_PER_SERVER.max((CONNS_PER_SERVER * SHARED).div_ceil(streams.max(1)))
+}
+
 impl Caches {
     /// No connections yet.
     pub fn new(shared: Shared, most: usize, transport: Transport) -> Self {
@@ -97,7 +102,7 @@
         let few = least.filter(|(open, _)| *open < if alone { 1 } else { SHARED });
         let at = match (few, least) {
             (Some((_, at)), _) => at,
-            _ if of_server < CONNS_PER_SERVER && self.room() => self.open(now, server, place),
+            _ if of_server < most_of_server(streams) && self.room() => self.open(now, server, place),
             (None, Some((_, at))) => at,
             (None, None) => return None,
         };
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -66,7 +66,7 @@
 pub const OWN_DESCRIPTORS: u64 = 16;
 /// The listener's address may still be held by the process before; it is tried for this long.
 pub const BIND: Duration = Duration::from_secs(5);
-/// Connections to one process of a server.
+/// Connections to one process of a server; more where the settings let each carry fewer than [`SHARED`].
 pub const CONNS_PER_SERVER: usize = 8;
 /// While every connection to a process carries so many, another is opened: what breaks one off takes all that is open on it.
 pub const SHARED: usize = 3;
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -77,19 +77,13 @@
             seen: open.request.got.as_deref(),
             body,
         };
-        let (end, way) = match place {
-            None => (End::NotSent, None),
+        let way = match place {
+            None => None,
             Some(place) => {
                 let to = (&fetch.server, *place);
                 let used: Vec<ConnId> = open.attempts.iter().filter_map(|a| a.on).collect();
-                let way = self.caches.send(
-                    self.now,
-                    to,
-                    (no, n),
-                    (&open.request.id, &used, !body.is_empty()),
-                    ask.encode(),
-                );
-                (End::NoConnection, way)
+                let of = (&open.request.id, &used[..], !body.is_empty());
+                self.caches.send(self.now, to, (no, n), of, ask.encode())
             }
         };
         let (sent, on) = (way.is_some(), way.as_ref().map(|w| w.0));
@@ -97,7 +91,8 @@
         if sent {
             self.timers.set(until, Due::Attempt(no, n));
         } else {
-            self.report((no, n), end, UNTOLD, true);
+            // Also where all connections are in use: the limit is the router's own, and tells nothing of the server.
+            self.report((no, n), End::NotSent, UNTOLD, true);
         }
     }
 
--- a/crates/node/tests/crossing/main.rs
+++ b/crates/node/tests/crossing/main.rs
@@ -8,4 +8,5 @@
 mod cold;
 mod leaving;
 mod retries;
+mod settings;
 mod watches;
--- /dev/null
+++ b/crates/node/tests/crossing/settings.rs
@@ -0,0 +1,179 @@
+//! Settings of other customers: short deadlines, long ticks, narrow groups, no parents, no origin, one request to a connection.
+
+use crate::common::*;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// A kiosk's router: no parents and no origin, a long tick, and requests that wait for no longer than a blink.
+fn kiosk(edges: &[&Cache], log: &ChangeLog) -> Value {
+    let listed: Vec<Listed> =
+        edges.iter().zip(EDGE..).map(|(cache, id)| Listed(id, cache.address, "box")).collect();
+    let mut config = configuration(&listed, log.address);
+    let set = &mut config["settings"];
+    set["granularity"] = json!(20.0);
+    set["kinds"] = json!(["box"]);
+    set["family-info"] = json!({"shield-kind": -1, "heed-within": 0.0, "purge-settles": 0.0});
+    set["services"] = json!([
+        {"name": "fares", "idempotency": "read_like", "slo": 0.0, "deadline": 150.0},
+        {"name": "tap", "idempotency": "idempotency_key", "key-scope": "zone", "window": 100.0, "slo": 30.0,
+         "deadline": 150.0},
+        {"name": "pay", "idempotency": "non_idempotent", "slo": 30.0, "deadline": 150.0}]);
+    set["contract"] = json!({"drain-grace": 0.0});
+    set["limits"]["connect-timeout"] = json!(30.0);
+    set["limits"]["conn-idle"] = json!(500.0);
+    set["limits"]["max-retry-after"] = json!(0.0);
+    config
+}
+
+/// One that answers nothing before it is released.
+fn holding() -> (Cache, Arc<AtomicBool>) {
+    let released = Arc::new(AtomicBool::new(false));
+    let gate = Arc::clone(&released);
+    (Cache::start(move |s| Do::Held(Arc::clone(&gate), content(s))), released)
+}
+
+fn settled(client: &mut Client) {
+    assert_eq!(client.settle(), [], "an answer after the answer");
+}
+
+#[test]
+fn short_deadlines_are_answered_before_what_comes_too_late() {
+    let log = ChangeLog::start();
+    let ((one, first), (two, second)) = (holding(), holding());
+    let router = router(&kiosk(&[&one, &two], &log));
+    let mut client = router.client();
+    for (tag, wait) in [(1, 60), (2, 100), (3, 150), (4, 30)] {
+        client.ask_for(wait, tag, "fares", tag, "", b"");
+    }
+    client.ask_for(150, 5, "tap", 5, "", b"");
+    client.ask_for(150, 6, "pay", 6, "", b"pay");
+    // Both stand-ins hold what they have: all six are answered without them.
+    let answers: BTreeMap<u64, String> = (0..6).map(|_| client.must()).map(|g| (g.tag, g.word)).collect();
+    assert!(!first.load(Ordering::SeqCst) && !second.load(Ordering::SeqCst));
+    for tag in [1, 2, 3, 4] {
+        assert_eq!(answers[&tag], "503", "{answers:?}");
+    }
+    // What may have run of a narrow group, or may run once, is failed where it had gone out.
+    let went = |class| [&one, &two].iter().any(|c| c.all().iter().any(|s| s.field("c") == Some(class)));
+    for (tag, class) in [(5, "tap"), (6, "pay")] {
+        assert_eq!(answers[&tag], if went(class) { "500" } else { "503" }, "{answers:?}");
+    }
+    first.store(true, Ordering::SeqCst);
+    second.store(true, Ordering::SeqCst);
+    settled(&mut client);
+    // Nothing of it is left over, and what is asked next is served, given the time.
+    until("all is over", || router.counter("held") == 0);
+    client.ask_for(20_000, 7, "fares", 7, "", b"");
+    assert_eq!(client.must().word, "200");
+    settled(&mut client);
+    assert_eq!(router.counter("requests"), 7);
+}
+
+#[test]
+fn what_may_have_run_in_a_narrow_group_or_once_is_not_sent_again() {
+    let log = ChangeLog::start();
+    let seen: Arc<Mutex<BTreeMap<String, Vec<&'static str>>>> = Arc::default();
+    // Each request is turned away once, which proves that it never ran; then it ends in a way that proves nothing.
+    let act = {
+        let seen = Arc::clone(&seen);
+        move |s: &Seen| {
+            let mut seen = seen.lock().expect("lock");
+            let words = seen.entry(s.id.clone()).or_default();
+            words.push(if words.is_empty() { "refused" } else { "error" });
+            match (s.field("c"), words.len()) {
+                (Some("fares"), 3..) => Do::Ok(content(s)),
+                (_, n) => Do::Word(if n == 1 { "refused" } else { "error" }, "-"),
+            }
+        }
+    };
+    let caches: Vec<Cache> = (0..4).map(|_| Cache::start(act.clone())).collect();
+    let mut config = kiosk(&caches.iter().collect::<Vec<_>>(), &log);
+    // Time enough on a busy machine: what is asked here is where it goes, not when.
+    for service in config["settings"]["services"].as_array_mut().expect("services") {
+        service["deadline"] = json!(20_000.0);
+    }
+    config["settings"]["services"][1]["window"] = json!(20_000.0);
+    let router = router(&config);
+    let mut client = router.client();
+    let id = client.ask_for(20_000, 1, "fares", 1, "", b"");
+    assert_eq!(client.must().word, "200", "a read goes on until it is served");
+    assert_eq!(seen.lock().expect("lock")[&id].len(), 3);
+    for (tag, class) in [(2, "tap"), (3, "pay")] {
+        let id = client.ask_for(20_000, tag, class, tag, "", b"once");
+        assert_eq!(client.must().word, "500", "{class}");
+        assert_eq!(seen.lock().expect("lock")[&id], ["refused", "error"], "{class}");
+    }
+    settled(&mut client);
+}
+
+#[test]
+fn a_server_that_refuses_connections_costs_a_short_deadline_no_second_answer() {
+    let log = ChangeLog::start();
+    let good = Cache::full();
+    let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let mut config = kiosk(&[&good], &log);
+    let members = &mut config["known"]["results"][0]["fleet"]["members"];
+    let mut member = members[0].clone();
+    (member["id"], member["host_port"]) = (json!("s-000000ff"), json!(gone.to_string()));
+    members.as_array_mut().expect("members").push(member);
+    let router = router(&config);
+    let mut client = router.client();
+    for tag in 1..=20 {
+        client.ask_for(20_000, tag, ["fares", "tap", "pay"][tag as usize % 3], tag, "", b"");
+        let got = client.must();
+        assert_eq!((got.tag, got.word.as_str()), (tag, "200"), "nothing ran there, so all classes go on");
+    }
+    settled(&mut client);
+    assert!(router.counter("attempts_no_connection") > 0, "some of them were sent there first");
+}
+
+#[test]
+fn one_request_to_a_connection_is_no_reason_to_take_a_server_out() {
+    let log = ChangeLog::start();
+    let released = Arc::new(AtomicBool::new(false));
+    let open: Arc<Mutex<BTreeMap<usize, usize>>> = Arc::default();
+    let act = {
+        let (gate, open) = (Arc::clone(&released), Arc::clone(&open));
+        move |s: &Seen| {
+            *open.lock().expect("lock").entry(s.conn).or_default() += 1;
+            match gate.load(Ordering::SeqCst) {
+                true => Do::Ok(content(s)),
+                false => Do::Held(Arc::clone(&gate), content(s)),
+            }
+        }
+    };
+    let edge = Cache::start(act);
+    let mut config = kiosk(&[&edge], &log);
+    config["settings"]["limits"]["max-streams"] = json!(1);
+    config["settings"]["granularity"] = json!(2.0);
+    // So few that the connections of one server take all that servers may hold.
+    config["limits"]["sockets"] = json!(48);
+    config["settings"]["limits"]["conn-idle"] = json!(15_000.0);
+    config["settings"]["services"][0]["deadline"] = json!(60_000.0);
+    let router = router(&config);
+    let (mut client, most) = (router.client(), 16);
+    for tag in 1..=most {
+        client.ask_for(60_000, tag, "fares", tag, "", b"");
+    }
+    until("all connections are in use", || edge.count() as u64 == most);
+    assert!(open.lock().expect("lock").values().all(|n| *n == 1), "each carries one at a time");
+    // There is no connection for these: they are refused at once, since nobody else could serve them.
+    for tag in most + 1..=most + 8 {
+        client.ask_for(60_000, tag, "fares", tag, "", b"");
+        let got = client.must();
+        assert_eq!((got.tag, got.word.as_str()), (tag, "503"));
+    }
+    assert_eq!(edge.count() as u64, most);
+    assert!(!router.said("refuses connections"), "the server is well:\n{}", router.text());
+    released.store(true, Ordering::SeqCst);
+    let mut tags: Vec<u64> = (0..most).map(|_| client.must()).map(|g| g.tag).collect();
+    tags.sort_unstable();
+    assert_eq!(tags, (1..=most).collect::<Vec<_>>());
+    client.ask_for(60_000, 99, "fares", 99, "", b"");
+    assert_eq!(client.must().word, "200");
+    settled(&mut client);
+    assert_eq!(router.counter("attempts_not_sent"), 8);
+}
