--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -14,14 +14,13 @@
 const AGE_LEAST_MS: Ms = 1.0;
 
 impl Router {
-    /// Until when another attempt may begin: an unsafe request's if none may have run, a keyed one's so that
-    /// it arrives within the window if its group is all servers (narrower groups get none).
-    pub(super) fn begin_by(&self, open: &Open) -> Ms {
+    /// Until when the class allows another attempt or a refusal: an unsafe request only if none may have run,
+    /// a keyed one within its window if its group is all servers (narrower groups get none).
+    pub(super) fn harmless_until(&self, open: &Open) -> Ms {
         let class = &self.set.classes[open.class];
-        let all = class.key_scope == KeyScope::All;
-        match (class.effect, open.may_have_run) {
+        match (class.effect, open.may_run_since()) {
             (Effect::Safe, _) | (_, None) => f64::INFINITY,
-            (Effect::Keyed, Some(since)) if all => since + class.key_window - self.margin(),
+            (Effect::Keyed, Some(since)) if class.key_scope == KeyScope::All => since + class.key_window,
             (Effect::Keyed | Effect::Unsafe, Some(_)) => f64::NEG_INFINITY,
         }
     }
@@ -35,7 +34,8 @@
         let (key, now) = (self.keys, self.now);
         let open = &self.open[at];
         let class = &self.set.classes[open.class];
-        let (max_age, begin_by) = (self.max_age(open, source.is_none()), self.begin_by(open));
+        let begin_by = self.harmless_until(open) - self.margin();
+        let max_age = self.max_age(open, source.is_none());
         let looked = open.tries.iter().all(|t| t.source.is_none());
         let (renew, join) = (class.fresh > 0.0, self.set.joins && looked);
         let edge = self.servers[server].entry.role == Role::Edge;
--- a/src/state.rs
+++ b/src/state.rs
@@ -203,6 +203,11 @@
         self.tries.iter().any(|t| !t.over && !t.held_only && t.source.is_some() && t.fill > 0.0)
     }
 
+    /// When the first attempt was sent that may have run, or may yet.
+    pub fn may_run_since(&self) -> Option<Ms> {
+        self.may_have_run.or_else(|| self.tries.iter().find(|t| !t.over).map(|t| t.sent))
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| !t.over).count()
