--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -63,6 +63,10 @@
     pub in_time: u64,
     /// See `in_time`.
     pub late: u64,
+    /// Sizes in KB of what was asked, and of what was answered in time or late.
+    pub asked_kb: Vec<f64>,
+    /// See `asked_kb`.
+    pub answered_kb: Vec<f64>,
 }
 
 /// What came of a run.
@@ -451,6 +455,7 @@
                     let class = &self.setup.load.classes[what.class];
                     let second = (what.at / 1000.0) as usize;
                     self.figures.classes[what.class].asked += 1;
+                    self.figures.classes[what.class].asked_kb.push(what.kb);
                     self.figures.seconds[second].0 += class.worth;
                     self.take(r, Client { what, tries: 0 });
                 }
@@ -808,6 +813,7 @@
         let took = self.now - what.at;
         let aim = class.aim_ms + AIM_STRETCH * what.kb / self.setup.fleet.net.pace_kb_per_ms;
         let figures = &mut self.figures.classes[what.class];
+        figures.answered_kb.push(what.kb);
         if took <= aim {
             figures.in_time += 1;
             self.figures.seconds[(what.at / 1000.0) as usize].1 += class.worth;
