--- a/crates/emulator/src/rig/seat.rs
+++ b/crates/emulator/src/rig/seat.rs
@@ -3,7 +3,7 @@
 use super::files::{own, Spec};
 use super::relay::Relay;
 use crate::process::Process;
-use crate::standin::{self, Listed, EDGE, ORIGIN, PARENT};
+use crate::standin::{self, comes, Listed, EDGE, ORIGIN, PARENT};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -14,6 +14,8 @@
 const TRIES: usize = 3;
 /// A router's counters are waited for so long.
 const COUNTERS: Duration = Duration::from_secs(5);
+/// What a process says last is waited for so long after its end; one that ended out of order does not say it.
+const LAST_LINE: Duration = Duration::from_secs(2);
 
 /// A router's seat.
 pub struct Seat {
@@ -151,6 +153,8 @@
         let Some(mut process) = self.process.take() else { return String::new() };
         process.end();
         process.over();
+        // Its last line is read by another thread, a moment after its end.
+        comes(LAST_LINE, || process.said("ended: "));
         process.text()
     }
 
