--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -113,6 +113,8 @@
                 let open = !listener.is_finished() || self.clients.len() > 0 || self.places.taken() > 0;
                 if self.ending.over(self.now, open) {
                     self.count();
+                    // What was taken for clients that have left is given back before the threads end.
+                    self.fleet_told();
                     let fault = self.fleet.as_mut().and_then(|f| f.fault.take().or(f.end()));
                     let fleet = self.fleet_words();
                     return Ended { counters: self.counters, learnt: self.router.learnt(), fleet, fault };
