Clients that closed or cancelled are gone at once, also behind a full queue and no memory

An UNDO and the end of a client's connection travelled the same bounded queue as its requests, and nothing more was read while memory was short (inbox.rs, read_all: `queue.send` and the loop on `held`). So an attempt that waited for a connection or its `alive`, or that failed meanwhile, was written or followed by another though the client was long gone. And where attempts may not be called off, `left` in owner/requests.rs left what waited in an outbox to be sent on after its client.

Presence, one for each client's connection: the reading task marks an UNDO or the end as it reads it. The owner takes no such request in (left_early) and begins no attempt (begin); the writer to a server passes over a fetch that is not begun, which is then told as NotSent and gets no abort; `left` takes back what waits whatever the settings say of cancelling. A piece is decoded whole before it waits for the queue. While reading is held up a client is watched for its end (poll for RDHUP) and 4 KB or 32 messages are read ahead; an UNDO in front goes on to the owner, since it frees what it takes back. A message half read is not late for the time that the router itself held it up for a slow reader or a full queue; for memory it is, as before.

--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -1,6 +1,7 @@
 //! A connection to a server: its state as the owner holds it, and the task that reads and writes its socket.
 
 use super::{Answer, AttemptKey, ConnId, Down};
+use crate::clients::presence::Wanted;
 use crate::clients::WireId;
 use crate::clock::late;
 use crate::inbox::{either, read_all, Over};
@@ -78,17 +79,17 @@
     }
 
     /// Puts a request in line, behind a proof where one is needed.
-    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>) -> Rc<Parcel> {
+    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>, wanted: Option<Wanted>) -> Rc<Parcel> {
         if self.proving.is_none() && self.unproven(now) {
             let tag = WireId(Arc::from(at.0.to_string()));
             self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
             self.proving = Some(tag);
         }
-        if self.proving.is_none() {
-            return self.out.put(bytes);
+        let parcel = self.out.hold(bytes, wanted);
+        match self.proving {
+            Some(_) => self.held.push(Rc::clone(&parcel)),
+            None => self.out.release(&parcel),
         }
-        let parcel = self.out.hold(bytes);
-        self.held.push(Rc::clone(&parcel));
         parcel
     }
 
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -5,6 +5,7 @@
 
 pub use wire::{Answer, Ask, CopyTag};
 
+use crate::clients::presence::Wanted;
 use crate::clients::WireId;
 use crate::inbox::Over;
 use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, IDLE_SHARE, SHARED};
@@ -72,14 +73,15 @@
     }
 
     /// Puts an attempt on a connection to a server's process that was not `asked` for this request, the one that carries
-    /// fewest; opens one if none takes it or all carry many (for one that is best `alone`: any); `None` if none may be opened.
+    /// fewest; opens one if none takes it or all carry many (for one that is best `alone`: any); `None` if none may be opened. Once it is
+    /// no longer `wanted` it is not begun.
     pub fn send(
         &mut self,
         now: Ms,
         to: (&ServerId, Place),
         key: AttemptKey,
         (id, asked, alone): (&WireId, &[ConnId], bool),
-        bytes: Vec<u8>,
+        (bytes, wanted): (Vec<u8>, Option<Wanted>),
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
@@ -102,7 +104,7 @@
             (None, None) => return None,
         };
         let conn = self.conns.get_mut(&at)?;
-        let parcel = conn.put(now, at, bytes);
+        let parcel = conn.put(now, at, bytes, wanted);
         conn.open.insert(id.clone(), key);
         conn.used = now;
         if conn.up {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: accepting connections, decoding their messages, writing answers.
 
 pub mod parts;
+pub mod presence;
 
 use crate::clock::late;
 use crate::inbox::{either, read_all};
@@ -14,6 +15,7 @@
 use async_io::{Async, Timer};
 use basaltgw::api::{GroupId, Ms, ObjectId, Part};
 use futures_lite::future;
+use presence::Presence;
 use std::cell::Cell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -238,15 +240,21 @@
     }
     let own = Rc::new(Meter::default());
     let (outbox, parcels) = outbox(&shared.meter, &own);
-    if shared.queue.send(Input::ClientOpen(id, outbox)).await.is_err() {
+    let presence = Rc::new(Presence::default());
+    if shared.queue.send(Input::ClientOpen(id, outbox, Rc::clone(&presence))).await.is_err() {
         return;
     }
     let read = async {
         let full = || own.held() > CLIENT_UNSENT;
-        let typed = |words, at| FromClient::read(words).map(|message| Input::Client(id, message, at));
+        let typed = |words, at| {
+            let message = FromClient::read(words)?;
+            presence.read(&message);
+            Some(Input::Client(id, message, at))
+        };
         read_all(&socket, FROM_CLIENT, &shared, full, typed).await
     };
     let over = either(read, write_all(&socket, parcels, || late(CLIENT_STALLED))).await;
+    presence.leave();
     log::debug!("client {}: {over:?}", id.0);
     // The owner is gone only when the process ends.
     let _ = shared.queue.send(Input::ClientClosed(id, over)).await;
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -29,6 +29,8 @@
         unreadable: Count = "unreadable",
         /// Requests that clients gave up, or left with their connection.
         left: Count = "left",
+        /// Of those left: the client had given them up, or was gone, when their turn came, and they were not taken in.
+        left_early: Count = "left_early",
         /// Answers: served.
         served: Count = "served",
         /// Answers: the client's copy holds.
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -1,14 +1,19 @@
 //! Messages on their way from a socket: the one loop that reads, decodes and hands them to the owner.
 
-use crate::limits::{READ_BYTES, WAIT};
+use crate::clients::FromClient;
+use crate::limits::{AHEAD_BYTES, AHEAD_MESSAGES, READ_BYTES, WAIT};
 use crate::outbox::Holding;
 use crate::resp::{Bounds, Decoder, Malformed};
 use crate::{Input, Shared};
+use async_channel::TrySendError;
 use async_io::{Async, Timer};
 use basaltgw::api::Ms;
 use futures_lite::{future, AsyncReadExt};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::TcpStream;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 /// What may be read on a connection, and how long it may take.
@@ -22,6 +27,9 @@
     pub whole: Duration,
     /// A message that has begun goes on after no more than this.
     pub gap: Duration,
+    /// While the reading is held up, the peer is watched: its end counts at once, whatever of it is not handed over or not read,
+    /// and a little is read ahead for what it takes back.
+    pub watched: bool,
 }
 
 /// Why no more is read.
@@ -37,6 +45,17 @@
     Unfinished,
 }
 
+/// Why reading is held up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeldUp {
+    /// Messages of all connections hold too much.
+    Memory,
+    /// Too much waits for this peer, which reads slowly.
+    Unsent,
+    /// The owner's queue has no room.
+    Queue,
+}
+
 /// Runs a connection's two sides until one is over. What is written ends when its outbox is dropped, or the peer takes no more.
 pub async fn either(read: impl Future<Output = Over>, write: impl Future<Output = ()>) -> Over {
     let written = async {
@@ -47,30 +66,91 @@
 }
 
 /// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
-/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all.
+/// `typed` makes an input of a message whose last byte was read at that time, or `None` if it makes no sense at all. It sees all
+/// messages of a piece before the first of them is handed over.
 pub async fn read_all(
-    mut socket: &Async<TcpStream>,
+    socket: &Async<TcpStream>,
     terms: Terms,
     shared: &Shared,
     full: impl Fn() -> bool,
     typed: impl Fn(Vec<Vec<u8>>, Ms) -> Option<Input>,
 ) -> Over {
-    let mut decoder = Decoder::new(terms.bounds);
-    let mut piece = vec![0; READ_BYTES];
-    let mut first = terms.first.map(|t| Instant::now() + t);
-    // Since when a message has been under way.
-    let mut begun: Option<Instant> = None;
-    let mut holding = Holding::new(&shared.meter);
+    let mut reader = Reader {
+        socket,
+        terms,
+        shared,
+        typed,
+        decoder: Decoder::new(terms.bounds),
+        piece: vec![0; READ_BYTES],
+        kept: VecDeque::new(),
+        kept_bytes: 0,
+        fault: None,
+        first: terms.first.map(|t| Instant::now() + t),
+        begun: None,
+        holding: Holding::new(&shared.meter),
+    };
     loop {
-        while shared.meter.held() > shared.held_limit || full() {
-            Timer::after(WAIT).await;
-            // Half messages that fill the memory must come to their end by themselves.
-            if begun.is_some_and(|t| t.elapsed() > terms.whole) {
-                return Over::Unfinished;
+        if let Err(over) = reader.next(&full).await {
+            return over;
+        }
+        // A peer at full speed leaves the thread to the others after each piece.
+        future::yield_now().await;
+    }
+}
+
+/// A connection's reading side.
+struct Reader<'a, T> {
+    socket: &'a Async<TcpStream>,
+    terms: Terms,
+    shared: &'a Shared,
+    typed: T,
+    decoder: Decoder,
+    piece: Vec<u8>,
+    /// Whole messages that are not handed over: those of one piece, and what was read ahead.
+    kept: VecDeque<Input>,
+    kept_bytes: usize,
+    /// What ends the connection once they are.
+    fault: Option<Over>,
+    /// When the first message has to be whole.
+    first: Option<Instant>,
+    /// Since when a message has been under way.
+    begun: Option<Instant>,
+    holding: Holding,
+}
+
+impl<T: Fn(Vec<Vec<u8>>, Ms) -> Option<Input>> Reader<'_, T> {
+    /// Reads a piece and hands over what is whole.
+    async fn next(&mut self, full: &impl Fn() -> bool) -> Result<(), Over> {
+        while let Some(why) = self.held_up(full) {
+            // What takes requests back holds nothing and frees what they hold.
+            while self.kept.front().is_some_and(takes_back) && !self.shared.queue.is_full() {
+                self.hand_over(1).await?;
             }
+            self.look(why).await?;
+        }
+        // What was read ahead comes first.
+        if self.kept.is_empty() && self.fault.is_none() {
+            let n = self.read().await?;
+            self.take(n);
+        }
+        self.hand_over(self.kept.len()).await?;
+        match self.fault.filter(|_| self.kept.is_empty()) {
+            Some(fault) => Err(fault),
+            None => Ok(()),
+        }
+    }
+
+    fn held_up(&self, full: &impl Fn() -> bool) -> Option<HeldUp> {
+        if self.shared.meter.held() > self.shared.held_limit {
+            return Some(HeldUp::Memory);
         }
-        let end = begun.map(|t| (t + terms.whole).min(Instant::now() + terms.gap));
-        let end = end.into_iter().chain(first).min();
+        full().then_some(HeldUp::Unsent)
+    }
+
+    /// Reads what has come, in its time.
+    async fn read(&mut self) -> Result<usize, Over> {
+        let end = self.begun.map(|t| (t + self.terms.whole).min(Instant::now() + self.terms.gap));
+        let end = end.into_iter().chain(self.first).min();
         let late = async {
             match end {
                 Some(end) => Timer::at(end).await,
@@ -78,32 +158,116 @@
             };
             None
         };
+        let (mut socket, piece) = (self.socket, &mut self.piece);
         // What has come is read before it is called late.
-        let n = match future::or(async { Some(socket.read(&mut piece).await) }, late).await {
-            Some(Ok(n)) if n > 0 => n,
-            Some(Ok(_) | Err(_)) => return Over::Ended,
-            None if begun.is_none() => return Over::Silent,
-            None => return Over::Unfinished,
-        };
-        decoder.feed(piece.get(..n).unwrap_or_default());
-        let now = shared.clock.now();
-        loop {
-            let words = match decoder.message() {
+        match future::or(async { Some(socket.read(piece).await) }, late).await {
+            Some(Ok(n)) if n > 0 => Ok(n),
+            Some(Ok(_) | Err(_)) => Err(Over::Ended),
+            None if self.begun.is_none() => Err(Over::Silent),
+            None => Err(Over::Unfinished),
+        }
+    }
+
+    /// Decodes the piece's first bytes.
+    fn take(&mut self, n: usize) {
+        self.decoder.feed(self.piece.get(..n).unwrap_or_default());
+        let now = self.shared.clock.now();
+        while self.fault.is_none() {
+            let words = match self.decoder.message() {
                 Ok(Some(words)) => words,
                 Ok(None) => break,
-                Err(e) => return Over::Unreadable(e),
+                Err(e) => {
+                    self.fault = Some(Over::Unreadable(e));
+                    break;
+                }
             };
-            (begun, first) = (None, None);
-            let Some(input) = typed(words, now) else { return Over::Unreadable(Malformed::SENSELESS) };
-            if shared.queue.send(input).await.is_err() {
-                return Over::Ended;
+            (self.begun, self.first) = (None, None);
+            self.kept_bytes += words.iter().map(Vec::len).sum::<usize>();
+            match (self.typed)(words, now) {
+                Some(input) => self.kept.push_back(input),
+                None => self.fault = Some(Over::Unreadable(Malformed::SENSELESS)),
             }
         }
-        holding.set(decoder.held());
-        if decoder.mid_message() {
-            begun.get_or_insert_with(Instant::now);
+        self.holding.set(self.decoder.held());
+        if self.decoder.mid_message() {
+            self.begun.get_or_insert_with(Instant::now);
         }
-        // A peer at full speed leaves the thread to the others after each piece.
-        future::yield_now().await;
     }
+
+    /// Hands over the first of what is kept, waiting for room.
+    async fn hand_over(&mut self, many: usize) -> Result<(), Over> {
+        for _ in 0..many {
+            let Some(input) = self.kept.pop_front() else { break };
+            match self.shared.queue.try_send(input) {
+                Ok(()) => {}
+                Err(TrySendError::Closed(_)) => return Err(Over::Ended),
+                Err(TrySendError::Full(input)) => {
+                    let queue = &self.shared.queue;
+                    let mut send = pin!(queue.send(input));
+                    let sent = loop {
+                        let sent = async { Some(send.as_mut().await.map_err(|_| Over::Ended)) };
+                        let look = async { self.look(HeldUp::Queue).await.err().map(Err) };
+                        if let Some(sent) = future::or(sent, look).await {
+                            break sent;
+                        }
+                    };
+                    sent?;
+                }
+            }
+        }
+        if self.kept.is_empty() {
+            self.kept_bytes = 0;
+        }
+        Ok(())
+    }
+
+    /// Waits a little while the reading is held up. A peer that is watched may end meanwhile, and a little of what it sends is read.
+    async fn look(&mut self, why: HeldUp) -> Result<(), Over> {
+        let since = Instant::now();
+        let room = AHEAD_BYTES.saturating_sub(self.kept_bytes + self.decoder.held());
+        let ahead =
+            self.terms.watched && self.fault.is_none() && self.kept.len() < AHEAD_MESSAGES && room > 0;
+        if ahead {
+            let (mut socket, piece) = (self.socket, self.piece.get_mut(..room).unwrap_or_default());
+            let waited = async {
+                Timer::after(WAIT).await;
+                None
+            };
+            match future::or(async { Some(socket.read(piece).await) }, waited).await {
+                Some(Ok(n)) if n > 0 => self.take(n),
+                Some(Ok(_) | Err(_)) => return Err(Over::Ended),
+                None => {}
+            }
+        } else if self.terms.watched && ended(self.socket) {
+            return Err(Over::Ended);
+        } else {
+            Timer::after(WAIT).await;
+        }
+        match why {
+            // Half messages that fill the memory must come to their end by themselves.
+            HeldUp::Memory if self.begun.is_some_and(|t| t.elapsed() > self.terms.whole) => {
+                Err(Over::Unfinished)
+            }
+            HeldUp::Memory => Ok(()),
+            // That it can't go on is not the message's fault.
+            HeldUp::Unsent | HeldUp::Queue => {
+                self.begun = self.begun.map(|t| t + since.elapsed());
+                Ok(())
+            }
+        }
+    }
+}
+
+/// It takes a request back.
+fn takes_back(input: &Input) -> bool {
+    matches!(input, Input::Client(_, FromClient::Undo(_), _))
+}
+
+/// The peer has closed its side or all of it, whatever of what it sent before is not read. Where that can't be asked, it is seen when the
+/// reading goes on.
+fn ended(socket: &Async<TcpStream>) -> bool {
+    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
+    let polled = poll(&mut fds, Some(&Timespec::default()));
+    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    polled.is_ok() && fds.iter().any(|fd| fd.revents().intersects(over))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,7 +35,7 @@
 /// What sockets tell the owner of the module.
 pub enum Input {
     /// A client connected.
-    ClientOpen(clients::ClientId, outbox::Outbox),
+    ClientOpen(clients::ClientId, outbox::Outbox, Rc<clients::presence::Presence>),
     /// A client sent a message; its last byte was read at that time.
     Client(clients::ClientId, clients::FromClient, basaltgw::api::Ms),
     /// A client's connection is over.
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -12,6 +12,7 @@
     first: Some(Duration::from_millis(2000)),
     whole: Duration::from_millis(2000),
     gap: Duration::from_millis(2000),
+    watched: true,
 };
 /// Caches: an object holds up to 240,000 bytes.
 pub const FROM_CACHE: Terms = Terms {
@@ -19,6 +20,8 @@
     first: None,
     whole: Duration::from_millis(5000),
     gap: Duration::from_millis(250),
+    // What it said before it closed still counts.
+    watched: false,
 };
 /// The body of a write.
 pub const BODY: usize = 48_000;
@@ -34,6 +37,14 @@
 pub const COPY_TAG: usize = 64;
 /// Bytes read at once.
 pub const READ_BYTES: usize = 16 * 1024;
+/// While a client's reading is held up, so many bytes of it are read ahead, for what it takes back: a dozen and more requests without a
+/// body, and over all clients some megabytes at the most.
+pub const AHEAD_BYTES: usize = 4 * 1024;
+/// And nothing more once so many of its messages are kept: a client in service has no more requests open.
+pub const AHEAD_MESSAGES: usize = OPEN_PER_CLIENT;
+/// What a client took back is marked ahead of the queue for so many of its requests at once: all that one piece can hold with its
+/// requests.
+pub const UNHEEDED_MOST: usize = 128;
 /// Inputs that wait for the owner before sockets have to wait.
 pub const QUEUE: usize = 256;
 /// Requests open on one client's connection.
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -1,5 +1,6 @@
 //! Messages on their way to a socket: each is counted while it is held and can be taken back until it is begun.
 
+use crate::clients::presence::Wanted;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -96,6 +97,8 @@
 pub struct Parcel {
     stage: Cell<Stage>,
     bytes: RefCell<Option<Counted>>,
+    /// Whether somebody still waits for what is asked by it; `None` if it is written whoever waits.
+    wanted: Option<Wanted>,
 }
 
 impl Parcel {
@@ -111,14 +114,23 @@
         self.bytes.take();
     }
 
-    /// Takes it back if no byte of it is written.
+    /// Takes it back if no byte of it is written; true if none ever will be.
     pub fn take_back(&self) -> bool {
-        let waits = self.stage.get() == Stage::Waiting;
-        if waits {
+        if self.stage.get() == Stage::Waiting {
             self.stage.set(Stage::TakenBack);
             self.bytes.take();
         }
-        waits
+        self.stage.get() == Stage::TakenBack
+    }
+
+    /// Begins it, unless it was taken back or nobody waits for it any more.
+    fn begin(&self) -> Option<Counted> {
+        if self.wanted.as_ref().is_some_and(|w| !w.holds()) {
+            self.take_back();
+        }
+        let bytes = self.bytes.take()?;
+        self.stage.set(Stage::Begun);
+        Some(bytes)
     }
 }
 
@@ -140,15 +152,15 @@
 impl Outbox {
     /// Puts a message in line.
     pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
-        let parcel = self.hold(bytes);
+        let parcel = self.hold(bytes, None);
         self.release(&parcel);
         parcel
     }
 
-    /// A message that is not in line until it is released.
-    pub fn hold(&self, bytes: Vec<u8>) -> Rc<Parcel> {
+    /// A message that is not in line until it is released, and not begun once what it is wanted for has left.
+    pub fn hold(&self, bytes: Vec<u8>, wanted: Option<Wanted>) -> Rc<Parcel> {
         let bytes = Counted::new(bytes, &[&self.all, &self.own]);
-        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)) })
+        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), bytes: RefCell::new(Some(bytes)), wanted })
     }
 
     /// Puts a held message in line.
@@ -178,8 +190,7 @@
     F: std::future::Future<Output = std::io::Result<usize>>,
 {
     while let Ok(parcel) = parcels.recv().await {
-        let Some(counted) = parcel.bytes.take() else { continue };
-        parcel.stage.set(Stage::Begun);
+        let Some(counted) = parcel.begin() else { continue };
         let mut rest = counted.bytes();
         while !rest.is_empty() {
             match futures_lite::future::or(socket.write(rest), stall()).await {
--- a/crates/node/src/owner/asker.rs
+++ b/crates/node/src/owner/asker.rs
@@ -5,6 +5,7 @@
 
 use super::Owner;
 use crate::caches::{CopyTag, RequestNo};
+use crate::clients::presence::Wanted;
 use crate::clients::{answer, ClientId, Do, Reply, Tag};
 use basaltgw::api::{ClassId, Ms};
 use basaltgw_gather::{AttemptNo, GatherNo};
@@ -28,6 +29,8 @@
     pub request: Box<Do>,
     /// When the asker waits no longer.
     pub deadline: Ms,
+    /// Whether a client still waits for it, where one is known.
+    pub wanted: Option<Wanted>,
 }
 
 impl Owner {
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -3,7 +3,7 @@
 use super::batch::Due;
 use super::requests::Open;
 use super::{name, number, Owner};
-use crate::caches::{Answer, Ask, AttemptKey, ConnId, Down, GivenUp};
+use crate::caches::{Answer, Ask, AttemptKey, ConnId, Down, GivenUp, RequestNo};
 use crate::clients::{Reply, WireId};
 use crate::inbox::Over;
 use crate::outbox::{Counted, Parcel, Stage};
@@ -53,6 +53,10 @@
 impl Owner {
     pub(super) fn begin(&mut self, fetch: Fetch) {
         let Some(no) = number(&fetch.request) else { return };
+        // Its client is gone, and the owner has yet to come to that: no attempt begins, and the module hears that this was the last.
+        if self.requests.get(no).is_some_and(|o| o.wanted.as_ref().is_some_and(|w| !w.holds())) {
+            self.owed_no_longer(no);
+        }
         let Some(open) = self.requests.get_mut(no) else { return };
         let n = AttemptNo(open.attempts.len());
         self.counters.attempts.made.one();
@@ -87,7 +91,7 @@
                     to,
                     (no, n),
                     (&open.request.id, &used, !body.is_empty()),
-                    ask.encode(),
+                    (ask.encode(), open.wanted.clone()),
                 );
                 (End::NoConnection, way)
             }
@@ -149,6 +153,15 @@
         many
     }
 
+    /// Takes back what waits to be written of a request, and ends what its connection took back itself.
+    pub(super) fn take_back(&mut self, no: RequestNo) {
+        let Some(open) = self.requests.get(no) else { return };
+        let unsent = |a: &Attempt| matches!(a.stage(), Some(Stage::Waiting | Stage::TakenBack));
+        let attempts = open.attempts.iter().enumerate().filter(|(_, a)| unsent(a));
+        let keys: Vec<AttemptKey> = attempts.map(|(n, _)| (no, AttemptNo(n))).collect();
+        keys.into_iter().for_each(|key| self.give_up(key, (End::Cancelled, End::NotSent), true));
+    }
+
     pub(super) fn time_out(&mut self, key: AttemptKey) {
         let attempt = self.requests.attempt(key);
         let Some((conn, _)) = attempt.and_then(|a| a.way.as_ref()) else { return };
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -2,9 +2,12 @@
 
 use super::asker::{Asked, Asker};
 use super::batch::micros;
+use super::gather::Gathering;
 use super::Owner;
 use crate::caches::RequestNo;
+use crate::clients::presence::{Presence, Wanted};
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
+use crate::counters::Count;
 use crate::inbox::Over;
 use crate::limits::{
     OPEN_PER_CLIENT, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE, ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST,
@@ -18,6 +21,8 @@
 
 pub(super) struct Client {
     pub outbox: Outbox,
+    /// What its connection has read ahead of the queue.
+    presence: Rc<Presence>,
     pub open: BTreeMap<Tag, RequestNo>,
     /// Answers that may not be written yet.
     pub unsent: BTreeMap<Tag, Rc<Parcel>>,
@@ -34,9 +39,10 @@
 }
 
 impl Client {
-    fn new(now: Ms, outbox: Outbox) -> Self {
+    fn new(now: Ms, outbox: Outbox, presence: Rc<Presence>) -> Self {
         Self {
             outbox,
+            presence,
             open: BTreeMap::new(),
             unsent: BTreeMap::new(),
             used: VecDeque::new(),
@@ -85,6 +91,11 @@
         });
     }
 
+    /// What tells whether a client still waits; `None` of one that is not connected.
+    pub(super) fn wanted(&self, id: ClientId, tag: Tag) -> Option<Wanted> {
+        Some(Wanted::new(&self.0.get(&id)?.presence, tag))
+    }
+
     pub(super) fn turn_away(&mut self, id: ClientId, tag: Tag) {
         let client = self.0.get(&id).into_iter();
         client.for_each(|client| {
@@ -126,9 +137,9 @@
 }
 
 impl Owner {
-    pub(super) fn connect(&mut self, id: ClientId, outbox: Outbox) {
+    pub(super) fn connect(&mut self, id: ClientId, outbox: Outbox, presence: Rc<Presence>) {
         self.counters.clients.connected.one();
-        self.clients.0.insert(id, Client::new(self.now, outbox));
+        self.clients.0.insert(id, Client::new(self.now, outbox, presence));
     }
 
     pub(super) fn client_over(&mut self, id: ClientId, over: Over) {
@@ -146,23 +157,26 @@
         (client.spoke, client.active) = (true, self.now);
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
-            FromClient::Undo(tag) => match client.open.remove(&tag) {
-                Some(no) => {
-                    client.undone += 1;
-                    let too_many = client.undone >= UNDONE_MOST;
-                    self.left(no);
-                    if too_many {
-                        self.counters.clients.closed_broken_rule.one();
-                        self.disconnect(id);
+            FromClient::Undo(tag) => {
+                client.presence.heeded(tag);
+                match client.open.remove(&tag) {
+                    Some(no) => {
+                        client.undone += 1;
+                        let too_many = client.undone >= UNDONE_MOST;
+                        self.left(no);
+                        if too_many {
+                            self.counters.clients.closed_broken_rule.one();
+                            self.disconnect(id);
+                        }
+                    }
+                    None => {
+                        let unsent = client.unsent.remove(&tag);
+                        unsent
+                            .into_iter()
+                            .for_each(|p| self.counters.clients.taken_back.more(p.take_back().into()));
                     }
                 }
-                None => {
-                    let unsent = client.unsent.remove(&tag);
-                    unsent
-                        .into_iter()
-                        .for_each(|p| self.counters.clients.taken_back.more(p.take_back().into()));
-                }
-            },
+            }
             FromClient::Ping(tag) => {
                 let known = self.fleet.as_ref().is_none_or(|f| f.purges_known);
                 client.outbox.put(pong(tag, self.list_in && known && !self.ending.asked()));
@@ -191,6 +205,16 @@
             self.counters.clients.closed_broken_rule.one();
             return self.disconnect(id);
         }
+        let wanted = Wanted::new(&client.presence, tag);
+        if !wanted.holds() {
+            // Its place is taken until what took it back is heard in its turn.
+            let no = self.requests.number();
+            client.open.insert(tag, no);
+            let counted = &self.counters.clients;
+            [&counted.requests, &counted.left, &counted.left_early].into_iter().for_each(Count::one);
+            self.gathering.iter_mut().filter(|_| request.parts.is_some()).for_each(Gathering::left_early);
+            return;
+        }
         let class = self.names.class(&request.class);
         // An id is new with each request; under one that is open, another's answer could come.
         if class.is_none() || self.requests.knows(&request.id) {
@@ -201,7 +225,7 @@
             return self.gather((id, tag), class, request, deadline);
         }
         self.counters.clients.requests.one();
-        self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline });
+        self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline, wanted: Some(wanted) });
     }
 
     /// Closes connections for those that wait for a place: first what clients in service would not miss, one that has said
--- a/crates/node/src/owner/gather.rs
+++ b/crates/node/src/owner/gather.rs
@@ -146,6 +146,12 @@
         })
     }
 
+    /// Counts one whose client had left before its turn came.
+    pub fn left_early(&mut self) {
+        self.counters.asked += 1;
+        self.counters.left += 1;
+    }
+
     /// The parts that are asked for, with their sites; `None` if they can't be read, or a site is no branch of the fleet.
     fn read(&self, request: &Do) -> Option<Vec<(PartNo, Site)>> {
         let all = parts::parts(request.parts.as_deref()?)?;
--- a/crates/node/src/owner/gather/peers.rs
+++ b/crates/node/src/owner/gather/peers.rs
@@ -220,7 +220,7 @@
             debt: None,
             body: Vec::new(),
         };
-        self.gather_admit(Asker::Peer(no), class, request);
+        self.gather_admit(Asker::Peer(no), class, request, None);
     }
 
     /// Another router's part was taken in.
--- a/crates/node/src/owner/gather/tries.rs
+++ b/crates/node/src/owner/gather/tries.rs
@@ -2,6 +2,7 @@
 
 use super::{told, GatherNo, Owner, Try, Way};
 use crate::caches::{CopyTag, RequestNo};
+use crate::clients::presence::Wanted;
 use crate::clients::{Do, Reply, WireId};
 use crate::fleet::purges::Purge;
 use crate::outbox::Counted;
@@ -19,7 +20,7 @@
         if site.0 != g.set.branch {
             return self.gather_want(key, part, site, left);
         }
-        let (class, of) = (open.class, &open.request);
+        let (class, of, (client, tag)) = (open.class, &open.request, open.client);
         let request = Do {
             id: WireId(Arc::from("")),
             class: of.class.clone(),
@@ -35,11 +36,18 @@
             debt: None,
             body: Vec::new(),
         };
-        self.gather_admit(Asker::Part(key.0, key.1), class, request);
+        let wanted = self.clients.wanted(client, tag);
+        self.gather_admit(Asker::Part(key.0, key.1), class, request, wanted);
     }
 
     /// Takes a part's request in like a client's, under an id that no open one has.
-    pub(super) fn gather_admit(&mut self, asker: Asker, class: ClassId, mut request: Do) {
+    pub(super) fn gather_admit(
+        &mut self,
+        asker: Asker,
+        class: ClassId,
+        mut request: Do,
+        wanted: Option<Wanted>,
+    ) {
         let Some(g) = &mut self.gathering else { return };
         loop {
             g.ids = g.ids.wrapping_add(1);
@@ -49,7 +57,7 @@
             }
         }
         let deadline = self.now + request.left;
-        self.admit(Asked { asker, class: Some(class), request: Box::new(request), deadline });
+        self.admit(Asked { asker, class: Some(class), request: Box::new(request), deadline, wanted });
     }
 
     /// A part's request was taken in.
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -136,7 +136,7 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::ClientOpen(id, outbox) => self.connect(id, outbox),
+            Input::ClientOpen(id, outbox, presence) => self.connect(id, outbox, presence),
             Input::Client(id, message, at) => self.message(id, message, at),
             Input::ClientClosed(id, over) => self.client_over(id, over),
             Input::RoomWanted => self.make_room(),
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -368,12 +368,6 @@
         }
     }
 
-    /// Takes back what waits to be written of a request.
-    fn take_back(&mut self, no: RequestNo) {
-        let waiting = self.requests.waiting(|_, _| true).into_iter().filter(|key| key.0 == no);
-        waiting.for_each(|key| self.give_up(key, (End::Cancelled, End::NotSent), true));
-    }
-
     /// Prints what the fleet counts.
     pub(super) fn fleet_words(&self) -> String {
         self.fleet.as_ref().map(Fleet::words).unwrap_or_default() + &self.gather_words()
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -5,6 +5,7 @@
 use super::promise::Promise;
 use super::{name, Owner};
 use crate::caches::{AttemptKey, CopyTag, RequestNo};
+use crate::clients::presence::Wanted;
 use crate::clients::{Do, Reply, WireId};
 use crate::outbox::{Counted, Meter, Stage};
 use basaltgw::api::{AttemptNo, ClassId, Event, Ms, Request};
@@ -19,6 +20,8 @@
     /// Its body is counted while it may have to be sent.
     pub body: Option<Counted>,
     pub deadline: Ms,
+    /// Whether a client still waits for it, where one is known.
+    pub wanted: Option<Wanted>,
     /// Nothing more may be written to the asker for it.
     pub answered: bool,
     pub attempts: Vec<Attempt>,
@@ -118,7 +121,7 @@
     fn insert(&mut self, mut asked: Asked, meter: &Rc<Meter>) -> RequestNo {
         let no = self.number();
         let body = Some(Counted::new(std::mem::take(&mut asked.request.body), &[meter]));
-        let Asked { asker, class, request, deadline } = asked;
+        let Asked { asker, class, request, deadline, wanted } = asked;
         self.ids.insert(request.id.clone());
         let open = Open {
             asker,
@@ -126,6 +129,7 @@
             request,
             body,
             deadline,
+            wanted,
             answered: false,
             attempts: Vec::new(),
             promise: Promise::None,
@@ -206,15 +210,23 @@
             return;
         }
         let told = self.requests.get(no).is_some_and(|o| o.promise.begun());
-        if let Some((asker, _)) = self.requests.settle(no) {
-            self.counters.clients.left.more(matches!(asker, Asker::Client(..)).into());
+        if self.owed_no_longer(no) {
             if told {
                 self.tell(Event::ClientLeft(name(no)));
             }
+            // Nothing of it is at a server, so this takes no leave to call it off.
+            self.take_back(no);
         }
         self.forget(no);
     }
 
+    /// Nobody waits for it any more; true if somebody did.
+    pub(super) fn owed_no_longer(&mut self, no: RequestNo) -> bool {
+        let Some((asker, _)) = self.requests.settle(no) else { return false };
+        self.counters.clients.left.more(matches!(asker, Asker::Client(..)).into());
+        true
+    }
+
     /// What is answered and has nothing out is over.
     pub(super) fn forget(&mut self, no: RequestNo) {
         self.ended_unheard(no);
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -42,7 +42,7 @@
     let (out, written) = outbox(&shared.meter, &Rc::default());
     let caches = Caches::new(shared.clone(), 100, config.transport);
     let mut owner = Owner::new(&config, &OwnSettings::default(), &shared, caches);
-    owner.batch(&mut vec![Input::ClientOpen(CLIENT, out)]);
+    owner.batch(&mut vec![Input::ClientOpen(CLIENT, out, Rc::default())]);
     (owner, written)
 }
 
@@ -196,7 +196,7 @@
     for id in 2..=17 {
         let (out, written) = outbox(&owner.meter, &Rc::default());
         outs.push(written);
-        owner.batch(&mut vec![Input::ClientOpen(ClientId(id), out)]);
+        owner.batch(&mut vec![Input::ClientOpen(ClientId(id), out, Rc::default())]);
     }
     let now = owner.now;
     for (id, client) in &mut owner.clients.0 {
