--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -5,7 +5,7 @@
 use crate::clock::late;
 use crate::inbox::{either, read_all, Over};
 use crate::limits::{FROM_CACHE, PROVEN_MS, SERVER_STALLED, SILENT_MS};
-use crate::outbox::{write_all, Outbox, Parcel};
+use crate::outbox::{write_all, OnlyIf, Outbox, Parcel};
 use crate::resp::encode;
 use crate::{Input, Shared};
 use async_io::Async;
@@ -16,7 +16,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Ids that a connection remembers as given up.
 const ABORTED_KEPT: usize = 1024;
@@ -78,19 +78,13 @@
     }
 
     /// Puts a request in line, behind a proof where one is needed.
-    pub(super) fn put(
-        &mut self,
-        now: Ms,
-        at: ConnId,
-        bytes: Vec<u8>,
-        begin_by: Option<Instant>,
-    ) -> Rc<Parcel> {
+    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>, only: OnlyIf) -> Rc<Parcel> {
         if self.proving.is_none() && self.unproven(now) {
             let tag = WireId(Arc::from(at.0.to_string()));
             self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
             self.proving = Some(tag);
         }
-        let parcel = self.out.hold(bytes, begin_by);
+        let parcel = self.out.hold(bytes, only);
         match self.proving {
             Some(_) => self.held.push(Rc::clone(&parcel)),
             None => self.out.release(&parcel),
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -8,7 +8,7 @@
 use crate::clients::WireId;
 use crate::inbox::Over;
 use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, IDLE_SHARE, SHARED};
-use crate::outbox::{outbox, Parcel};
+use crate::outbox::{outbox, OnlyIf, Parcel};
 use crate::{Input, Shared};
 use basaltgw::api::{AttemptNo, Ms, ServerId};
 use basaltgw_config::{Place, Transport};
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,14 +78,14 @@
 
     /// Puts an attempt on a connection to a server's process that was not `asked` for this request, the one that carries
     /// fewest; opens one if none takes it or all carry many (for one that is best `alone`: any); `None` if none may be opened.
-    /// Its first byte leaves before `begin_by`, or none does.
+    /// Its first byte leaves only if that holds then.
     pub fn send(
         &mut self,
         now: Ms,
         to: (&ServerId, Place),
         key: AttemptKey,
         (id, asked, alone): (&WireId, &[ConnId], bool),
-        (bytes, begin_by): (Vec<u8>, Option<Instant>),
+        (bytes, only): (Vec<u8>, OnlyIf),
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
@@ -108,7 +108,7 @@
             (None, None) => return None,
         };
         let conn = self.conns.get_mut(&at)?;
-        let parcel = conn.put(now, at, bytes, begin_by);
+        let parcel = conn.put(now, at, bytes, only);
         conn.open.insert(id.clone(), key);
         conn.used = now;
         if conn.up {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,6 +3,7 @@
 pub mod life;
 pub mod parts;
 pub mod places;
+pub mod presence;
 
 use crate::inbox::{read_all, Over};
 use crate::limits::{
@@ -252,6 +253,7 @@
         let full = || own.held() > CLIENT_UNSENT;
         let typed = |words, at, in_doubt| {
             let message = FromClient::read(words)?;
+            life.presence().read(&message);
             Some(Input::Client(id, if in_doubt { message.in_doubt() } else { message }, at))
         };
         let over = read_all(&socket, FROM_CLIENT, &shared, full, typed, Some(&life)).await;
@@ -268,6 +270,7 @@
     };
     future::or(read, write).await;
     life.tell(Event::Over);
+    life.presence().leave();
     // The owner is gone only when the process ends.
     let _ = shared.queue.send(Input::ClientClosed(id)).await;
 }
--- a/crates/node/src/clients/life.rs
+++ b/crates/node/src/clients/life.rs
@@ -2,6 +2,7 @@
 //! that cross is one arm of one match.
 
 use super::places::Places;
+use super::presence::Presence;
 use crate::inbox::Over;
 use crate::limits::HALF_AT_END;
 use async_channel::{Receiver, Sender};
@@ -98,6 +99,7 @@
     spoke: Cell<bool>,
     wishes: (Sender<()>, Receiver<()>),
     places: Rc<Places>,
+    presence: Rc<Presence>,
 }
 
 impl Life {
@@ -108,9 +110,15 @@
             spoke: Cell::new(false),
             wishes: async_channel::bounded(1),
             places: Rc::clone(places),
+            presence: Rc::default(),
         }
     }
 
+    /// Whether its client still waits.
+    pub fn presence(&self) -> &Rc<Presence> {
+        &self.presence
+    }
+
     /// How far it is.
     pub fn state(&self) -> State {
         self.state.get()
@@ -157,7 +165,7 @@
         (!self.tell(event).reads()).then_some(asked.map_or(Over::Dropped, Over::Quiet))
     }
 
-    /// The reader is about to hand a message to the owner; false if it may not any more.
+    /// The reader has decoded a message that it will hand to the owner; false if it may not any more.
     pub fn hands(&self) -> bool {
         let open = self.tell(Event::Handed).reads();
         self.spoke.set(self.spoke.get() || open);
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -1,5 +1,6 @@
 //! Messages on their way to a socket: each is counted while it is held and can be taken back until it is begun.
 
+use crate::clients::presence::Wanted;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
@@ -92,12 +93,27 @@
     TakenBack,
 }
 
+/// What has to hold when a message's first byte is written, or none is.
+#[derive(Clone, Debug, Default)]
+pub struct OnlyIf {
+    /// It is not as late as this.
+    pub begin_by: Option<Instant>,
+    /// Somebody still waits for what is asked by it; `None` if it is written whoever waits.
+    pub wanted: Option<Wanted>,
+}
+
+impl OnlyIf {
+    fn holds(&self) -> bool {
+        let in_time = self.begin_by.is_none_or(|by| Instant::now() < by);
+        in_time && self.wanted.as_ref().is_none_or(Wanted::holds)
+    }
+}
+
 /// A message.
 #[derive(Debug)]
 pub struct Parcel {
     stage: Cell<Stage>,
-    /// Its first byte is written before this, or none is.
-    begin_by: Option<Instant>,
+    only: OnlyIf,
     bytes: RefCell<Option<Counted>>,
 }
 
@@ -124,9 +140,14 @@
         never
     }
 
-    /// The time in which it had to be begun is over.
-    fn too_late(&self) -> bool {
-        self.begin_by.is_some_and(|by| Instant::now() >= by)
+    /// Begins it, unless it was taken back, it is too late, or nobody waits for it any more: the owner may not have heard of that yet.
+    fn begin(&self) -> Option<Counted> {
+        if !self.only.holds() {
+            self.take_back();
+        }
+        let bytes = self.bytes.take()?;
+        self.stage.set(Stage::Begun);
+        Some(bytes)
     }
 }
 
@@ -148,15 +169,15 @@
 impl Outbox {
     /// Puts a message in line.
     pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
-        let parcel = self.hold(bytes, None);
+        let parcel = self.hold(bytes, OnlyIf::default());
         self.release(&parcel);
         parcel
     }
 
-    /// A message that is not in line until it is released, and may have to be begun by some time.
-    pub fn hold(&self, bytes: Vec<u8>, begin_by: Option<Instant>) -> Rc<Parcel> {
+    /// A message that is not in line until it is released.
+    pub fn hold(&self, bytes: Vec<u8>, only: OnlyIf) -> Rc<Parcel> {
         let bytes = RefCell::new(Some(Counted::new(bytes, &[&self.all, &self.own])));
-        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), begin_by, bytes })
+        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), only, bytes })
     }
 
     /// Puts a held message in line.
@@ -186,12 +207,7 @@
     F: std::future::Future<Output = std::io::Result<usize>>,
 {
     while let Ok(parcel) = parcels.recv().await {
-        // The owner may not have heard yet that it is too late.
-        if parcel.too_late() {
-            parcel.take_back();
-        }
-        let Some(counted) = parcel.bytes.take() else { continue };
-        parcel.stage.set(Stage::Begun);
+        let Some(counted) = parcel.begin() else { continue };
         let mut rest = counted.bytes();
         while !rest.is_empty() {
             match futures_lite::future::or(socket.write(rest), stall()).await {
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -2,10 +2,13 @@
 
 use super::asker::{Asked, Asker};
 use super::batch::micros;
+use super::gather::Gathering;
 use super::Owner;
 use crate::caches::RequestNo;
 use crate::clients::life::{Event, Life, Quiet};
+use crate::clients::presence::Wanted;
 use crate::clients::{answer, pong, ClientId, Do, FromClient, Reply, Tag};
+use crate::counters::Count;
 use crate::inbox::Over;
 use crate::limits::{
     OPEN_PER_CLIENT, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE, ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST,
@@ -92,6 +95,11 @@
         });
     }
 
+    /// What tells whether a client still waits; `None` of one that is not connected.
+    pub(super) fn wanted(&self, id: ClientId, tag: Tag) -> Option<Wanted> {
+        Some(Wanted::new(self.0.get(&id)?.life.presence(), tag))
+    }
+
     pub(super) fn turn_away(&mut self, id: ClientId, tag: Tag) {
         let client = self.0.get(&id).into_iter();
         client.for_each(|client| {
@@ -187,23 +195,26 @@
         (client.spoke, client.active) = (true, self.now);
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
-            FromClient::Undo(tag) => match client.open.remove(&tag) {
-                Some(no) => {
-                    client.undone += 1;
-                    let too_many = client.undone >= UNDONE_MOST;
-                    self.left(no);
-                    if too_many {
-                        self.counters.clients.closed_broken_rule.one();
-                        self.disconnect(id);
+            FromClient::Undo(tag) => {
+                client.life.presence().heeded(tag);
+                match client.open.remove(&tag) {
+                    Some(no) => {
+                        client.undone += 1;
+                        let too_many = client.undone >= UNDONE_MOST;
+                        self.left(no);
+                        if too_many {
+                            self.counters.clients.closed_broken_rule.one();
+                            self.disconnect(id);
+                        }
+                    }
+                    None => {
+                        let unsent = client.unsent.remove(&tag);
+                        unsent
+                            .into_iter()
+                            .for_each(|p| self.counters.clients.taken_back.more(p.take_back().into()));
                     }
                 }
-                None => {
-                    let unsent = client.unsent.remove(&tag);
-                    unsent
-                        .into_iter()
-                        .for_each(|p| self.counters.clients.taken_back.more(p.take_back().into()));
-                }
-            },
+            }
             FromClient::Ping(tag) => {
                 let known = self.fleet.as_ref().is_none_or(|f| f.purges_known);
                 client.outbox.put(pong(tag, self.list_in && known && !self.ending.asked()));
@@ -232,6 +243,16 @@
             self.counters.clients.closed_broken_rule.one();
             return self.disconnect(id);
         }
+        let wanted = Wanted::new(client.life.presence(), tag);
+        if !wanted.holds() {
+            // Its place is taken until what took it back is heard in its turn.
+            let no = self.requests.number();
+            client.open.insert(tag, no);
+            let counted = &self.counters.clients;
+            [&counted.requests, &counted.left, &counted.left_early].into_iter().for_each(Count::one);
+            self.gathering.iter_mut().filter(|_| request.parts.is_some()).for_each(Gathering::left_early);
+            return;
+        }
         let class = self.names.class(&request.class);
         // An id is new with each request; under one that is open, another's answer could come.
         if class.is_none() || self.requests.knows(&request.id) {
@@ -242,7 +263,7 @@
             return self.gather((id, tag), class, request, deadline);
         }
         self.counters.clients.requests.one();
-        self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline });
+        self.admit(Asked { asker: Asker::Client(id, tag), class, request, deadline, wanted: Some(wanted) });
     }
 
     /// Closes connections for those that wait for a place: first what clients in service would not miss, one that has said
--- a/crates/node/src/owner/promise_tests.rs
+++ b/crates/node/src/owner/promise_tests.rs
@@ -165,7 +165,7 @@
             }
             (Next::Close, _) => {
                 self.left = true;
-                Some(Input::ClientClosed(CLIENT, Over::Ended))
+                Some(Input::ClientClosed(CLIENT))
             }
             (Next::Written, Some((at, false, parcel))) if parcel.stage() == Stage::Waiting => {
                 // Nothing leaves unless it is this router's to send.
