--- /dev/null
+++ b/crates/node/tests/crossing/closing/end.rs
@@ -0,0 +1,204 @@
+//! The end of the process, and what comes in its moments.
+
+use super::*;
+
+/// A router that is told to end, and sleeps from before the time until which it accepts to after it; what is done meanwhile is found
+/// when it wakes. `None` if it was too late for that.
+fn over_its_end<T>(rig: &Rig, meanwhile: impl FnOnce() -> Option<T>) -> Option<T> {
+    rig.router.signal("TERM");
+    until("it is told", || rig.router.said("asked to end"));
+    rig.router.signal("STOP");
+    let done = meanwhile();
+    thread::sleep(Duration::from_millis(900));
+    rig.router.signal("CONT");
+    done
+}
+
+/// Nothing has been heard of its end yet.
+fn is_open(client: &Client) -> bool {
+    client.socket.set_nonblocking(true).expect("a socket");
+    let heard = client.socket.peek(&mut [0; 1]).map_err(|e| e.kind());
+    client.socket.set_nonblocking(false).expect("a socket");
+    heard == Err(ErrorKind::WouldBlock)
+}
+
+#[test]
+fn what_comes_in_the_moment_of_the_end_is_answered() {
+    at_several(comes_in_the_moment_of_the_end);
+}
+
+fn comes_in_the_moment_of_the_end() {
+    for _ in 0..5 {
+        let mut rig = rig(Cache::full());
+        let (mut rests, mut half) = (rig.router.client(), rig.router.client());
+        serves(&mut rests, 1);
+        serves(&mut half, 1);
+        let second = basaltgw_node::resp::encode(&[
+            b"DO",
+            b"2",
+            b"pages",
+            b"i=00000000000000bb,d=5000,o=0000000000000002,nth=0,batch=17",
+            b"",
+        ]);
+        let (first, rest) = second.split_at(20);
+        half.write(first);
+        let asked = over_its_end(&rig, || {
+            // In the backlog, on a connection at rest, and the rest of half a message.
+            let mut new = Client::new(TcpStream::connect(rig.router.address).ok()?);
+            if !is_open(&rests) || !is_open(&half) {
+                return None;
+            }
+            new.ask(1, "pages", 3, "", b"");
+            rests.ask(2, "pages", 2, "", b"");
+            half.write(rest);
+            Some(new)
+        });
+        let Some(mut new) = asked else { continue };
+        for (client, tag) in [(&mut rests, 2), (&mut half, 2), (&mut new, 1)] {
+            let got = client.must();
+            assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+            assert_eq!(end(client), Ok(0));
+        }
+        drop((rests, half, new));
+        assert!(rig.router.ended().success());
+        let counted = rig.router.last_counters();
+        assert_eq!((counted["requests"], counted["served"]), (5.0, 5.0));
+        return;
+    }
+    panic!("the router was never stopped in time");
+}
+
+#[test]
+fn those_in_the_backlog_at_the_end_are_answered_though_all_places_are_taken() {
+    for _ in 0..5 {
+        let mut rig = rig_of(Cache::full(), |c| c["limits"]["sockets"] = json!(40));
+        // 11 places.
+        let mut rest: Vec<Client> = (0..10).map(|_| rig.router.client()).collect();
+        rest.iter_mut().for_each(|c| serves(c, 1));
+        let asked = over_its_end(&rig, || {
+            let new = (0..30).map(|_| {
+                let mut new = Client::new(TcpStream::connect(rig.router.address).ok()?);
+                new.ask(1, "pages", 3, "", b"");
+                Some(new)
+            });
+            new.collect::<Option<Vec<_>>>()
+        });
+        let Some(mut new) = asked else { continue };
+        for client in &mut new {
+            assert_eq!(client.must().word, "200");
+            assert_eq!(end(client), Ok(0));
+        }
+        assert!(rig.router.ended().success());
+        return;
+    }
+    panic!("the router was never stopped in time");
+}
+
+#[test]
+fn half_a_message_at_the_end_is_closed_in_order_and_holds_up_nothing() {
+    let (edge, released) = held();
+    let mut rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    client.write(b"*5\r\n$2\r\nDO\r\n$1\r\n2\r\n");
+    until("it is open", || rig.router.counter("requests") == 1);
+    rig.router.signal("TERM");
+    until("nobody is accepted", || TcpStream::connect(rig.router.address).is_err());
+    released.store(true, Ordering::SeqCst);
+    assert_eq!(client.must().tag, 1);
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+    let counted = rig.router.last_counters();
+    assert_eq!(counted["requests"], 1.0);
+    let closed = (counted["closed_at_end"], counted["closed_unfinished"]);
+    assert_eq!(closed, (1.0, 0.0), "by the end, not by the time for a whole message");
+}
+
+/// Ends a router with a request open, told in some way; the request is answered before the end.
+fn ends(tell: impl FnOnce(&Rig)) {
+    let (edge, released) = held();
+    let mut rig = rig(edge);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    until("it is open", || rig.router.counter("requests") == 1);
+    tell(&rig);
+    until("nobody is accepted", || TcpStream::connect(rig.router.address).is_err());
+    released.store(true, Ordering::SeqCst);
+    let got = client.must();
+    assert_eq!((got.tag, got.word.as_str()), (1, "200"));
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+}
+
+#[test]
+fn two_orders_to_end_are_one() {
+    ends(|rig| {
+        rig.router.signal("TERM");
+        until("it is told", || rig.router.said("asked to end"));
+        rig.router.signal("TERM");
+    });
+}
+
+#[test]
+fn an_order_to_end_beside_a_new_configuration_is_heeded() {
+    ends(|rig| {
+        rig.router.rewrite(&rig.config.to_string());
+        rig.router.signal("HUP");
+        rig.router.signal("TERM");
+        rig.router.signal("HUP");
+    });
+}
+
+#[test]
+fn a_router_ends_in_order_while_discovery_is_down() {
+    ends(|rig| {
+        rig.log.down.store(true, Ordering::SeqCst);
+        until("it is lost", || rig.router.counter("log_lost") > 0);
+        rig.router.signal("TERM");
+    });
+}
+
+#[test]
+fn a_router_that_knows_no_list_yet_answers_and_ends() {
+    let edge = Cache::full();
+    let nothing = |c: &mut Value| c["known"] = json!({"seq": 0, "results": []});
+    let mut rig = rig_of(edge, nothing);
+    let mut client = rig.router.client();
+    client.ask(1, "pages", 1, "", b"");
+    rig.router.signal("TERM");
+    assert!(client.must().word != "200");
+    assert_eq!(end(&mut client), Ok(0));
+    assert!(rig.router.ended().success());
+}
+
+#[test]
+fn those_that_never_close_hold_up_the_end_for_no_longer_than_the_bound() {
+    let mut rig = rig(Cache::full());
+    let mut all: Vec<Client> = (0..20).map(|_| rig.router.client()).collect();
+    all.iter_mut().for_each(|c| serves(c, 1));
+    let asked = Instant::now();
+    rig.router.signal("TERM");
+    assert!(rig.router.ended().success());
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+    let counted = rig.router.last_counters();
+    assert_eq!((counted["closed_at_end"], counted["closes_lingered"]), (20.0, 20.0));
+    // They find out whenever they look.
+    all.iter_mut().for_each(|c| assert_eq!(end(c), Ok(0)));
+}
+
+#[test]
+fn one_that_takes_no_answers_does_not_hold_up_the_end() {
+    let mut rig = rig(Cache::start(|_| Do::Ok(vec![b'x'; 240_000])));
+    let (mut slow, mut good) = (narrow(&rig.router), rig.router.client());
+    for tag in 1..=30 {
+        slow.ask(tag, "pages", tag, "", b"");
+    }
+    until("they are all answered", || rig.router.counter("served") == 30);
+    assert!(rig.router.counter("held") > 1_000_000, "more than the system takes");
+    good.ask(1, "pages", 99, "", b"");
+    rig.router.signal("TERM");
+    assert_eq!(good.must().body.len(), 240_000);
+    assert!(rig.router.ended().success());
+    assert_eq!(rig.router.last_counters()["closed_stalled"], 1.0);
+    drop(slow);
+}
