--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -192,8 +192,10 @@
         self.over().expect("the router's end")
     }
 
-    /// The counters that it printed at its end, by name.
+    /// The counters that it printed at its end, by name, once all that it said is read; for a process that has ended.
     pub fn last_counters(&self) -> HashMap<String, f64> {
+        // Who reads it has the other hold on the text until the end of what was said.
+        comes(PATIENCE, || Arc::strong_count(&self.said) == 1);
         let text = self.text();
         let last = text.lines().rev().find_map(|l| l.split_once("ended: ")).map(|(_, c)| c);
         numbers(last.unwrap_or_default())
--- a/crates/node/tests/crossing/closing.rs
+++ b/crates/node/tests/crossing/closing.rs
@@ -69,6 +69,14 @@
     (1..=many).flat_map(|n| ping(1_000_000 + n)).collect()
 }
 
+/// Nothing has been heard of its end yet.
+fn is_open(client: &Client) -> bool {
+    client.socket.set_nonblocking(true).expect("a socket");
+    let heard = client.socket.peek(&mut [0; 1]).map_err(|e| e.kind());
+    client.socket.set_nonblocking(false).expect("a socket");
+    heard == Err(ErrorKind::WouldBlock)
+}
+
 // ---- Closes for what a client did ----
 
 #[test]
--- a/crates/node/tests/crossing/closing/end.rs
+++ b/crates/node/tests/crossing/closing/end.rs
@@ -14,14 +14,6 @@
     done
 }
 
-/// Nothing has been heard of its end yet.
-fn is_open(client: &Client) -> bool {
-    client.socket.set_nonblocking(true).expect("a socket");
-    let heard = client.socket.peek(&mut [0; 1]).map_err(|e| e.kind());
-    client.socket.set_nonblocking(false).expect("a socket");
-    heard == Err(ErrorKind::WouldBlock)
-}
-
 #[test]
 fn what_comes_in_the_moment_of_the_end_is_answered() {
     at_several(comes_in_the_moment_of_the_end);
