Who sends what can't be read is served nothing more, and keeps what was written to it

No usual client sends garbage, so nothing is gained by answering. owner::client_stopped now drops such a client as one that broke a rule: what is open is given up and called off, what is written still arrives whole, then FIN and the lingering close.

--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -168,7 +168,8 @@
         self.clients.0.insert(id, Client::new(self.now, outbox, life));
     }
 
-    /// Nothing more is read of a client. What it asked before is answered.
+    /// Nothing more is read of a client. What it asked before is answered, but for one that sends what can't be read: its requests may
+    /// have meant anything, so it is served nothing more.
     pub(super) fn client_stopped(&mut self, id: ClientId, over: Over) {
         let counted = &self.counters.clients;
         match over {
@@ -180,7 +181,12 @@
             Over::Quiet(Quiet::Room) => counted.closed_for_room.one(),
             Over::Quiet(Quiet::End) => counted.closed_at_end.one(),
         }
-        self.clients.close(id);
+        match over {
+            Over::Unreadable(_) => self.disconnect(id),
+            Over::Ended | Over::Dropped | Over::Silent | Over::Unfinished | Over::Quiet(_) => {
+                self.clients.close(id)
+            }
+        }
     }
 
     /// A client is gone; what it waits for is given up.
@@ -276,7 +282,7 @@
         });
     }
 
-    /// Drops a client that broke a rule: what it waits for is given up, what is in line for it is still written.
+    /// Drops a client that broke a rule or can't be read: what it waits for is given up, what is in line for it is still written.
     fn disconnect(&mut self, id: ClientId) {
         let Some(client) = self.clients.0.get_mut(&id) else { return };
         client.life.tell(Event::Dropped);
