Tests of leaving fill a memory of 1 MB, before a connection can be taken for silent

With four test programs at once what_is_taken_back_behind_requests failed in one of three ('never: it is taken in'): 44 writes were put in line one after the other until half of 4 MB was held, and where that took over 0.8 s the connections that carried them, silent on purpose, took no more (SILENT_MS), so that writes were refused and their bodies let go of. Half of 1 MB takes 13 writes.

--- a/crates/node/tests/crossing/leaving.rs
+++ b/crates/node/tests/crossing/leaving.rs
@@ -65,7 +65,7 @@
 
     /// With a second edge cache, where a read goes that failed at the first. All servers do the same.
     fn alike(act: impl Fn(&Seen) -> Do + Clone + Send + Sync + 'static) -> Self {
-        let little = |c: &mut Value| c["limits"]["memory_mb"] = json!(4);
+        let little = |c: &mut Value| c["limits"]["memory_mb"] = json!(1);
         Self::before([0; 4].map(|_| Cache::start(act.clone())), true, little)
     }
 
@@ -336,12 +336,13 @@
     })
 }
 
-/// Writes until a router with 4 MB holds more than half of that, and reads nothing more. Each is whole in the router before the next is
+/// Writes until a router with 1 MB holds more than half of that, and reads nothing more; few enough that no connection is taken for silent
+/// meanwhile. Each is whole in the router before the next is
 /// sent: one that is half read when the memory is full would have to end.
 fn fill_memory(rig: &Rig) -> Vec<Client> {
     let mut all: Vec<Client> = (0..2).map(|_| rig.client()).collect();
     let before = rig.router.counter("requests");
-    let sizes = [48_000; 41].into_iter().chain([15_000, 15_000, 3_000]);
+    let sizes = [48_000; 10].into_iter().chain([15_000, 3_000, 3_000]);
     let mut held = 0;
     for (n, size) in (1..).zip(sizes) {
         held += size as u64;
@@ -351,7 +352,7 @@
             rig.router.counter("requests") == before + n && rig.router.counter("held") == held
         });
     }
-    assert!(held > 2_000_000);
+    assert!(held > 500_000);
     all
 }
 
@@ -366,7 +367,7 @@
         assert_eq!(clients[0].settle(), []);
         let kept = clients.pop().and_then(|c| way.go(c, 1));
         until("it has left", || rig.router.counter("left") == 1);
-        assert!(rig.router.counter("held") > 2_000_000, "nothing was released for that");
+        assert!(rig.router.counter("held") > 500_000, "nothing was released for that");
         refuses.open();
         writes.open();
         until("all attempts are over", || attempts_over(&rig.router));
@@ -390,7 +391,7 @@
     let (own, port) = (rig.router.address.port(), client.socket.local_addr().expect("an address").port());
     let read = || waiting(Some(port), Some(own)) == [(0, 0)] && unread(Some(own), Some(port)) == [0];
     until("all of it has come and is read", read);
-    assert!(rig.router.counter("held") > 2_000_000, "nothing was released for that");
+    assert!(rig.router.counter("held") > 500_000, "nothing was released for that");
     writes.open();
     assert_eq!((client.must().tag, client.settle()), (3, vec![]));
     assert_eq!(rig.router.counter("left_early"), 2);
