--- a/crates/node/tests/crossing/leaving.rs
+++ b/crates/node/tests/crossing/leaving.rs
@@ -336,9 +336,8 @@
     })
 }
 
-/// Writes until a router with 1 MB holds more than half of that, and reads nothing more; few enough that no connection is taken for silent
-/// meanwhile. Each is whole in the router before the next is
-/// sent: one that is half read when the memory is full would have to end.
+/// Writes until a router with 1 MB holds more than half of that, and reads nothing more; few enough that no connection is taken for silent.
+/// Each is whole in the router before the next is sent: one half read when the memory is full would have to end.
 fn fill_memory(rig: &Rig) -> Vec<Client> {
     let mut all: Vec<Client> = (0..2).map(|_| rig.client()).collect();
     let before = rig.router.counter("requests");
