--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod faults;
 pub mod net;
 pub mod process;
 pub mod rig;
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -1,5 +1,6 @@
 //! Routers as processes: their files, signals, and what they say.
 
+use crate::faults::Faults;
 use crate::standin::{comes, until, Client, PATIENCE};
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::Value;
@@ -76,10 +77,30 @@
         Self::begin(binary, files, config, &line)
     }
 
+    /// Starts one with a folder of its own, under fault injection.
+    pub fn start_under(binary: &Path, config: &Value, faults: &Faults) -> Result<Self, String> {
+        let dir = TempDir::new().map_err(|e| e.to_string())?;
+        let (config_file, own) = (dir.path().join("json"), dir.path().join("yaml"));
+        let files = Files { config: config_file, own, _dir: Some(dir) };
+        Self::begin_with(binary, files, config, "exec \"$0\" serve", &faults.environment())
+    }
+
     fn begin(binary: &Path, files: Files, config: &Value, line: &str) -> Result<Self, String> {
+        Self::begin_with(binary, files, config, line, &[])
+    }
+
+    /// Starts one, with these variables set.
+    fn begin_with(
+        binary: &Path,
+        files: Files,
+        config: &Value,
+        line: &str,
+        environment: &[(String, PathBuf)],
+    ) -> Result<Self, String> {
         write(&files.config, &config.to_string())?;
         let mut command = Command::new("/bin/sh");
         command.args(["-c", line]).arg(binary);
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         command.env("GW_CONFIG", &files.config).env_remove("GW_LISTEN").env_remove("GW_NAME");
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
         let mut child = child.map_err(|e| format!("{}: {e}", binary.display()))?;
--- /dev/null
+++ b/crates/node/tests/wall_clock.rs
@@ -0,0 +1,78 @@
+//! The machine's wall clock is stepped under a running router, or before its start: spans stay spans, and no copy from before a purge is
+//! asked for.
+
+mod common;
+
+use basaltgw_emulator::faults::{Fault, Faults};
+use common::*;
+use serde_json::json;
+use tempfile::TempDir;
+
+const HOUR_MS: i64 = 3_600_000;
+/// The object that is purged.
+const PURGED: u64 = 1;
+/// The kind of a change log's frame that tells the purge of an object.
+const PURGE_OF_OBJECT: u8 = 3;
+/// What a purge is given to be heeded, and the machine to be slow.
+const HEEDED_AFTER: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// A router under fault injection before three caches, with a copy's fresh time of a minute.
+struct Rig {
+    router: Process,
+    faults: Faults,
+    log: ChangeLog,
+    caches: [Cache; 3],
+    _dir: TempDir,
+}
+
+fn rig(step_ms: i64, known: impl FnOnce(&mut serde_json::Value)) -> Rig {
+    let caches = [(); 3].map(|()| Cache::full());
+    let log = ChangeLog::start();
+    let mut config = configuration(&three(&caches[0], &caches[1], &caches[2]), log.address);
+    config["settings"]["family-info"]["lifetime-by-class"] = json!([60_000.0, 0.0]);
+    known(&mut config);
+    let dir = TempDir::new().expect("a folder");
+    let faults = Faults::new(&dir.path().join("faults")).expect("the fault injection library");
+    faults.set(Fault::WallClock, step_ms).expect("a step");
+    let router = Process::start_under(binary(), &config, &faults).expect("a router that listens");
+    Rig { router, faults, log, caches, _dir: dir }
+}
+
+impl Rig {
+    fn step(&self, step_ms: i64) {
+        self.faults.set(Fault::WallClock, step_ms).expect("a step");
+    }
+
+    /// Tells a purge that happened so long ago.
+    fn purge(&self, age_ms: u64) {
+        let payload = [PURGED.to_be_bytes(), (unix_ms() - age_ms).to_be_bytes()].concat();
+        self.log.tell(2, PURGE_OF_OBJECT, &payload);
+        self.router.reaches("purges", 1);
+        std::thread::sleep(HEEDED_AFTER);
+    }
+
+    /// The oldest copy that is asked for, in milliseconds, and the time that the purge lies back by the true clock.
+    fn oldest(&self, purged_at: u64) -> (u64, u64) {
+        let mut client = self.router.client();
+        client.ask(1, "pages", PURGED, "", b"");
+        assert_eq!(client.must().word, "200");
+        let fetch = self.caches.iter().flat_map(Cache::all).next_back().expect("a fetch");
+        let oldest = fetch.field("oldest").map_or(u64::MAX, |o| o.parse().expect("a number"));
+        (oldest, fetch.at - purged_at)
+    }
+}
+
+fn heeds_a_purge_after_a_step(step_ms: i64) {
+    let rig = rig(0, |_| {});
+    rig.step(step_ms);
+    let purged_at = unix_ms();
+    rig.purge(0);
+    let (oldest, passed) = rig.oldest(purged_at);
+    assert!(oldest <= passed, "copies of {oldest} ms are asked for, the purge was {passed} ms ago");
+    assert!(step_ms >= 0 || oldest > 1, "time goes on after a step back");
+}
+
+#[test]
+fn purge_after_a_step_forward_is_heeded() {
+    heeds_a_purge_after_a_step(HOUR_MS);
+}
