Soak experiment on real processes, and a failing test: deadlines after a stop of the process

Judged: the model's five rules; an answer in time to each request; no close over a request; no fetch after its client left; deadlines passed on; crashes and ends of processes; the routers' own counters; and that each planned fault came about.

What lies in the socket while the process is stopped is read late.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -16,4 +16,4 @@
 pub mod standin;
 pub mod world;
 
-pub use world::{run, Sockets};
+pub use world::{run, run_soak, Invariant, Planned, SoakFault, SoakLimits, SoakReport, Sockets};
--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -9,7 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection, counted from 1.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -158,9 +158,10 @@
     let _ = net.queue.send(Input::Closed(conn)).await;
 }
 
+/// Writes what is sent into the channel; an empty message ends the connection.
 async fn write(mut socket: &Async<TcpStream>, from: Receiver<Vec<u8>>) {
     while let Ok(bytes) = from.recv().await {
-        if socket.write_all(&bytes).await.is_err() {
+        if bytes.is_empty() || socket.write_all(&bytes).await.is_err() {
             return;
         }
     }
@@ -195,6 +196,60 @@
     Some((conn, out))
 }
 
+/// What a client that is none sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FloodKind {
+    /// What can't be read.
+    Garbage,
+    /// Half a request.
+    Half,
+    /// Nothing.
+    Silent,
+}
+
+/// A connection of a client that is none; it stays until the router ends it, or for some seconds.
+pub async fn flood(at: SocketAddr, kind: FloodKind) {
+    const STAYS: Duration = Duration::from_secs(3);
+    let Ok(mut socket) = Async::<TcpStream>::connect(at).await else { return };
+    let bytes: &[u8] = match kind {
+        FloodKind::Garbage => b"GET / HTTP/1.1\r\nHost: router\r\n\r\n",
+        FloodKind::Half => b"*5\r\n$2\r\nDO\r\n$1\r\n1\r\n$5\r\npa",
+        FloodKind::Silent => b"",
+    };
+    let _ = socket.write_all(bytes).await;
+    let ended = async {
+        let mut piece = [0; 1024];
+        while socket.read(&mut piece).await.is_ok_and(|n| n > 0) {}
+    };
+    future::or(ended, async {
+        Timer::after(STAYS).await;
+    })
+    .await;
+}
+
+/// What a change log does, besides telling.
+#[derive(Debug, Default)]
+pub struct LogStatus {
+    /// It says nothing on open connections until then.
+    pub silent_until: Cell<Option<Instant>>,
+    /// It ends connections until then.
+    pub down_until: Cell<Option<Instant>>,
+}
+
+impl LogStatus {
+    fn holds(until: &Cell<Option<Instant>>) -> bool {
+        until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    fn silent(&self) -> bool {
+        Self::holds(&self.silent_until)
+    }
+
+    fn down(&self) -> bool {
+        Self::holds(&self.down_until)
+    }
+}
+
 /// Frames by number.
 pub type Frames = Rc<RefCell<Vec<(u64, Vec<u8>)>>>;
 
@@ -208,17 +263,24 @@
 }
 
 /// The change log for one router: whoever connects gets what came after the number that it names, and a beat each half second.
-pub async fn change_log(net: Net, listener: TcpListener, frames: Frames) {
+pub async fn change_log(net: Net, listener: TcpListener, frames: Frames, status: Rc<LogStatus>) {
     let Ok(listener) = Async::new(listener) else { return };
     while let Ok((socket, _)) = listener.accept().await {
-        let frames = Rc::clone(&frames);
+        let (frames, status) = (Rc::clone(&frames), Rc::clone(&status));
+        if status.down() {
+            continue;
+        }
         let task = async move {
             let (mut from, mut socket) = ([0; 8], &socket);
             if socket.read_exact(&mut from).await.is_err() {
                 return;
             }
             let (mut last, mut looks) = (u64::from_be_bytes(from), 0u32);
-            loop {
+            while !status.down() {
+                if status.silent() {
+                    Timer::after(LOOK).await;
+                    continue;
+                }
                 let new: Vec<(u64, Vec<u8>)> =
                     frames.borrow().iter().filter(|f| f.0 > last).cloned().collect();
                 for (number, bytes) in new {
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -23,6 +24,8 @@
     child: Child,
     files: Files,
     said: Arc<Mutex<String>>,
+    /// Whether what it says is read.
+    reads: Arc<AtomicBool>,
     /// Where clients connect.
     pub address: SocketAddr,
 }
@@ -85,6 +88,19 @@
         Self::begin_with(binary, files, config, "exec \"$0\" serve", &faults.environment())
     }
 
+    /// Starts one with files in a folder and these variables set.
+    pub fn start_with(
+        binary: &Path,
+        dir: &Path,
+        number: usize,
+        config: &Value,
+        environment: &[(String, PathBuf)],
+    ) -> Result<Self, String> {
+        let file = |what: &str| dir.join(format!("router-{number}.{what}"));
+        let files = Files { config: file("json"), own: file("yaml"), _dir: None };
+        Self::begin_with(binary, files, config, "exec \"$0\" serve", environment)
+    }
+
     fn begin(binary: &Path, files: Files, config: &Value, line: &str) -> Result<Self, String> {
         Self::begin_with(binary, files, config, line, &[])
     }
@@ -105,12 +121,13 @@
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
         let mut child = child.map_err(|e| format!("{}: {e}", binary.display()))?;
         let said: Arc<Mutex<String>> = Arc::default();
+        let reads = Arc::new(AtomicBool::new(true));
         if let Some(stderr) = child.stderr.take() {
-            let into = Arc::clone(&said);
-            std::thread::spawn(move || listen(stderr, &into));
+            let (into, reads) = (Arc::clone(&said), Arc::clone(&reads));
+            std::thread::spawn(move || listen(stderr, &into, &reads));
         }
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut process = Self { child, files, said, address: nowhere };
+        let mut process = Self { child, files, said, reads, address: nowhere };
         let begun = Instant::now();
         loop {
             let ended = process.child.try_wait().ok().flatten();
@@ -133,6 +150,11 @@
         }
     }
 
+    /// Whether what it logs is read from now on; what is not read fills its pipe.
+    pub fn read_log(&self, reads: bool) {
+        self.reads.store(reads, Ordering::SeqCst);
+    }
+
     /// The kernel's number of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -194,6 +216,7 @@
 
     /// Ends it without a word.
     pub fn kill(&mut self) {
+        self.read_log(true);
         if self.child.try_wait().is_ok_and(|s| s.is_none()) {
             let _ = self.child.kill();
             let _ = self.child.wait();
@@ -274,8 +297,11 @@
 }
 
 /// Keeps whole lines; of very many, the later half.
-fn listen(stderr: impl Read, into: &Mutex<String>) {
+fn listen(stderr: impl Read, into: &Mutex<String>, reads: &AtomicBool) {
     for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        while !reads.load(Ordering::SeqCst) {
+            std::thread::sleep(LOOK);
+        }
         let Ok(mut said) = into.lock() else { return };
         said.push_str(&line);
         said.push('\n');
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -23,7 +23,10 @@
         while let Some(Reverse((_, no))) =
             self.due.peek().copied().filter(|Reverse((at, _))| *at <= (now * 1000.0) as u64)
         {
-            self.due.pop();
+            let Some(Reverse((at, _))) = self.due.pop() else { break };
+            if let Some(soak) = &mut self.soak {
+                soak.harness_late(now, now - at as f64 / 1000.0);
+            }
             let Some(ev) = self.evs.remove(&no) else { continue };
             match ev {
                 Ev::Arrive(r) => {
@@ -44,12 +47,20 @@
                     }
                 }
                 Ev::Script(i) => self.moment(now, i)?,
-                Ev::Tell(r, kind, payload, seen) => {
+                Ev::Tell(r, generation, kind, payload, seen) => {
+                    // What a process was to be told is known to the next one from its start.
+                    if generation != self.generation(r) {
+                        seen.into_iter().for_each(|seen| self.checker.see(now, seen));
+                        continue;
+                    }
                     self.seats[r].told += 1;
                     let number = self.seats[r].told;
                     self.seats[r].frames.borrow_mut().push((number, frame(number, kind, &payload)));
                     seen.into_iter().for_each(|seen| self.checker.see(now, seen));
                 }
+                Ev::Fault(i) => self.fault(now, i).await,
+                Ev::FaultOver(i) => self.fault_over(now, i),
+                Ev::Seat(r) => self.look_at_seat(now, r).await,
                 Ev::Hup(r, text) => self.seats[r].process.plan(&text)?,
                 Ev::Start(node) => self.started(now, node),
                 Ev::Talk(node) => self.statuses[node.0].talks.set(true),
@@ -66,6 +77,7 @@
                 }
                 Ev::Tidy => {
                     self.checker.tidy(now);
+                    self.look_at_all(now);
                     self.at(now + 1_000.0, Ev::Tidy);
                 }
             }
@@ -76,6 +88,9 @@
     // ---- Clients ----
 
     pub(super) async fn take(&mut self, now: Ms, r: usize, member: Member) {
+        if !self.takes(now, r) {
+            return;
+        }
         let free = |s: &Seat| {
             (0..s.clients.len())
                 .filter(|c| s.clients[*c].open.len() < OPEN)
@@ -109,16 +124,22 @@
         let words: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
         let _ = client.out.try_send(encode(&words));
         self.checker.see(now, Seen::Taken((r, no), unsafe_, what.object, what.group, due));
-        let request = Request { router: r, member, answered: false, attempts: 0, conn, tag };
+        let request = Request { router: r, member, answered: false, attempts: 0, conn, tag, sent: now };
         self.requests.insert(no, request);
-        self.at(due, Ev::Due(no));
+        // Under faults each answer is judged, with the slack that sockets have.
+        let slack = if self.soak.is_some() { SLACK_MS } else { 0.0 };
+        self.at(due + slack, Ev::Due(no));
     }
 
     /// The client's time is up: it leaves, and nothing is owed to it.
     pub(super) fn time_up(&mut self, now: Ms, no: u64) {
         let Some(r) = self.requests.get_mut(&no) else { return };
         if !std::mem::replace(&mut r.answered, true) {
-            let (router, conn, tag) = (r.router, r.conn, r.tag);
+            let (router, conn, tag, sent) = (r.router, r.conn, r.tag, r.sent);
+            if let Some(soak) = &mut self.soak {
+                soak.unanswered(now, router, no, sent);
+                soak.client_left(now, no);
+            }
             if let Some(c) = self.seats[router].clients.iter_mut().find(|c| c.conn == conn) {
                 c.open.remove(&tag);
                 let _ = c.out.try_send(encode(&[b"UNDO", tag.to_string().as_bytes(), b""]));
@@ -192,8 +213,14 @@
             Input::ClientOver { router, conn } => {
                 let Some(at) = self.seats[router].clients.iter().position(|c| c.conn == conn) else { return };
                 let over = self.seats[router].clients.swap_remove(at);
+                let open: Vec<(u64, Ms)> =
+                    over.open.values().filter_map(|no| Some((*no, self.requests.get(no)?.sent))).collect();
+                if let Some(soak) = &mut self.soak {
+                    soak.closed(now, router, &open);
+                    open.iter().for_each(|(no, _)| soak.client_left(now, *no));
+                }
                 for no in over.open.into_values() {
-                    log::warn!("a client's connection to router {router} ended with request {no} open");
+                    log::debug!("a client's connection to router {router} ended with request {no} open");
                     self.requests.get_mut(&no).into_iter().for_each(|r| r.answered = true);
                     self.at(now + CROSSING_MS, Ev::Left(no));
                 }
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -2,10 +2,12 @@
 
 mod clients;
 mod nodes;
+mod soak;
 mod start;
 
 use crate::config::{configuration, plan_file, record};
-use crate::net::{change_log, client, frame, serve, ConnId, Frames, Input, Net, Status};
+use crate::faults::Faults;
+use crate::net::{change_log, client, frame, serve, ConnId, Frames, Input, LogStatus, Net, Status};
 use crate::process::Process;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -21,12 +23,15 @@
 use basaltgw_resp::{encode, FieldList, Fields};
 use futures_lite::future;
 use hdrhistogram::Histogram;
+use serde_json::Value;
+use soak::Soak;
+pub use soak::{Invariant, Planned, SoakFault, SoakLimits, SoakReport};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// On sockets every limit of time is longer by this.
@@ -88,6 +93,7 @@
     attempts: usize,
     conn: ConnId,
     tag: u64,
+    sent: Ms,
 }
 
 struct ClientConn {
@@ -111,7 +117,12 @@
     Due(u64),
     Left(u64),
     Script(usize),
-    Tell(usize, u8, Vec<u8>, Option<Seen>),
+    /// To a router's process of that generation.
+    Tell(usize, u64, u8, Vec<u8>, Option<Seen>),
+    Fault(usize),
+    FaultOver(usize),
+    /// A router ends or starts.
+    Seat(usize),
     Hup(usize, String),
     Start(NodeIx),
     Talk(NodeIx),
@@ -152,6 +163,8 @@
     /// The plan's text in use at the routers, and the one before.
     texts: [String; 2],
     shapes: [usize; 2],
+    /// Faults, where some are planned.
+    soak: Option<Soak>,
     out: Sockets,
     waits: Histogram<u64>,
     lags: Histogram<u64>,
@@ -159,11 +172,34 @@
 
 /// Plays a setup on sockets, with routers of that program; their files are kept in `dir`.
 pub fn run(setup: &Setup, binary: &Path, dir: &Path) -> Result<Sockets, String> {
+    play(setup, None, binary, dir).map(|(sockets, _)| sockets)
+}
+
+/// Plays a setup likewise, with faults.
+pub fn run_soak(
+    setup: &Setup,
+    plan: &[Planned],
+    limits: &SoakLimits,
+    binary: &Path,
+    dir: &Path,
+) -> Result<(Sockets, SoakReport), String> {
+    play(setup, Some((plan, limits)), binary, dir)
+}
+
+fn play(
+    setup: &Setup,
+    plan: Option<(&[Planned], &SoakLimits)>,
+    binary: &Path,
+    dir: &Path,
+) -> Result<(Sockets, SoakReport), String> {
     std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let executor = Rc::new(LocalExecutor::new());
     let (queue, inputs) = async_channel::bounded(8_192);
     let net = Net { executor: Rc::clone(&executor), queue, conns: Rc::default() };
     let mut world = World::new(setup, net, binary, dir)?;
+    if let Some((plan, limits)) = plan {
+        world.plan_soak(plan, limits, binary, dir)?;
+    }
     async_io::block_on(executor.run(async {
         world.begin().await?;
         let longest = setup.load.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
@@ -221,15 +257,15 @@
         least + (most - least).max(0.0) * draw(&mut self.rng)
     }
 
-    fn finish(mut self) -> Sockets {
+    fn finish(mut self) -> (Sockets, SoakReport) {
         let now = self.now();
+        self.soak_ends();
         self.seats.iter().for_each(|s| s.process.end());
-        for seat in &mut self.seats {
-            seat.process.over();
-            for (name, value) in seat.process.last_counters() {
-                *self.out.routers.entry(name).or_insert(0.0) += value;
-            }
+        for r in 0..self.seats.len() {
+            self.seats[r].process.over();
+            self.last_words(r);
         }
+        self.soak_over();
         self.checker.tidy(now);
         let asked: f64 = self.out.seconds.iter().map(|s| s.0).sum::<f64>().max(f64::MIN_POSITIVE);
         self.out.worth = self.out.seconds.iter().map(|s| s.1).sum::<f64>() / asked;
@@ -239,6 +275,6 @@
         self.out.late_p99 = self.lags.value_at_quantile(0.99) as f64 / 1000.0;
         self.out.counts = self.fleet.counts.clone();
         self.out.broken.clone_from(self.checker.report());
-        self.out
+        (self.out, self.soak.map(|soak| soak.report).unwrap_or_default())
     }
 }
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -20,6 +20,9 @@
         }
         let fields = words.get(2).and_then(|w| Fields::read(w));
         let request = u64::from_str_radix(&wire, 16).ok();
+        if let Some(no) = request.filter(|_| text(0) == "fetch") {
+            self.fetched(now, no, fields.as_ref().and_then(|f| f.decimal("w")));
+        }
         let found = request.and_then(|no| self.requests.get_mut(&no).map(|r| (no, r)));
         let (Some((no, request)), Some(fields)) = (found, fields.filter(|_| text(0) == "fetch")) else {
             let _ = out.try_send(encode(&[wire.as_bytes(), b"error", b"-", b""]));
@@ -108,7 +111,8 @@
             Some(key) => body(key),
             None => Vec::new(),
         };
-        let _ = w.out.try_send(encode(&[w.wire.as_bytes(), word, fields.text().as_bytes(), &bytes]));
+        let message = encode(&[w.wire.as_bytes(), word, fields.text().as_bytes(), &bytes]);
+        self.send_answer(now, &w.out, message);
     }
 
     // ---- The script ----
@@ -130,6 +134,9 @@
 
     pub(super) fn listed(&mut self, now: Ms, node: NodeIx, listed: Listed, started: Option<Ms>) {
         let started = started.map_or(0, |t| (self.unix + t) as u64);
+        if let Some(soak) = &mut self.soak {
+            soak.listing[node.0] = (listed, started);
+        }
         for r in 0..self.seats.len() {
             let info = &self.nodes[node.0];
             if info.zone != 0 && info.zone != self.seats[r].zone {
@@ -138,13 +145,16 @@
             let payload = record(info, self.seats[r].addresses[node.0], listed, started);
             let seen = Seen::Drained(r, node, listed != Listed::Up);
             let after = self.between(self.setup.fleet.news.list_ms);
-            self.at(now + after, Ev::Tell(r, 2, payload, Some(seen)));
+            let generation = self.generation(r);
+            self.at(now + after, Ev::Tell(r, generation, 2, payload, Some(seen)));
         }
     }
 
     pub(super) fn purge(&mut self, now: Ms, object: Option<u64>, group: u64) {
         self.fleet.purge(now, object, group);
-        let time = ((self.unix + now) as u64).to_be_bytes();
+        let time = (self.unix + now) as u64;
+        self.soak.iter_mut().for_each(|soak| soak.purges.push((object, group, time)));
+        let time = time.to_be_bytes();
         let (kind, payload) = match object {
             Some(object) => (3, [&object.to_be_bytes()[..], &time].concat()),
             None => (4, [&(group as u16).to_be_bytes()[..], &time].concat()),
@@ -152,7 +162,8 @@
         for r in 0..self.seats.len() {
             let seen = Seen::Purged(r, object, group, now);
             let after = self.between(self.setup.fleet.news.purge_ms);
-            self.at(now + after, Ev::Tell(r, kind, payload.clone(), Some(seen)));
+            let generation = self.generation(r);
+            self.at(now + after, Ev::Tell(r, generation, kind, payload.clone(), Some(seen)));
         }
     }
 
--- a/crates/emulator/src/world/start.rs
+++ b/crates/emulator/src/world/start.rs
@@ -34,7 +34,8 @@
                 let log = TcpListener::bind("127.0.0.1:0").map_err(say)?;
                 let log_at = log.local_addr().map_err(say)?;
                 let frames = Frames::default();
-                net.executor.spawn(change_log(net.clone(), log, Rc::clone(&frames))).detach();
+                let status = Rc::default();
+                net.executor.spawn(change_log(net.clone(), log, Rc::clone(&frames), status)).detach();
                 let near = |n: &NodeInfo| (n.zone == 0 || n.zone == zone) && !n.spare;
                 let listed: Vec<(&NodeInfo, SocketAddr)> =
                     nodes.iter().zip(&addresses).filter(|(n, _)| near(n)).map(|(n, a)| (n, *a)).collect();
@@ -106,6 +107,7 @@
             version: 1,
             texts: [text.clone(), text],
             shapes: [0, 0],
+            soak: None,
             out,
             waits: histogram()?,
             lags: histogram()?,
@@ -131,6 +133,8 @@
             self.at(500.0, Ev::Purges);
         }
         self.at(1_000.0, Ev::Tidy);
+        let faults: Vec<Ms> = self.soak.iter().flat_map(|s| s.plan.iter().map(|p| p.at_ms)).collect();
+        faults.into_iter().enumerate().for_each(|(i, at)| self.at(at, Ev::Fault(i)));
         Ok(())
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod out;
 mod partial;
 mod runs;
+mod soak;
 
 use experiment::{Experiment, Must, Variant, OWN};
 use out::{chart, csv, report, Line, Origin};
@@ -25,6 +26,9 @@
       --quick            under a minute
       --real             capacity: real routers too, processes on loopback (some minutes more; cargo build --release makes their program)
       --seed N           another seed than the file's
+      --seeds A..B       soak: all seeds from A to B
+      --jobs N           soak: so many seeds side by side
+      --router PROGRAM   soak: another router program than the one beside this one
       --out DIR          keep a table (CSV) and charts (SVG) there
   page FILE DIR          hold the marked figures of a page against a folder's tables of `capacity`; ends 0 if all agree, 1 if not
   report DIR             one page (index.html) of the tables and charts in a folder
@@ -36,12 +40,37 @@
 
 enum Command {
     List,
-    Run { name: String, quick: bool, real: bool, seed: Option<u64>, out: Option<PathBuf> },
+    Run { name: String, quick: bool, real: bool, seed: Option<u64>, out: Option<PathBuf>, soak: SoakOptions },
     Report(PathBuf),
     Page(PathBuf, PathBuf),
     Help,
 }
 
+/// Options of the soak experiment alone.
+#[derive(Default)]
+struct SoakOptions {
+    seeds: Option<std::ops::RangeInclusive<u64>>,
+    jobs: Option<usize>,
+    router: Option<PathBuf>,
+}
+
+impl SoakOptions {
+    fn given(&self) -> bool {
+        self.seeds.is_some() || self.jobs.is_some() || self.router.is_some()
+    }
+}
+
+/// Reads `A..B`, both included.
+fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+    let wrong = || format!("expected A..B with A up to B, found {text:?}");
+    let (from, to) = text.split_once("..").ok_or_else(wrong)?;
+    let (from, to) = (from.parse::<u64>().map_err(|_| wrong())?, to.parse::<u64>().map_err(|_| wrong())?);
+    if from > to {
+        return Err(wrong());
+    }
+    Ok(from..=to)
+}
+
 fn command() -> Result<Command, String> {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
@@ -53,8 +82,13 @@
         Some("run") => {
             let (quick, seed) = (args.contains("--quick"), args.opt_value_from_str("--seed").map_err(say)?);
             let (real, out) = (args.contains("--real"), args.opt_value_from_str("--out").map_err(say)?);
+            let soak = SoakOptions {
+                seeds: args.opt_value_from_fn("--seeds", seeds).map_err(say)?,
+                jobs: args.opt_value_from_str("--jobs").map_err(say)?,
+                router: args.opt_value_from_str("--router").map_err(say)?,
+            };
             let name: String = args.free_from_str().map_err(|_| "run: expected an experiment".to_string())?;
-            Command::Run { name, quick, real, seed, out }
+            Command::Run { name, quick, real, seed, out, soak }
         }
         Some("report") => {
             Command::Report(args.free_from_str().map_err(|_| "report: expected a folder".to_string())?)
@@ -65,7 +99,8 @@
             Command::Page(next()?, next()?)
         }
         Some("demo") => {
-            Command::Run { name: "reshape-simulated".into(), quick: true, real: false, seed: None, out: None }
+            let (name, soak) = ("reshape-simulated".into(), SoakOptions::default());
+            Command::Run { name, quick: true, real: false, seed: None, out: None, soak }
         }
         Some(other) => return Err(format!("unknown command {other:?}")),
         None => return Err("expected a command".into()),
@@ -98,6 +133,10 @@
                 Ok((e, _)) => println!("{}: {}", e.name, e.about),
                 Err(e) => return bad(e.to_string()),
             }
+            match soak::find(soak::OWN.0) {
+                Ok((e, _)) => println!("{}: {}", e.name, e.about),
+                Err(e) => return bad(e.to_string()),
+            }
             match capacity::find(capacity::OWN.0) {
                 Ok((e, _)) => println!("{}: {}", e.name, e.about),
                 Err(e) => return bad(e.to_string()),
@@ -113,7 +152,20 @@
         Ok(Command::Run { name, real: true, .. }) if !capacity::is(&name) => {
             return bad(format!("--real: {name} has no real routers"));
         }
-        Ok(Command::Run { name, quick, real, seed, out }) => {
+        Ok(Command::Run { name, soak, .. }) if soak.given() && !soak::is(&name) => {
+            return bad(format!("--seeds, --jobs and --router: {name} is no soak"));
+        }
+        Ok(Command::Run { name, quick, seed, out, soak, .. }) if soak::is(&name) => {
+            let SoakOptions { seeds, jobs, router } = soak;
+            let asked =
+                soak::Asked { quick, seed, seeds, jobs: jobs.unwrap_or(1), router, out: out.as_deref() };
+            match soak::play(&name, &asked, origin) {
+                Ok(true) => {}
+                Ok(false) => return ExitCode::FAILURE,
+                Err(e) => return bad(e),
+            }
+        }
+        Ok(Command::Run { name, quick, real, seed, out, .. }) => {
             match play(&name, (quick, real), seed, out.as_deref()) {
                 Ok(true) => {}
                 Ok(false) => return ExitCode::FAILURE,
--- a/crates/node/tests/crossing/main.rs
+++ b/crates/node/tests/crossing/main.rs
@@ -9,4 +9,5 @@
 mod leaving;
 mod retries;
 mod settings;
+mod stops;
 mod watches;
--- /dev/null
+++ b/crates/node/tests/crossing/stops.rs
@@ -0,0 +1,68 @@
+//! The process stands still for a while, or a fetch waits for its connection: what is passed on and begun after that.
+
+use crate::common::*;
+use serde_json::json;
+use std::time::Duration;
+
+/// What the deadline that is passed on may exceed the client's time by.
+const SLACK_MS: u64 = 150;
+/// How long a process is stopped, or a connection does not prove itself.
+const STOPPED: Duration = Duration::from_millis(1_200);
+/// How long the client waits.
+const WAIT_MS: u64 = 4_000;
+
+/// A router before caches that do this when they are asked whether a connection works.
+fn before(proof: Proof) -> (Process, [Cache; 3]) {
+    let all = [(); 3].map(|()| Cache::start_as(move |_| proof, |s| Do::Ok(content(s))));
+    let log = ChangeLog::start();
+    let mut config = configuration(&three(&all[0], &all[1], &all[2]), log.address);
+    config["settings"]["limits"]["connect-timeout"] = json!(20_000.0);
+    (router(&config), all)
+}
+
+fn fetches(all: &[Cache]) -> Vec<Seen> {
+    all.iter().flat_map(Cache::all).collect()
+}
+
+/// What each fetch was told is what its client had left, who asked at that time.
+fn tells_what_is_left(all: &[Cache], asked: u64) {
+    let fetches = fetches(all);
+    assert!(!fetches.is_empty());
+    for fetch in fetches {
+        let told: u64 = fetch.field("w").expect("a wait").parse().expect("whole milliseconds");
+        let left = (asked + WAIT_MS).saturating_sub(fetch.at);
+        assert!(told <= left + SLACK_MS, "told {told} ms, its client has {left} ms left");
+    }
+}
+
+#[test]
+fn deadline_of_a_request_that_lay_in_its_socket_during_a_stop_is_what_its_client_has_left() {
+    let (router, all) = before(Proof::Yes);
+    let mut client = router.client();
+    assert_eq!(client.settle(), []);
+    router.signal("STOP");
+    let asked = unix_ms();
+    client.ask_for(WAIT_MS, 1, "pages", 1, "", b"");
+    std::thread::sleep(STOPPED);
+    router.signal("CONT");
+    assert_eq!(client.must().tag, 1);
+    tells_what_is_left(&all, asked);
+}
+
+#[test]
+fn request_whose_client_left_during_a_stop_is_not_sent_once_its_connection_works() {
+    for _ in 0..3 {
+        let (router, all) = before(Proof::Held);
+        let mut client = router.client();
+        client.ask_for(WAIT_MS, 1, "pages", 1, "", b"");
+        until("it waits for its connection", || router.counter("attempts") == 1);
+        router.signal("STOP");
+        all.iter().for_each(|cache| cache.go_on.store(true, std::sync::atomic::Ordering::SeqCst));
+        std::thread::sleep(Duration::from_millis(300));
+        drop(client);
+        std::thread::sleep(Duration::from_millis(300));
+        router.signal("CONT");
+        until("the router hears that its client left", || router.counter("left") == 1);
+        assert_eq!(fetches(&all).len(), 0, "an attempt began though its client had left");
+    }
+}
