--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -4,14 +4,15 @@
 use crate::clients::WireId;
 use crate::clock::late;
 use crate::inbox::{either, read_all, Over};
-use crate::limits::{FROM_CACHE, PROVEN_MS, SERVER_STALLED, SILENT_MS};
-use crate::outbox::{write_all, OnlyIf, Outbox, Parcel};
+use crate::limits::{CONNECT_REST, FROM_CACHE, PROVEN_MS, SERVER_STALLED, SILENT_MS};
+use crate::outbox::{write_all, Drained, FetchTerms, Outbox, Parcel};
 use crate::resp::encode;
-use crate::{Input, Shared};
-use async_io::Async;
+use crate::{socket, Input, Shared};
+use async_io::{Async, Timer};
 use basaltgw::api::{Ms, ServerId};
 use basaltgw_config::Place;
 use futures_lite::future;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -40,6 +41,8 @@
     /// Under this tag it was asked whether it works; what is to be written waits for the answer.
     pub proving: Option<WireId>,
     held: Vec<Rc<Parcel>>,
+    /// Since when its server takes nothing new.
+    pub drained: Drained,
 }
 
 impl Conn {
@@ -58,6 +61,7 @@
             heard: None,
             proving: None,
             held: Vec::new(),
+            drained: Rc::default(),
         }
     }
 
@@ -78,13 +82,13 @@
     }
 
     /// Puts a request in line, behind a proof where one is needed.
-    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>, only: OnlyIf) -> Rc<Parcel> {
+    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>, terms: FetchTerms) -> Rc<Parcel> {
         if self.proving.is_none() && self.unproven(now) {
             let tag = WireId(Arc::from(at.0.to_string()));
             self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
             self.proving = Some(tag);
         }
-        let parcel = self.out.hold(bytes, only);
+        let parcel = self.out.hold(bytes, FetchTerms { drained: Rc::clone(&self.drained), ..terms });
         match self.proving {
             Some(_) => self.held.push(Rc::clone(&parcel)),
             None => self.out.release(&parcel),
@@ -127,6 +131,34 @@
     }
 }
 
+/// Connects, within the time for it. What this machine is short of for a moment is tried again.
+async fn connect(place: Place, limit: Duration) -> Result<Async<TcpStream>, Down> {
+    let short = Cell::new(false);
+    let tries = async {
+        loop {
+            match Async::<TcpStream>::connect(place.address).await {
+                Err(e) if socket::is_local(&e) => {
+                    log::debug!("{}: {e}, tried again", place.address);
+                    short.set(true);
+                    Timer::after(CONNECT_REST).await;
+                }
+                result => {
+                    short.set(false);
+                    return result;
+                }
+            }
+        }
+    };
+    future::or(tries, late(limit)).await.map_err(|e| {
+        log::debug!("{}: {e}", place.address);
+        if short.get() {
+            Down::Shortage
+        } else {
+            Down::NeverUp
+        }
+    })
+}
+
 /// A connection from its start to its end; the socket is closed when this returns.
 pub(super) async fn connection(
     at: ConnId,
@@ -135,13 +167,9 @@
     shared: &Shared,
     parcels: async_channel::Receiver<Rc<Parcel>>,
 ) -> Down {
-    let connect = async { Async::<TcpStream>::connect(place.address).await };
-    let socket = match future::or(connect, late(limit)).await {
+    let socket = match connect(place, limit).await {
         Ok(socket) => socket,
-        Err(e) => {
-            log::debug!("{}: {e}", place.address);
-            return Down::NeverUp;
-        }
+        Err(down) => return down,
     };
     if let Err(e) = socket.get_ref().set_nodelay(true) {
         log::debug!("{}: {e}", place.address);
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -3,12 +3,12 @@
 mod conn;
 mod wire;
 
-pub use wire::{Answer, Ask, CopyTag};
+pub use wire::{with_wait, Answer, Ask, CopyTag};
 
 use crate::clients::WireId;
 use crate::inbox::Over;
 use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, IDLE_SHARE, SHARED};
-use crate::outbox::{outbox, OnlyIf, Parcel};
+use crate::outbox::{outbox, FetchTerms, Parcel};
 use crate::{Input, Shared};
 use basaltgw::api::{AttemptNo, Ms, ServerId};
 use basaltgw_config::{Place, Transport};
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,6 +32,8 @@
 pub enum Down {
     /// It never came up.
     NeverUp,
+    /// It never came up for want of something on this machine, which says nothing of the server.
+    Shortage,
     /// It was up.
     Ended(Over),
 }
@@ -85,7 +87,7 @@
         to: (&ServerId, Place),
         key: AttemptKey,
         (id, asked, alone): (&WireId, &[ConnId], bool),
-        (bytes, only): (Vec<u8>, OnlyIf),
+        (bytes, terms): (Vec<u8>, FetchTerms),
     ) -> Option<(ConnId, Rc<Parcel>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
@@ -108,7 +110,7 @@
             (None, None) => return None,
         };
         let conn = self.conns.get_mut(&at)?;
-        let parcel = conn.put(now, at, bytes, only);
+        let parcel = conn.put(now, at, bytes, terms);
         conn.open.insert(id.clone(), key);
         conn.used = now;
         if conn.up {
@@ -216,6 +218,7 @@
         for at in self.of_server.get(server).into_iter().flatten() {
             if let Some(conn) = self.conns.get_mut(at).filter(|c| Some(c.place) != place) {
                 conn.retired = true;
+                conn.drained.set(conn.drained.get().or(Some(Instant::now())));
                 left.push(*at);
             }
         }
--- a/crates/node/src/caches/wire.rs
+++ b/crates/node/src/caches/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::WireId;
 use crate::outbox::{Counted, Meter};
-use crate::resp::{decimal, encode, FieldList, Fields};
+use crate::resp::{decimal, encode, Bounds, Decoder, FieldList, Fields};
 use basaltgw::api::{End, Load, Ms, Note, Rank, ServerId};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -157,7 +157,7 @@
         fields.add("c", self.class);
         fields.add("k", self.object);
         fields.add("p", self.part);
-        fields.add("w", self.wait.floor().max(1.0));
+        fields.add("w", wait_told(self.wait));
         if let Some(from) = self.from {
             fields.add("from", &*from.0);
         }
@@ -185,3 +185,54 @@
         encode(&[b"fetch", self.id.0.as_bytes(), fields.text().as_bytes(), self.body])
     }
 }
+
+/// How long the router waits, as it is told: 0 would be no time at all.
+fn wait_told(wait: Ms) -> Ms {
+    wait.floor().max(1.0)
+}
+
+/// A fetch anew, with another time for which the router waits; `None` of what is no fetch.
+pub fn with_wait(fetch: &[u8], wait: Ms) -> Option<Vec<u8>> {
+    let mut decoder = Decoder::new(Bounds { words: 4, bytes: fetch.len() });
+    decoder.feed(fetch);
+    let words = decoder.message().ok()??;
+    let fields = std::str::from_utf8(words.get(2)?).ok()?;
+    let told = wait_told(wait).to_string();
+    let each = fields.split(',').map(|field| match field.split_once('=') {
+        Some(("w", _)) => format!("w={told}"),
+        _ => field.to_string(),
+    });
+    let fields = each.collect::<Vec<_>>().join(",");
+    let mut words: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
+    words[2] = fields.as_bytes();
+    Some(encode(&words))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fetch_is_written_anew_with_another_wait_and_nothing_else_changed() {
+        let id = WireId(Arc::from("00000000000000ff"));
+        let ask = |wait| Ask {
+            id: &id,
+            class: "pages",
+            object: "0000000000000007",
+            part: 3,
+            wait,
+            from: None,
+            rank: Rank::Top,
+            oldest: Some(40.0),
+            share: true,
+            peek: false,
+            renew: true,
+            seen: None,
+            key: Some("w1"),
+            body: b"w=9,\r\n body",
+        };
+        assert_eq!(with_wait(&ask(1_500.0).encode(), 70.9), Some(ask(70.0).encode()));
+        assert_eq!(with_wait(&ask(1_500.0).encode(), 0.0), Some(ask(1.0).encode()));
+        assert_eq!(with_wait(b"*1\r\n$5\r\nabort\r\n", 1.0), None);
+    }
+}
--- a/crates/node/src/changelog/watch.rs
+++ b/crates/node/src/changelog/watch.rs
@@ -3,9 +3,10 @@
 use super::{Decoder, Frame};
 use crate::clock::late;
 use crate::limits::{LOG_CONNECT, LOG_DOUBT, LOG_SILENT, READ_BYTES};
+use crate::socket as io_socket;
 use async_io::Async;
 use basaltgw_config::{Names, Seq};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::future;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -38,7 +39,7 @@
         let coming = async move {
             let mut socket = Async::<TcpStream>::connect(at).await?;
             socket.get_ref().set_nodelay(true)?;
-            socket.write_all(&last.0.to_be_bytes()).await?;
+            io_socket::write_whole(&mut socket, &last.0.to_be_bytes()).await?;
             Ok(socket)
         };
         let sign = Instant::now();
@@ -80,7 +81,7 @@
                 self.until = Instant::now() + LOG_SILENT;
             }
             Stage::Up(socket, piece) => {
-                let n = socket.read(piece).await?;
+                let n = io_socket::read(socket, piece).await?;
                 if n == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -12,7 +12,7 @@
 };
 use crate::outbox::{outbox, write_all, Meter};
 use crate::resp::{decimal, encode, whole, FieldList, Fields};
-use crate::{Input, Shared};
+use crate::{socket, Input, Shared};
 use async_io::{Async, Timer};
 use basaltgw::api::{GroupId, Ms, ObjectId, Part};
 use futures_lite::future;
@@ -21,6 +21,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// A client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -204,10 +205,16 @@
 pub async fn accept(listener: Async<TcpListener>, most: usize, places: Rc<Places>, shared: Shared) {
     let mut count = 0;
     let mut row = 0;
+    // While there was no place, connections may have come that wait in the backlog still; since then.
+    let mut waiting_since = None;
     // Whoever connects on and on does not hold up the end.
     let mut at_end = 0;
     while at_end < BACKLOG {
+        if waiting_since.is_some() && !socket::readable(&listener) {
+            waiting_since = None;
+        }
         while places.taken() >= most {
+            waiting_since.get_or_insert_with(Instant::now);
             if shared.queue.send(Input::RoomWanted).await.is_err() {
                 return;
             }
@@ -222,7 +229,9 @@
             Some(Ok((socket, _))) => {
                 count += 1;
                 let place = Place::take(&places);
-                shared.executor.spawn(connection(ClientId(count), socket, shared.clone(), place)).detach();
+                let since = waiting_since.unwrap_or_else(|| shared.stalls.accepted());
+                let task = connection(ClientId(count), socket, shared.clone(), place, since);
+                shared.executor.spawn(task).detach();
             }
             Some(Err(e)) => {
                 log::debug!("accept: {e}");
@@ -238,13 +247,13 @@
     }
 }
 
-/// A client's connection from its start to its end; the socket is closed when this returns.
-async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, place: Place) {
+/// A client's connection from its start to its end; the socket is closed when this returns. It may have waited `since` then.
+async fn connection(id: ClientId, socket: Async<TcpStream>, shared: Shared, place: Place, since: Instant) {
     if let Err(e) = socket.get_ref().set_nodelay(true) {
         log::debug!("client {}: {e}", id.0);
     }
     let own = Rc::new(Meter::default());
-    let life = Rc::new(Life::new(place.of()));
+    let life = Rc::new(Life::watched(place.of(), &shared.invariants));
     let (outbox, parcels) = outbox(&shared.meter, &own);
     if shared.queue.send(Input::ClientOpen(id, outbox, Rc::clone(&life))).await.is_err() {
         return;
@@ -256,7 +265,7 @@
             life.presence().read(&message);
             Some(Input::Client(id, if in_doubt { message.in_doubt() } else { message }, at))
         };
-        let over = read_all(&socket, FROM_CLIENT, &shared, full, typed, Some(&life)).await;
+        let over = read_all(&socket, FROM_CLIENT, &shared, full, typed, Some((&life, since))).await;
         log::debug!("client {}: {over:?}", id.0);
         life.tell(Event::Stopped);
         if over != Over::Ended && shared.queue.send(Input::ClientStopped(id, over)).await.is_ok() {
--- a/crates/node/src/clients/life.rs
+++ b/crates/node/src/clients/life.rs
@@ -3,8 +3,11 @@
 
 use super::places::Places;
 use super::presence::Presence;
+use crate::breaks::{broken, Break};
 use crate::inbox::Over;
+use crate::invariants::Invariants;
 use crate::limits::HALF_AT_END;
+use crate::permissions::{may_close, CloseState};
 use async_channel::{Receiver, Sender};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -72,8 +75,15 @@
             // What crossed the wish is answered, and the wish is over.
             (Open { on_way, .. }, Taken) => Open { on_way: on_way.saturating_sub(1), asked: None },
             (Open { on_way, asked }, Asked(why)) => Open { on_way, asked: asked.or(Some(why)) },
-            (Open { on_way: 0, asked: Some(_) }, Resting) => Closing,
-            (Open { on_way, .. }, Resting | Busy) => Open { on_way, asked: None },
+            (Open { on_way, asked }, Resting) => {
+                let may = may_close(&CloseState { wanted: asked.is_some(), on_way });
+                if may.is_ok() || broken(Break::CloseOverRequest) {
+                    Closing
+                } else {
+                    Open { on_way, asked: None }
+                }
+            }
+            (Open { on_way, .. }, Busy) => Open { on_way, asked: None },
             (Open { .. }, Stopped | Dropped) => Closing,
             // The owner let go of the outbox without a word: there is nobody left to hand anything to.
             (Open { .. } | Closing, Shut) => HalfClosed,
@@ -100,6 +110,7 @@
     wishes: (Sender<()>, Receiver<()>),
     places: Rc<Places>,
     presence: Rc<Presence>,
+    invariants: Rc<Invariants>,
 }
 
 impl Life {
@@ -111,9 +122,20 @@
             wishes: async_channel::bounded(1),
             places: Rc::clone(places),
             presence: Rc::default(),
+            invariants: Rc::default(),
         }
     }
 
+    /// The same, watched by this checker.
+    pub fn watched(places: &Rc<Places>, invariants: &Rc<Invariants>) -> Self {
+        Self { invariants: Rc::clone(invariants), ..Self::new(places) }
+    }
+
+    /// Watches that the rules are kept.
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
     /// Whether its client still waits.
     pub fn presence(&self) -> &Rc<Presence> {
         &self.presence
--- a/crates/node/src/clients/places.rs
+++ b/crates/node/src/clients/places.rs
@@ -4,9 +4,10 @@
 use crate::limits::{
     CLIENT_STALLED, CLIENT_STALLED_AT_END, LINGER, LINGER_BYTES, LINGER_FOR_ROOM, READ_BYTES,
 };
+use crate::socket as io_socket;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use std::cell::Cell;
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -143,7 +144,7 @@
         let mut piece = vec![0; READ_BYTES];
         let mut left = LINGER_BYTES;
         while left > 0 {
-            match socket.read(&mut piece).await {
+            match io_socket::read(&mut socket, &mut piece).await {
                 Ok(n) if n > 0 => {
                     if left == LINGER_BYTES && matches!(over, Over::Quiet(_)) {
                         up(&self.places.unread);
--- a/crates/node/src/clients/presence.rs
+++ b/crates/node/src/clients/presence.rs
@@ -1,23 +1,25 @@
 //! Whether a client still waits: told by the task that reads its connection the moment it reads so, ahead of the queue to the owner.
 
 use super::{FromClient, Tag};
+use crate::breaks::{broken, Break};
 use crate::limits::UNHEEDED_MOST;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// A client on its connection: set by the task that reads it, looked at by the owner and by the tasks that write to servers.
 #[derive(Debug, Default)]
 pub struct Presence {
-    gone: Cell<bool>,
-    /// Taken back, and on the way to the owner still.
-    undone: RefCell<BTreeSet<Tag>>,
+    gone: Cell<Option<Instant>>,
+    /// Taken back, and on the way to the owner still; since when.
+    undone: RefCell<BTreeMap<Tag, Instant>>,
 }
 
 impl Presence {
     /// The client still waits for the answer under this tag.
     pub fn wants(&self, tag: Tag) -> bool {
-        !self.gone.get() && !self.undone.borrow().contains(&tag)
+        self.gone.get().is_none() && !self.undone.borrow().contains_key(&tag)
     }
 
     /// A message of its was read. Of very many that take something back at once, the later ones are heard of by the queue alone.
@@ -25,7 +27,7 @@
         if let FromClient::Undo(tag) = message {
             let mut undone = self.undone.borrow_mut();
             if undone.len() < UNHEEDED_MOST {
-                undone.insert(*tag);
+                undone.insert(*tag, Instant::now());
             }
         }
     }
@@ -35,9 +37,19 @@
         self.undone.borrow_mut().remove(&tag);
     }
 
+    /// It has not taken this request back, whatever became of its connection.
+    pub fn not_taken_back(&self, tag: Tag) -> bool {
+        !self.undone.borrow().contains_key(&tag)
+    }
+
     /// Its connection is over.
     pub fn leave(&self) {
-        self.gone.set(true);
+        self.gone.set(Some(Instant::now()));
+    }
+
+    /// Since when the client has not waited for the answer under this tag.
+    fn left(&self, tag: Tag) -> Option<Instant> {
+        self.gone.get().into_iter().chain(self.undone.borrow().get(&tag).copied()).min()
     }
 }
 
@@ -56,6 +68,11 @@
 
     /// It does.
     pub fn holds(&self) -> bool {
-        self.client.wants(self.tag)
+        broken(Break::CancelIgnored) || self.client.wants(self.tag)
+    }
+
+    /// For how long it has not.
+    pub fn gone_for(&self, now: Instant) -> Option<Duration> {
+        self.client.left(self.tag).map(|since| now.saturating_duration_since(since))
     }
 }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,5 +1,6 @@
 //! The router's clock: spans of real time, whatever becomes of the machine's wall clock.
 
+use crate::breaks::{broken, Break};
 use async_io::Timer;
 use basaltgw::api::Ms;
 use std::io;
@@ -20,6 +21,9 @@
 
     /// Milliseconds; never less than before, and as many more as have passed.
     pub fn now(&self) -> Ms {
+        if broken(Break::WallClock) {
+            return wall_now();
+        }
         self.at_start + self.start.elapsed().as_micros() as f64 / 1000.0
     }
 }
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -103,6 +103,8 @@
         unreadable: Count = "conns_unreadable",
         /// Connections to servers closed for stopping in mid-answer.
         unfinished: Count = "conns_unfinished",
+        /// Connections to servers that did not come up for want of something on this machine.
+        shortages: Count = "conns_shortages",
     }
 }
 
@@ -162,6 +164,32 @@
     }
 }
 
+group! {
+    /// What broke a rule, by the rule; see `invariants`.
+    Violations {
+        /// Answers to requests that were not open.
+        second_answer: Count = "violated_second_answer",
+        /// Attempts that began after their client had left.
+        attempt_after_client_left: Count = "violated_attempt_after_client_left",
+        /// Requests sent again that must not run twice, and may have run.
+        repeat_after_execution: Count = "violated_repeat_after_execution",
+        /// Requests refused that must not run twice, and may have run.
+        refusal_after_execution: Count = "violated_refusal_after_execution",
+        /// Attempts sent to a server that drains or is gone.
+        sent_to_drained: Count = "violated_sent_to_drained",
+        /// Attempts that told their server of more time than the client had left.
+        deadline_exceeded: Count = "violated_deadline_exceeded",
+        /// Clients' connections closed over a request without an answer.
+        closed_over_request: Count = "violated_closed_over_request",
+        /// Sends to a server that had just started, beyond what all routers may send.
+        slow_start_exceeded: Count = "violated_slow_start_exceeded",
+        /// Times that the process stood still; no violation, but what may lead to one.
+        stops: Count = "process_stops",
+        /// Lines that were not logged, since nobody took them.
+        log_dropped: Count = "log_dropped",
+    }
+}
+
 group! {
     /// Batches given to the module.
     Batches {
--- a/crates/node/src/counters/mod.rs
+++ b/crates/node/src/counters/mod.rs
@@ -3,11 +3,12 @@
 mod groups;
 mod kinds;
 
-pub use groups::{Attempts, Batches, ChangeLog, Clients, Conns, Files, Memory, Tree};
+pub use groups::{Attempts, Batches, ChangeLog, Clients, Conns, Files, Memory, Tree, Violations};
 pub use kinds::{Count, Level};
 
 use crate::changelog::Doubt;
 use crate::clients::Reply;
+use crate::invariants::{Invariants, Violation};
 use crate::tree::TreeCounters;
 use basaltgw::api::End;
 use kinds::Value;
@@ -33,6 +34,8 @@
     pub tree: Tree,
     /// Batches given to the module.
     pub batches: Batches,
+    /// What broke a rule.
+    pub violations: Violations,
 }
 
 impl Attempts {
@@ -88,12 +91,31 @@
     }
 }
 
+impl Violations {
+    /// Takes over what the checker has counted.
+    pub fn reached(&self, invariants: &Invariants) {
+        for violation in Violation::ALL {
+            let count = match violation {
+                Violation::SecondAnswer => &self.second_answer,
+                Violation::AttemptAfterClientLeft => &self.attempt_after_client_left,
+                Violation::RepeatAfterExecution => &self.repeat_after_execution,
+                Violation::RefusalAfterExecution => &self.refusal_after_execution,
+                Violation::SentToDrained => &self.sent_to_drained,
+                Violation::DeadlineExceeded => &self.deadline_exceeded,
+                Violation::ClosedOverRequest => &self.closed_over_request,
+                Violation::SlowStartExceeded => &self.slow_start_exceeded,
+            };
+            count.reached(invariants.count(violation));
+        }
+    }
+}
+
 impl Counters {
     /// All of them for whoever reads them from another thread, under their words in the line. What is `_now`, `held`, `conns`, `closes_` and the
     /// plans' is as of when the line was last asked for.
     pub fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("basaltgw");
-        let Self { clients, attempts, conns, log, files, memory, tree, batches } = self;
+        let Self { clients, attempts, conns, log, files, memory, tree, batches, violations } = self;
         clients.register(&mut registry);
         attempts.register(&mut registry);
         conns.register(&mut registry);
@@ -102,12 +124,13 @@
         memory.register(&mut registry);
         tree.register(&mut registry);
         batches.register(&mut registry);
+        violations.register(&mut registry);
         registry
     }
 
     /// The words of the line and their values, in its order.
     fn words(&self) -> Vec<(&'static str, Value)> {
-        let Self { clients, attempts, conns, log, files, memory, tree, batches } = self;
+        let Self { clients, attempts, conns, log, files, memory, tree, batches, violations } = self;
         let groups = [
             clients.words(),
             attempts.words(),
@@ -117,6 +140,7 @@
             memory.words(),
             tree.words(),
             batches.words(),
+            violations.words(),
         ];
         let mut words = groups.concat();
         // The one that stands outside its group: those who read the line are used to it there.
@@ -159,9 +183,12 @@
              closes_lingered=0 closed_stalled=0 attempts=0 attempts_served=0 attempts_error=0 \
              attempts_full=0 attempts_late=0 attempts_no_connection=0 attempts_broken=0 attempts_cancelled=0 \
              attempts_not_sent=0 attempts_miss=1 late_answers=0 window_over=0 conns=0 conns_now=0 conns_failed=0 \
-             conns_unreadable=0 conns_unfinished=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 log_quiet=0 \
+             conns_unreadable=0 conns_unfinished=0 conns_shortages=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 log_quiet=0 \
              log_behind=0 reloads=0 reloads_refused=0 carried=0 held=0 held_most=0 plans=0 plans_refused=0 plans_ended=0 loops=0 \
-             loops_set_aside=0 batches=0 batch_longest_ms=1.24"
+             loops_set_aside=0 batches=0 batch_longest_ms=1.24 violated_second_answer=0 \
+             violated_attempt_after_client_left=0 violated_repeat_after_execution=0 violated_refusal_after_execution=0 \
+             violated_sent_to_drained=0 violated_deadline_exceeded=0 violated_closed_over_request=0 \
+             violated_slow_start_exceeded=0 process_stops=0 log_dropped=0"
         );
     }
 
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -5,11 +5,11 @@
 use crate::limits::{AHEAD_BYTES, AHEAD_MESSAGES, READ_BYTES, WAIT};
 use crate::outbox::Holding;
 use crate::resp::{Bounds, Decoder, Malformed};
-use crate::{Input, Shared};
+use crate::{socket, Input, Shared};
 use async_channel::TrySendError;
 use async_io::{Async, Timer};
 use basaltgw::api::Ms;
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::future;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -57,6 +57,9 @@
     Wanted,
 }
 
+/// A connection that waited for no longer was accepted as it came.
+const ACCEPTED_AT_ONCE: Duration = Duration::from_millis(10);
+
 /// Why reading is held up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeldUp {
@@ -80,15 +83,18 @@
 /// Reads messages until the connection ends, sends what can't be read, or takes too long. `full` holds the reading up;
 /// `typed` makes an input of a message whose last byte was read at that time and behind which something came with it that can't be read,
 /// or not; `None` if it makes no sense at all. It sees all messages of a piece before the first of them is handed over. Where the
-/// connection has a `life`, the owner may want it closed.
+/// connection is a client's, it has a state, by which the owner may want it closed, and may have waited to be accepted since that time.
 pub async fn read_all(
     socket: &Async<TcpStream>,
     terms: Terms,
     shared: &Shared,
     full: impl Fn() -> bool,
     typed: impl Fn(Vec<Vec<u8>>, Ms, bool) -> Option<Input>,
-    life: Option<&Life>,
+    client: Option<(&Life, Instant)>,
 ) -> Over {
+    let (life, accepted) = client.unzip();
+    // What is there at once came while the connection waited to be accepted.
+    let waited = accepted.filter(|since| since.elapsed() > ACCEPTED_AT_ONCE && socket::readable(socket));
     let mut reader = Reader {
         socket,
         terms,
@@ -102,6 +108,8 @@
         fault: None,
         first: terms.first.map(|t| Instant::now() + t),
         begun: None,
+        empty_since: waited.unwrap_or_else(Instant::now),
+        lain: waited.is_some(),
         holding: Holding::new(&shared.meter),
     };
     loop {
@@ -131,6 +139,10 @@
     first: Option<Instant>,
     /// Since when a message has been under way.
     begun: Option<Instant>,
+    /// When the socket was last known to hold nothing more.
+    empty_since: Instant,
+    /// What is read first came while the connection waited to be accepted, since then.
+    lain: bool,
     holding: Holding,
 }
 
@@ -183,7 +195,7 @@
         };
         let (mut socket, piece) = (self.socket, &mut self.piece);
         // What has come is read before it is called late, and before the connection is said to rest.
-        let read = async { Next::Read(socket.read(piece).await) };
+        let read = async { Next::Read(socket::read(&mut socket, piece).await) };
         match future::or(read, future::or(late, wanted)).await {
             Next::Read(Ok(n)) if n > 0 => Ok(n),
             Next::Read(Ok(_) | Err(_)) => Err(Over::Ended),
@@ -199,7 +211,15 @@
     /// Decodes the piece's first bytes.
     fn take(&mut self, n: usize) {
         self.decoder.feed(self.piece.get(..n).unwrap_or_default());
-        let now = self.shared.clock.now();
+        // What lay in the socket during a stop of the process came at some time of it, at its beginning for all that is known.
+        let waited = match std::mem::take(&mut self.lain) {
+            true => self.empty_since.elapsed(),
+            false => self.shared.stalls.waited(self.empty_since),
+        };
+        let now = self.shared.clock.now() - waited.as_secs_f64() * 1000.0;
+        if n < self.piece.len() {
+            self.empty_since = Instant::now();
+        }
         let mut next = self.decoder.message();
         while self.fault.is_none() {
             let words = match next {
@@ -268,7 +288,7 @@
                 Timer::after(WAIT).await;
                 None
             };
-            match future::or(async { Some(socket.read(piece).await) }, waited).await {
+            match future::or(async { Some(socket::read(&mut socket, piece).await) }, waited).await {
                 Some(Ok(n)) if n > 0 => self.take(n),
                 Some(Ok(_) | Err(_)) => return Err(Over::Ended),
                 None => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod breaks;
 pub mod caches;
 pub mod changelog;
 pub mod clients;
@@ -12,12 +13,17 @@
 pub mod counters;
 pub mod fleet;
 pub mod inbox;
+pub mod invariants;
 pub mod limits;
+pub mod log_writer;
 pub mod outbox;
 pub mod owner;
+pub mod permissions;
 pub mod platform_time;
 pub mod shown;
 pub mod shutdown;
+pub mod socket;
+pub mod stalls;
 pub mod tree;
 
 pub use basaltgw_resp as resp;
@@ -92,6 +98,10 @@
     pub clock: clock::Clock,
     /// Bytes held by all of them.
     pub meter: Rc<outbox::Meter>,
+    /// Watches that the rules are kept.
+    pub invariants: Rc<invariants::Invariants>,
+    /// Stops of the process.
+    pub stalls: Rc<stalls::Stalls>,
     /// Nothing more is read while so much is held.
     pub held_limit: usize,
 }
@@ -122,6 +132,8 @@
         queue,
         clock: clock::Clock::default(),
         meter: Rc::default(),
+        invariants: Rc::default(),
+        stalls: Rc::default(),
         held_limit: config.limits.share_of_memory(limits::HELD_STOP_SHARE),
     };
     let servers = config.limits.sockets / limits::SERVER_SHARE;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -24,6 +24,8 @@
     // What it said before it closed still counts.
     watched: false,
 };
+/// On sockets the rules' limits of time are longer by this.
+pub const SOCKET_SLACK_MS: Ms = 50.0;
 /// The body of a write.
 pub const BODY: usize = 48_000;
 /// Groups are numbered from 0 to this.
@@ -52,8 +54,11 @@
 pub const OPEN_PER_CLIENT: usize = 32;
 /// Tags that a client's connection remembers as answered: a number is used once.
 pub const TAGS_KEPT: usize = 32;
-/// So many requests taken back without an answer between them end a client's connection: three times what it may have open.
+/// So many requests taken back within [`UNDONE_WINDOW_MS`] without an answer between them end a client's connection: three times what it may
+/// have open. Clients in service that lose patience while all servers hang take back as many, but in a longer time.
 pub const UNDONE_MOST: u32 = 96;
+/// See [`UNDONE_MOST`].
+pub const UNDONE_WINDOW_MS: Ms = 1_000.0;
 /// So many requests that could not be understood end a client's connection.
 pub const UNREADABLE_MOST: u32 = 16;
 /// A server answers the question behind an `abort` within a round trip; one that has not after this is silent, and what was given up
@@ -123,6 +128,8 @@
 pub const LINGER_FOR_ROOM: Duration = Duration::from_millis(50);
 /// And no more is discarded than this.
 pub const LINGER_BYTES: usize = 1024 * 1024;
+/// Between two tries to connect while the machine is short of something.
+pub const CONNECT_REST: Duration = Duration::from_millis(20);
 /// After a failed accept, such as for want of descriptors, the listener rests for this.
 pub const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// The change log sends a frame each second; after so long without one another connection is tried beside, which takes over with its
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 use basaltgw_config::fleet::Fleet;
 use basaltgw_config::{own_settings, read, Environment, NodeConfig, OwnSettings};
 use basaltgw_hierarchy::{steps, Cold, Plan, Settings, Tier};
+use basaltgw_node::log_writer::LogWriter;
 use basaltgw_node::shown::{self, Questions};
 use basaltgw_node::{serve, Own};
 use basaltgw_placement::Table;
@@ -173,7 +174,8 @@
 
 fn main() -> ExitCode {
     let log = env_logger::Env::new().filter_or("GW_LOG", "info");
-    env_logger::Builder::from_env(log).format_timestamp(None).init();
+    let target = env_logger::Target::Pipe(Box::new(LogWriter));
+    env_logger::Builder::from_env(log).format_timestamp(None).target(target).init();
     let command = match command() {
         Ok(command) => command,
         Err(e) => {
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -1,12 +1,18 @@
 //! Messages on their way to a socket: each is counted while it is held and can be taken back until it is begun.
 
+use crate::breaks::{broken, Break};
 use crate::clients::presence::Wanted;
+use crate::invariants::{FetchBegun, Invariants};
+use crate::permissions::{may_send, SendState};
+use crate::socket;
+use crate::stalls::Stalls;
+use basaltgw::api::Ms;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use futures_lite::{AsyncWrite, AsyncWriteExt};
+use futures_lite::AsyncWrite;
 
 /// Bytes held by messages of all connections, and of one.
 #[derive(Debug, Default)]
@@ -45,6 +51,12 @@
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
     }
+
+    /// Other bytes in place of these, counted at the same meters.
+    fn replaced(&self, bytes: Vec<u8>) -> Self {
+        let meters: Vec<&Rc<Meter>> = self.meters.iter().collect();
+        Self::new(bytes, &meters)
+    }
 }
 
 impl Drop for Counted {
@@ -93,27 +105,109 @@
     TakenBack,
 }
 
-/// What has to hold when a message's first byte is written, or none is.
-#[derive(Clone, Debug, Default)]
-pub struct OnlyIf {
-    /// It is not as late as this.
+/// A fetch that has waited for longer than this tells its server anew how long the router waits.
+const TELL_ANEW: Duration = Duration::from_millis(10);
+
+/// Writes a message anew with another time for which the router waits; `None` if it has no such time.
+pub type TellWait = fn(&[u8], Ms) -> Option<Vec<u8>>;
+
+/// The time of a fetch.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchTime {
+    /// When the router gives the attempt up.
+    pub until: Instant,
+    /// When the client stops waiting.
+    pub client_until: Instant,
+    /// When the message was made: it tells what was left until the attempt's end then.
+    pub made: Instant,
+    /// Makes it tell something else.
+    pub tell_wait: TellWait,
+}
+
+/// A server that takes nothing new, and since when.
+pub type Drained = Rc<Cell<Option<Instant>>>;
+
+/// What a fetch goes by when its first byte is written, or none is.
+#[derive(Clone, Debug)]
+pub struct FetchTerms {
+    /// It is not begun as late as this.
     pub begin_by: Option<Instant>,
-    /// Somebody still waits for what is asked by it; `None` if it is written whoever waits.
+    /// Whether its client still waits, where one is known.
     pub wanted: Option<Wanted>,
+    /// Its times; `None` where they do not matter.
+    pub time: Option<FetchTime>,
+    /// Whether its server takes something new; set by the connection on which it goes.
+    pub drained: Drained,
+    /// For how long after the news sends to such a server are no fault.
+    pub drain_grace: Duration,
+    /// The number of the request and of the attempt.
+    pub ids: (u64, usize),
+    /// Watches that the rules are kept.
+    pub invariants: Rc<Invariants>,
+    /// Stops of the process.
+    pub stalls: Rc<Stalls>,
 }
 
-impl OnlyIf {
-    fn holds(&self) -> bool {
-        let in_time = self.begin_by.is_none_or(|by| Instant::now() < by);
-        in_time && self.wanted.as_ref().is_none_or(Wanted::holds)
+impl FetchTerms {
+    /// Only what must hold of time and client, for a fetch that nobody watches.
+    pub fn unwatched(begin_by: Option<Instant>, wanted: Option<Wanted>) -> Self {
+        Self {
+            begin_by,
+            wanted,
+            time: None,
+            drained: Rc::default(),
+            drain_grace: Duration::ZERO,
+            ids: (0, 0),
+            invariants: Rc::default(),
+            stalls: Rc::default(),
+        }
+    }
+
+    fn state(&self, now: Instant, taken_back: bool) -> SendState {
+        SendState {
+            taken_back,
+            window_over: self.begin_by.is_some_and(|by| now >= by),
+            deadline_over: self.time.is_some_and(|time| now >= time.until),
+            client_waits: self.wanted.as_ref().is_none_or(Wanted::holds),
+        }
+    }
+
+    /// The bytes as they are to be written now.
+    fn told(&self, now: Instant, bytes: Counted) -> Counted {
+        let Some(time) = self.time else { return bytes };
+        let mut passed_on = millis(time.until.saturating_duration_since(time.made));
+        let mut bytes = bytes;
+        if now.saturating_duration_since(time.made) > TELL_ANEW && !broken(Break::StaleDeadline) {
+            let left = millis(time.until.saturating_duration_since(now));
+            if let Some(anew) = (time.tell_wait)(bytes.bytes(), left) {
+                (passed_on, bytes) = (left, bytes.replaced(anew));
+            }
+        }
+        let begun = FetchBegun {
+            client_gone_for: self.wanted.as_ref().and_then(|w| w.gone_for(now)),
+            drained_beyond_grace: self
+                .drained
+                .get()
+                .and_then(|since| now.saturating_duration_since(since).checked_sub(self.drain_grace)),
+            passed_on_ms: passed_on,
+            client_left_ms: millis(time.client_until.saturating_duration_since(now)),
+        };
+        let (request, attempt) = self.ids;
+        self.invariants.begun(&begun, format_args!("request {request}, attempt {attempt}"));
+        bytes
     }
 }
 
+fn millis(span: Duration) -> Ms {
+    span.as_secs_f64() * 1000.0
+}
+
 /// A message.
 #[derive(Debug)]
 pub struct Parcel {
     stage: Cell<Stage>,
-    only: OnlyIf,
+    /// Of a fetch: what it goes by.
+    fetch: Option<Box<FetchTerms>>,
     bytes: RefCell<Option<Counted>>,
 }
 
@@ -142,12 +236,28 @@
 
     /// Begins it, unless it was taken back, it is too late, or nobody waits for it any more: the owner may not have heard of that yet.
     fn begin(&self) -> Option<Counted> {
-        if !self.only.holds() {
-            self.take_back();
+        let now = Instant::now();
+        if let Some(fetch) = &self.fetch {
+            let taken_back = self.stage.get() == Stage::TakenBack;
+            if let Err(refusal) = may_send(&fetch.state(now, taken_back)) {
+                let (request, attempt) = fetch.ids;
+                log::debug!("request {request}, attempt {attempt}: not sent, {refusal}");
+                self.take_back();
+            }
         }
         let bytes = self.bytes.take()?;
         self.stage.set(Stage::Begun);
-        Some(bytes)
+        Some(match &self.fetch {
+            Some(fetch) => fetch.told(now, bytes),
+            None => bytes,
+        })
+    }
+
+    /// Waits for what has to be done before a fetch may be begun: after a stop of the process, what lay in the sockets is read first.
+    async fn may_come_up(&self) {
+        if let Some(fetch) = &self.fetch {
+            fetch.stalls.read_first().await;
+        }
     }
 }
 
@@ -169,15 +279,19 @@
 impl Outbox {
     /// Puts a message in line.
     pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
-        let parcel = self.hold(bytes, OnlyIf::default());
+        let parcel = self.parcel(bytes, None);
         self.release(&parcel);
         parcel
     }
 
-    /// A message that is not in line until it is released.
-    pub fn hold(&self, bytes: Vec<u8>, only: OnlyIf) -> Rc<Parcel> {
+    /// A fetch that is not in line until it is released.
+    pub fn hold(&self, bytes: Vec<u8>, fetch: FetchTerms) -> Rc<Parcel> {
+        self.parcel(bytes, Some(Box::new(fetch)))
+    }
+
+    fn parcel(&self, bytes: Vec<u8>, fetch: Option<Box<FetchTerms>>) -> Rc<Parcel> {
         let bytes = RefCell::new(Some(Counted::new(bytes, &[&self.all, &self.own])));
-        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), only, bytes })
+        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), fetch, bytes })
     }
 
     /// Puts a held message in line.
@@ -207,10 +321,11 @@
     F: std::future::Future<Output = std::io::Result<usize>>,
 {
     while let Ok(parcel) = parcels.recv().await {
+        parcel.may_come_up().await;
         let Some(counted) = parcel.begin() else { continue };
         let mut rest = counted.bytes();
         while !rest.is_empty() {
-            match futures_lite::future::or(socket.write(rest), stall()).await {
+            match futures_lite::future::or(socket::write(&mut socket, rest), stall()).await {
                 Ok(n) if n > 0 => rest = rest.get(n..).unwrap_or_default(),
                 Ok(_) | Err(_) => return false,
             }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -3,11 +3,14 @@
 use super::batch::Due;
 use super::requests::Open;
 use super::{name, number, Owner};
-use crate::caches::{Answer, Ask, AttemptKey, ConnId, Down, GivenUp, RequestNo};
+use crate::breaks::{broken, Break};
+use crate::caches::{with_wait, Answer, Ask, AttemptKey, ConnId, Down, GivenUp, RequestNo};
 use crate::clients::{Reply, WireId};
 use crate::inbox::Over;
+use crate::invariants::Violation;
 use crate::limits::LONGEST_WAIT_MS;
-use crate::outbox::{Counted, OnlyIf, Parcel, Stage};
+use crate::outbox::{Counted, FetchTerms, FetchTime, Parcel, Stage};
+use crate::permissions::{may_begin, may_repeat, BeginState, EarlierAttempt};
 use basaltgw::api::{AttemptNo, End, Event, Fetch, Load, Ms, Note, Outcome, ServerId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,9 +24,16 @@
     on: Option<ConnId>,
     /// Where it is on its way; `None` once it is over.
     pub way: Option<(ConnId, Rc<Parcel>)>,
+    /// How it ended, once it has.
+    end: Option<End>,
 }
 
 impl Attempt {
+    /// As a later attempt sees it.
+    pub(super) fn earlier(&self, now: Ms) -> EarlierAttempt {
+        EarlierAttempt { end: self.end, age: now - self.sent }
+    }
+
     /// How far it has got; `None` once it is over.
     pub(super) fn stage(&self) -> Option<Stage> {
         self.way.as_ref().map(|(_, parcel)| parcel.stage())
@@ -53,22 +63,69 @@
 };
 
 impl Owner {
+    /// Makes an attempt, if it may begin; else the module is told that it was not sent.
     pub(super) fn begin(&mut self, fetch: Fetch) {
         let Some(no) = number(&fetch.request) else { return };
-        // Its client is gone, and the owner has yet to come to that: no attempt begins, and the module hears that this was the last.
-        if self.requests.get(no).is_some_and(|o| o.wanted.as_ref().is_some_and(|w| !w.holds())) {
+        // Its client is gone, and the owner has yet to come to that: the module hears that this was the last.
+        let client_waits = self.requests.get(no).is_some_and(Open::client_waits);
+        if !client_waits {
             self.owed_no_longer(no);
         }
-        let Some(open) = self.requests.get_mut(no) else { return };
+        let Some(open) = self.requests.get(no) else { return };
         let n = AttemptNo(open.attempts.len());
         self.counters.attempts.made.one();
-        let source = Some(fetch.fill_from).filter(|s| *s != fetch.server);
         let asked = Some(fetch.timeout).filter(|t| *t != 0.0);
         let until = asked.map_or(open.deadline, |t| open.deadline.min(self.now + t));
-        let in_time = !open.answered && until > self.now && n.0 < self.max_attempts;
-        let place = self.servers.get(&fetch.server).filter(|_| in_time);
-        let bound = (fetch.begin_by - self.clock.now()).clamp(0.0, LONGEST_WAIT_MS) / 1000.0;
-        let begin_by = fetch.begin_by.is_finite().then(|| Instant::now() + Duration::from_secs_f64(bound));
+        let state = BeginState {
+            client_waits,
+            answered: open.answered,
+            time_left: until - self.now,
+            attempts: n.0,
+            max_attempts: self.max_attempts,
+            listed: self.servers.contains_key(&fetch.server),
+        };
+        let repeat = may_repeat(&self.repeat_terms(open), open.attempts.iter().map(|a| a.earlier(self.now)));
+        let refusal = match (may_begin(&state), repeat) {
+            (Ok(()), Ok(())) => None,
+            (Err(refusal), _) => Some(refusal.to_string()),
+            (_, Err(refusal)) => Some(refusal.to_string()),
+        };
+        let way = match refusal {
+            None => self.send(no, n, &fetch, until),
+            Some(refusal) => {
+                log::debug!("request {}, attempt {}: not begun, {refusal}", no.0, n.0);
+                None
+            }
+        };
+        let source = Some(fetch.fill_from).filter(|s| *s != fetch.server);
+        let (sent, on) = (way.is_some(), way.as_ref().map(|w| w.0));
+        let Some(open) = self.requests.get_mut(no) else { return };
+        open.attempts.push(Attempt { server: fetch.server, source, sent: self.now, on, way, end: None });
+        if sent {
+            self.timers.set(until, Due::Attempt(no, n));
+            if fetch.begin_by.is_finite() {
+                self.timers.set(fetch.begin_by, Due::Begin(no, n));
+            }
+        } else {
+            // Also where all connections are in use: the limit is the router's own, and tells nothing of the server.
+            self.report((no, n), End::NotSent, UNTOLD, true);
+        }
+    }
+
+    /// Puts an attempt on a connection; `None` if none may be opened.
+    fn send(
+        &mut self,
+        no: RequestNo,
+        n: AttemptNo,
+        fetch: &Fetch,
+        until: Ms,
+    ) -> Option<(ConnId, Rc<Parcel>)> {
+        let open = self.requests.get(no)?;
+        let place = *self.servers.get(&fetch.server)?;
+        let now = Instant::now();
+        // Monotonic times of the owner's clock, in the terms of the writers.
+        let instant = |at: Ms| now + millis((at - self.clock.now()).clamp(0.0, LONGEST_WAIT_MS));
+        let begin_by = fetch.begin_by.is_finite().then(|| instant(fetch.begin_by));
         let body = open.body.as_ref().map_or(&[][..], Counted::bytes);
         let ask = Ask {
             id: &open.request.id,
@@ -76,7 +133,7 @@
             object: &open.request.object_text,
             part: open.request.part.0,
             wait: until - self.now,
-            from: source.as_ref(),
+            from: Some(&fetch.fill_from).filter(|s| **s != fetch.server),
             rank: fetch.rank,
             oldest: fetch.max_age,
             share: fetch.join,
@@ -86,33 +143,40 @@
             key: open.request.key.as_deref(),
             body,
         };
-        let way = match place {
-            None => None,
-            Some(place) => {
-                let to = (&fetch.server, *place);
-                let used: Vec<ConnId> = open.attempts.iter().filter_map(|a| a.on).collect();
-                let of = (&open.request.id, &used[..], !body.is_empty());
-                let only = OnlyIf { begin_by, wanted: open.wanted.clone() };
-                self.caches.send(self.now, to, (no, n), of, (ask.encode(), only))
-            }
+        let terms = FetchTerms {
+            begin_by,
+            wanted: open.wanted.clone(),
+            time: Some(FetchTime {
+                until: instant(until),
+                client_until: instant(open.deadline),
+                made: now,
+                tell_wait: with_wait,
+            }),
+            drained: Rc::default(),
+            drain_grace: millis(self.drain_grace),
+            ids: (no.0, n.0),
+            invariants: Rc::clone(&self.invariants),
+            stalls: Rc::clone(&self.stalls),
         };
-        let (sent, on) = (way.is_some(), way.as_ref().map(|w| w.0));
-        open.attempts.push(Attempt { server: fetch.server, source, sent: self.now, on, way });
-        if sent {
-            self.timers.set(until, Due::Attempt(no, n));
-            if begin_by.is_some() {
-                self.timers.set(fetch.begin_by, Due::Begin(no, n));
-            }
-        } else {
-            // Also where all connections are in use: the limit is the router's own, and tells nothing of the server.
-            self.report((no, n), End::NotSent, UNTOLD, true);
+        if let Some(effect) = open.class.and_then(|c| self.classes.get(c.0)).map(|c| c.effect) {
+            let earlier = open.attempts.iter().map(|a| a.end);
+            self.invariants.attempted(effect, earlier, format_args!("request {}, attempt {}", no.0, n.0));
+        }
+        let used: Vec<ConnId> = open.attempts.iter().filter_map(|a| a.on).collect();
+        let of = (&open.request.id, &used[..], !body.is_empty());
+        let sent = self.caches.send(self.now, (&fetch.server, place), (no, n), of, (ask.encode(), terms));
+        if sent.is_some() && self.router.beyond_slow_start(&fetch.server) {
+            let ids = format_args!("request {}, attempt {}, server {}", no.0, n.0, fetch.server.0);
+            self.invariants.violated(Violation::SlowStartExceeded, ids);
         }
+        sent
     }
 
     /// A connection is over, and with it what was open on it.
     pub(super) fn conn_down(&mut self, at: ConnId, down: Down) {
         match down {
             Down::NeverUp => self.counters.conns.failed.one(),
+            Down::Shortage => self.counters.conns.shortages.one(),
             Down::Ended(Over::Ended | Over::Silent | Over::Quiet(_) | Over::Dropped) => {}
             Down::Ended(Over::Unreadable(_)) => self.counters.conns.unreadable.one(),
             Down::Ended(Over::Unfinished) => self.counters.conns.unfinished.one(),
@@ -121,6 +185,8 @@
         for key in self.caches.down(at) {
             let end = match (down, self.requests.attempt(key).and_then(Attempt::stage)) {
                 (Down::NeverUp, _) => End::NoConnection,
+                // Nothing was written, and the server is not at fault.
+                (Down::Shortage, _) => End::NotSent,
                 (Down::Ended(_), Some(Stage::Written)) => End::Broken,
                 // Its last byte was not written.
                 (Down::Ended(_), _) => End::NotSent,
@@ -225,9 +291,12 @@
     }
 
     fn report(&mut self, (no, n): AttemptKey, end: End, telling: Telling, later: bool) {
+        let breaks = broken(Break::RepeatAfterExecution) && end != End::Served;
+        let end = if breaks { End::NotSent } else { end };
         let Some(open) = self.requests.get_mut(no) else { return };
         open.promise.attempt(end);
-        let Some(attempt) = open.attempts.get(n.0) else { return };
+        let Some(attempt) = open.attempts.get_mut(n.0) else { return };
+        attempt.end = Some(end);
         self.counters.attempts.ended(end);
         let planned = match &attempt.source {
             Some(source) => {
@@ -256,3 +325,7 @@
         self.forget(no);
     }
 }
+
+fn millis(span: Ms) -> Duration {
+    Duration::from_secs_f64(span.max(0.0) / 1000.0)
+}
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -97,6 +97,7 @@
                 let sockets = future::or(first(from.servers.clone()), first(from.clients.clone()));
                 inputs.extend(future::or(first(from.urgent.clone()), future::or(sockets, wake)).await);
             }
+            self.stalls.turn();
             // No oftener than the tick.
             let rest = self.now + self.tick - self.clock.now();
             if rest > 0.0 {
@@ -109,6 +110,7 @@
                 inputs.extend(std::iter::from_fn(|| queue.try_recv().ok()).take(QUEUE));
             }
             self.batch(&mut inputs);
+            self.stalls.turn();
             if !self.ending.accepts(self.now) {
                 self.places.end();
                 // A client is in the table until its connection is over, and has its place until the socket is closed.
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -4,6 +4,7 @@
 use super::batch::micros;
 use super::gather::Gathering;
 use super::Owner;
+use crate::breaks::{broken, Break};
 use crate::caches::RequestNo;
 use crate::clients::life::{Event, Life, Quiet};
 use crate::clients::presence::Wanted;
@@ -12,7 +13,7 @@
 use crate::inbox::Over;
 use crate::limits::{
     OPEN_PER_CLIENT, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE, ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST,
-    UNREADABLE_MOST,
+    UNDONE_WINDOW_MS, UNREADABLE_MOST,
 };
 use crate::outbox::{Outbox, Parcel, Stage};
 use basaltgw::api::Ms;
@@ -29,8 +30,9 @@
     used: VecDeque<Tag>,
     /// Requests of it that could not be understood.
     unreadable: u32,
-    /// Requests that it took back since it was last answered.
+    /// Requests that it took back since it was last answered, and since when those are counted.
     undone: u32,
+    undone_since: Ms,
     /// It has sent a whole message.
     pub spoke: bool,
     /// When it connected, sent its last message or got its last answer.
@@ -39,6 +41,8 @@
     pub life: Rc<Life>,
     /// Nothing more is taken from it: it is let go of when it has what it is owed.
     closing: bool,
+    /// Why it is closed here though it did nothing wrong.
+    closed_here: Option<Quiet>,
 }
 
 impl Client {
@@ -50,13 +54,24 @@
             used: VecDeque::new(),
             unreadable: 0,
             undone: 0,
+            undone_since: now,
             spoke: false,
             active: now,
             life,
             closing: false,
+            closed_here: None,
         }
     }
 
+    /// Counts a request that it took back; true once those are too many in a short time, with no answer between them.
+    fn takes_back_too_many(&mut self, now: Ms) -> bool {
+        if now - self.undone_since > UNDONE_WINDOW_MS {
+            (self.undone, self.undone_since) = (0, now);
+        }
+        self.undone += 1;
+        self.undone >= UNDONE_MOST
+    }
+
     /// Nothing is owed to it.
     fn at_rest(&self) -> bool {
         self.open.is_empty() && self.outbox.unsent() == 0
@@ -110,16 +125,22 @@
     /// Puts an answer in line; false if the client is gone.
     pub(super) fn put(&mut self, now: Ms, id: ClientId, tag: Tag, answer: Vec<u8>) -> bool {
         let Some(client) = self.0.get_mut(&id) else { return false };
-        client.open.remove(&tag);
+        let was_open = client.open.remove(&tag).is_some();
+        client.life.invariants().answered(was_open, format_args!("client {}, request {}", id.0, tag.0));
         (client.active, client.undone) = (now, 0);
         client.unsent.retain(|_, p| p.stage() == Stage::Waiting);
+        if broken(Break::SecondAnswer) {
+            client.outbox.put(answer.clone());
+        }
         client.unsent.insert(tag, client.outbox.put(answer));
         true
     }
 
     /// Wants those closed that have been at rest for so long. What is on its way from one of them goes first.
     pub(super) fn close_idle(&self, now: Ms, idle: Ms, why: Quiet) {
-        let idle = self.0.values().filter(|c| !c.going() && c.at_rest() && now - c.active >= idle);
+        let breaks = broken(Break::CloseOverRequest);
+        let rests = |c: &Client| breaks || (c.at_rest() && now - c.active >= idle);
+        let idle = self.0.values().filter(|c| !c.going() && rests(c));
         idle.for_each(|c| {
             c.life.tell(Event::Asked(why));
         });
@@ -129,7 +150,7 @@
     pub(super) fn let_go(&mut self) {
         let Self(clients, closing) = self;
         closing.retain(|id| match clients.get(id) {
-            Some(client) if client.at_rest() => {
+            Some(client) if client.at_rest() || broken(Break::CloseOverRequest) => {
                 clients.remove(id);
                 false
             }
@@ -181,8 +202,11 @@
             Over::Quiet(Quiet::Room) => counted.closed_for_room.one(),
             Over::Quiet(Quiet::End) => counted.closed_at_end.one(),
         }
+        if let (Over::Quiet(why), Some(client)) = (over, self.clients.0.get_mut(&id)) {
+            client.closed_here = Some(why);
+        }
         match over {
-            Over::Unreadable(_) => self.disconnect(id),
+            Over::Unreadable(_) => self.fail_and_disconnect(id),
             Over::Ended | Over::Dropped | Over::Silent | Over::Unfinished | Over::Quiet(_) => {
                 self.clients.close(id)
             }
@@ -191,7 +215,13 @@
 
     /// A client is gone; what it waits for is given up.
     pub(super) fn client_over(&mut self, id: ClientId) {
-        let open = self.clients.0.remove(&id).map(|c| c.open).unwrap_or_default();
+        let Some(client) = self.clients.0.remove(&id) else { return };
+        let open = client.open;
+        if let Some(why) = client.closed_here {
+            let unanswered = open.keys().filter(|tag| client.life.presence().not_taken_back(**tag)).count();
+            let ids = format_args!("client {}, closed for {why:?}, requests {:?}", id.0, open.keys());
+            self.invariants.closed(unanswered, ids);
+        }
         open.into_values().for_each(|no| self.left(no));
     }
 
@@ -201,16 +231,16 @@
         (client.spoke, client.active) = (true, self.now);
         match message {
             FromClient::Do(tag, request) => self.request(id, tag, request, at),
+            FromClient::Undo(_) if broken(Break::CancelIgnored) => {}
             FromClient::Undo(tag) => {
                 client.life.presence().heeded(tag);
                 match client.open.remove(&tag) {
                     Some(no) => {
-                        client.undone += 1;
-                        let too_many = client.undone >= UNDONE_MOST;
+                        let too_many = client.takes_back_too_many(self.now);
                         self.left(no);
                         if too_many {
                             self.counters.clients.closed_broken_rule.one();
-                            self.disconnect(id);
+                            self.fail_and_disconnect(id);
                         }
                     }
                     None => {
@@ -237,7 +267,7 @@
         client.unreadable += 1;
         if client.unreadable >= UNREADABLE_MOST {
             self.counters.clients.closed_broken_rule.one();
-            self.disconnect(id);
+            self.fail_and_disconnect(id);
         }
     }
 
@@ -282,7 +312,7 @@
         });
     }
 
-    /// Drops a client that broke a rule or can't be read: what it waits for is given up, what is in line for it is still written.
+    /// Drops a client whose messages can't be told apart any more: what it waits for is given up, what is in line for it is still written.
     fn disconnect(&mut self, id: ClientId) {
         let Some(client) = self.clients.0.get_mut(&id) else { return };
         client.life.tell(Event::Dropped);
@@ -290,4 +320,13 @@
         self.clients.close(id);
         open.into_values().for_each(|no| self.left(no));
     }
+
+    /// The same of one whose requests were understood: each that it waits for is answered as failed.
+    fn fail_and_disconnect(&mut self, id: ClientId) {
+        let Some(client) = self.clients.0.get(&id) else { return };
+        for tag in client.open.keys().filter(|tag| client.life.presence().wants(**tag)) {
+            client.outbox.put(answer(*tag, Reply::Failed));
+        }
+        self.disconnect(id);
+    }
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -28,14 +28,16 @@
 use crate::clock::{wall_now, Clock};
 use crate::counters::Counters;
 use crate::fleet::Fleet;
-use crate::limits::HELD_SHARE;
+use crate::invariants::Invariants;
+use crate::limits::{HELD_SHARE, SOCKET_SLACK_MS};
 use crate::outbox::Meter;
 use crate::platform_time::PlatformTime;
 use crate::shutdown::Ending;
+use crate::stalls::Stalls;
 use crate::tree::Tree;
 use crate::{Input, Shared};
 use attempts::Leaving;
-use basaltgw::api::{Action, End, Event, Ms, RequestId, ServerId};
+use basaltgw::api::{Action, Class, End, Event, Ms, RequestId, ServerId};
 use basaltgw::rules::carry::Learnt;
 use basaltgw::rules::Router;
 use basaltgw_config::{Names, NodeConfig, OwnSettings, Place};
@@ -54,7 +56,13 @@
     names: Names,
     tick: Ms,
     max_attempts: usize,
+    /// The classes of requests.
+    classes: Vec<Class>,
+    /// Sends to a server are no fault for so long after the news that it drains.
+    drain_grace: Ms,
     most_held: usize,
+    invariants: Rc<Invariants>,
+    stalls: Rc<Stalls>,
     clock: Clock,
     /// Unix times of the platform in terms of that clock.
     platform: PlatformTime,
@@ -100,6 +108,10 @@
             names: config.names.clone(),
             tick: config.settings.tick,
             max_attempts: config.settings.max_attempts,
+            classes: config.settings.classes.clone(),
+            drain_grace: config.settings.drain_grace + SOCKET_SLACK_MS,
+            invariants: Rc::clone(&shared.invariants),
+            stalls: Rc::clone(&shared.stalls),
             most_held: config.limits.share_of_memory(HELD_SHARE),
             now: shared.clock.now(),
             clock: shared.clock,
@@ -201,6 +213,9 @@
         self.counters.log.servers_now.set(self.servers.len() as u64);
         self.counters.memory.held.set(self.meter.held() as u64);
         self.counters.tree.reached(&self.tree.counters);
+        self.counters.violations.reached(&self.invariants);
+        self.counters.violations.stops.reached(self.stalls.count());
+        self.counters.violations.log_dropped.reached(crate::log_writer::dropped());
     }
 
     fn tell_all(&mut self, events: Vec<Event>) {
--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -3,6 +3,7 @@
 use super::attempts::Attempt;
 use super::requests::Open;
 use super::Owner;
+use crate::breaks::{broken, Break};
 use crate::fleet::purges::purge;
 use basaltgw::api::{End, Event, GroupId, ListMode, Listed, Ms, ObjectId, ServerId};
 use basaltgw_config::{Member, News};
@@ -97,6 +98,9 @@
     fn heed(&mut self, purged: Purged, age: Ms) {
         let Purged { object, group, time } = purged;
         self.counters.log.purges.one();
+        if broken(Break::PurgeIgnored) {
+            return;
+        }
         self.gather_purged(object, group, time);
         self.tell(Event::Purged(group, object, age));
         let named = |o: &Open| match object {
@@ -106,7 +110,10 @@
         self.recall(|o, _| named(o));
     }
 
-    fn list(&mut self, whole: bool, members: Vec<Member>) {
+    fn list(&mut self, whole: bool, mut members: Vec<Member>) {
+        if broken(Break::DrainIgnored) {
+            members.retain(|m| m.entry.listed == Listed::Up);
+        }
         self.list_in = true;
         let (mut leaving, mut left_out, mut left) = (Vec::new(), Vec::new(), Vec::new());
         if whole {
--- a/crates/node/src/owner/promise.rs
+++ b/crates/node/src/owner/promise.rs
@@ -9,6 +9,7 @@
 use crate::clients::{Reply, WireId};
 use crate::fleet::{Fleet, Told};
 use crate::outbox::Counted;
+use crate::permissions::not_executed;
 use basaltgw::api::{ClassId, Effect, End, Event, GroupId, Ms, ObjectId};
 use basaltgw_holds::{AskNo, Change, Hold, HoldKey, Kind, Outcome, Verdict};
 use std::sync::Arc;
@@ -58,11 +59,7 @@
     /// An attempt has ended so.
     pub(super) fn attempt(&mut self, end: End) {
         if let Self::Mine { ran, served, .. } = self {
-            let never = match end {
-                End::Full | End::NoConnection | End::NotSent | End::Miss => true,
-                End::Served | End::Error | End::Late | End::Broken | End::Cancelled => false,
-            };
-            *ran |= !never;
+            *ran |= !not_executed(end);
             *served |= end == End::Served;
         }
     }
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -8,10 +8,15 @@
 use crate::clients::presence::Wanted;
 use crate::clients::{Do, Reply, WireId};
 use crate::outbox::{Counted, Meter, Stage};
-use basaltgw::api::{AttemptNo, ClassId, Event, Ms, Request};
+use crate::permissions::{may_repeat, RepeatTerms};
+use basaltgw::api::{AttemptNo, ClassId, Effect, Event, KeyScope, Ms, Request};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Of a request whose class the settings do not have.
+const NO_REPEATS: RepeatTerms =
+    RepeatTerms { effect: Effect::Unsafe, key_scope: KeyScope::Cell, key_window: 0.0 };
+
 /// A request whose answer is owed, or whose attempts are not all over.
 pub(super) struct Open {
     asker: Asker,
@@ -36,6 +41,11 @@
         self.answered && self.attempts.iter().all(|a| a.way.is_none())
     }
 
+    /// Its client still waits, as far as the reader of its connection knows.
+    pub(super) fn client_waits(&self) -> bool {
+        self.wanted.as_ref().is_none_or(Wanted::holds)
+    }
+
     /// It has a body, while that is kept.
     pub(super) fn is_write(&self) -> bool {
         self.body.as_ref().is_some_and(|b| !b.bytes().is_empty())
@@ -188,9 +198,39 @@
         self.tell(event);
     }
 
+    /// What repeats of a request may do, by its class; one without a class has no attempts.
+    pub(super) fn repeat_terms(&self, open: &Open) -> RepeatTerms {
+        let class = open.class.and_then(|c| self.classes.get(c.0));
+        class.map_or(NO_REPEATS, |c| RepeatTerms {
+            effect: c.effect,
+            key_scope: c.key_scope,
+            key_window: c.key_window,
+        })
+    }
+
+    /// A refusal invites the client to repeat its request: where a repeat could run twice it is a failure instead.
+    fn harmless<'a>(&self, no: RequestNo, reply: Reply<'a>) -> Reply<'a> {
+        let Some(open) = self.requests.get(no) else { return reply };
+        let Reply::Refused(_) = reply else { return reply };
+        let earlier = open.attempts.iter().map(|a| a.earlier(self.now));
+        match may_repeat(&self.repeat_terms(open), earlier) {
+            Ok(()) => reply,
+            Err(refusal) => {
+                log::debug!("request {}: failed and not refused, {refusal}", no.0);
+                Reply::Failed
+            }
+        }
+    }
+
     /// Gives the one answer. All answers of the module and of servers go through this.
     pub(super) fn answer(&mut self, no: RequestNo, reply: Reply<'_>) {
+        let reply = self.harmless(no, reply);
         // What ran is put down before it is said.
+        if let (Reply::Refused(_), Some(open)) = (reply, self.requests.get(no)) {
+            let (terms, earlier) =
+                (self.repeat_terms(open), open.attempts.iter().map(|a| a.earlier(self.now).end));
+            self.invariants.refused(terms.effect, earlier, format_args!("request {}", no.0));
+        }
         if !self.ends(no, reply) {
             self.pay_out(no, reply);
         }
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -42,6 +42,8 @@
         queue: async_channel::unbounded().0,
         clock: Clock::default(),
         meter: Rc::default(),
+        invariants: Rc::default(),
+        stalls: Rc::default(),
         held_limit: usize::MAX,
     };
     let (out, written) = outbox(&shared.meter, &Rc::default());
--- a/crates/node/src/owner/tests/crossing.rs
+++ b/crates/node/src/owner/tests/crossing.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::caches::ConnId;
 use crate::limits::SERVER_STALLED;
-use crate::outbox::{write_all, OnlyIf, Stage};
+use crate::outbox::{write_all, FetchTerms, Stage};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -59,7 +59,7 @@
 fn what_had_to_be_begun_earlier_is_not_written() {
     let meter = Rc::default();
     let (out, parcels) = outbox(&meter, &Rc::default());
-    let by = |at| OnlyIf { begin_by: Some(at), wanted: None };
+    let by = |at| FetchTerms::unwatched(Some(at), None);
     let late = out.hold(b"late".to_vec(), by(Instant::now()));
     let in_time = out.hold(b"in time".to_vec(), by(Instant::now() + SERVER_STALLED));
     [&late, &in_time].into_iter().for_each(|parcel| out.release(parcel));
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! The signals: the end of a router and when it is over, a new configuration, the counters.
 
 use crate::limits::{END_ACCEPT_MS, END_QUIET_MS};
+use crate::permissions::{may_end, EndState};
 use crate::{shown, Input, Own};
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
@@ -153,10 +154,12 @@
 
     /// True once the router may go: asked, no longer accepting, and nothing open for a while.
     pub fn over(&mut self, now: Ms, open: bool) -> bool {
-        if self.accepts(now) || open {
+        let accepts = self.accepts(now);
+        if accepts || open {
             self.quiet = None;
-            return false;
         }
-        now >= *self.quiet.get_or_insert(now) + END_QUIET_MS
+        let since = if accepts || open { now } else { *self.quiet.get_or_insert(now) };
+        let quiet = now >= since + END_QUIET_MS;
+        may_end(&EndState { accepts, connections_open: open, quiet }).is_ok()
     }
 }
--- a/crates/node/tests/crossing/stops.rs
+++ b/crates/node/tests/crossing/stops.rs
@@ -49,6 +49,19 @@
     tells_what_is_left(&all, asked);
 }
 
+#[test]
+fn deadline_of_a_fetch_that_waited_for_its_connection_is_what_its_client_has_left() {
+    let (router, all) = before(Proof::Held);
+    let mut client = router.client();
+    let asked = unix_ms();
+    client.ask_for(WAIT_MS, 1, "pages", 1, "", b"");
+    until("it waits for its connection", || router.counter("attempts") == 1);
+    std::thread::sleep(STOPPED);
+    all.iter().for_each(|cache| cache.go_on.store(true, std::sync::atomic::Ordering::SeqCst));
+    assert_eq!(client.must().tag, 1);
+    tells_what_is_left(&all, asked);
+}
+
 #[test]
 fn request_whose_client_left_during_a_stop_is_not_sent_once_its_connection_works() {
     for _ in 0..3 {
--- a/crates/node/tests/reader.rs
+++ b/crates/node/tests/reader.rs
@@ -41,6 +41,8 @@
             queue,
             clock: basaltgw_node::clock::Clock::default(),
             meter: Rc::default(),
+            invariants: Rc::default(),
+            stalls: Rc::default(),
             held_limit: LIMIT,
         };
         Self {
--- a/crates/node/tests/service/clients.rs
+++ b/crates/node/tests/service/clients.rs
@@ -225,3 +225,30 @@
     until("all is given up", || rig.router.counter("left") == 96);
     assert_eq!(rig.router.counter("closed_broken_rule"), 1);
 }
+
+#[test]
+fn requests_before_what_can_not_be_read_are_answered_as_failed_and_not_dropped() {
+    let rig = rig_of(Cache::start(|_| Do::Silent), |_| {});
+    let mut bad = rig.router.client();
+    bad.ask(1, "pages", 1, "", b"");
+    bad.ask(2, "pages", 2, "", b"");
+    until("both are open", || rig.router.counter("requests") == 2);
+    bad.write(b"GET / HTTP/1.1\r\n\r\n");
+    let mut answers: Vec<(u64, String)> = bad.by_ref().map(|got| (got.tag, got.word)).collect();
+    answers.sort();
+    assert_eq!(answers, [(1, "500".to_string()), (2, "500".to_string())]);
+}
+
+#[test]
+fn client_that_loses_patience_slowly_keeps_its_connection() {
+    let rig = rig_of(Cache::start(|_| Do::Silent), |_| {});
+    let mut client = rig.router.client();
+    // More than the bound in all, less than it in any second, and no answer between them.
+    for tag in 1..=110u64 {
+        client.ask(tag, "pages", tag, "", b"");
+        client.say("UNDO", tag);
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(client.settle(), []);
+    assert_eq!(rig.router.counter("closed_broken_rule"), 0);
+}
--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -115,6 +115,19 @@
         alone && sent(turn) <= rate * turn && fits
     }
 
+    /// Whether this router alone has sent a server that started lately more than all routers may send it together,
+    /// with what chance adds (twice the root, and two). It never should: its own share is far less.
+    pub fn beyond_slow_start(&self, server: &ServerId) -> bool {
+        let Some(s) = self.servers.get(server) else { return false };
+        let cold = self.age_if_cold(s).filter(|_| s.entry.role != Role::Origin);
+        let (Some(age), mean) = (cold, self.longest()) else { return false };
+        let rule = self.set.cold(s.entry.role);
+        let share = rule.share + (1.0 - rule.share) * (age / rule.span).clamp(0.0, 1.0);
+        let all = rule.multiple * share * s.entry.weight * rule.window;
+        let most = all + 2.0 * (all * mean).sqrt() + 2.0 * mean;
+        mean > 0.0 && s.sent.since(self.now - rule.window.min(age)) > most
+    }
+
     /// By how much a class may go beyond a gate's limit: one that takes little earns more for the same
     /// room.
     pub(super) fn ease(&self, class: usize) -> f64 {
