--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::faults::Faults;
 use crate::standin::{comes, until, Client, PATIENCE};
-use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read};
@@ -197,6 +197,17 @@
         }
     }
 
+    /// From now on it may hold no more descriptors than so many, with what it holds already; `None` for as many as at first.
+    pub fn descriptors_up_to(&self, most: Option<u64>) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let Some(pid) = pid else { return };
+        let own = getrlimit(Resource::Nofile);
+        let limit = Rlimit { current: most.or(own.current), maximum: own.maximum };
+        if let Err(e) = prlimit(Some(pid), Resource::Nofile, limit) {
+            log::warn!("a router's descriptors were not limited: {e}");
+        }
+    }
+
     /// Replaces its own settings' file and has it read.
     pub fn plan(&self, text: &str) -> Result<(), String> {
         write(&self.files.own, text)?;
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -56,8 +56,15 @@
                     self.seats[r].told += 1;
                     let number = self.seats[r].told;
                     self.seats[r].frames.borrow_mut().push((number, frame(number, kind, &payload)));
-                    seen.into_iter().for_each(|seen| self.checker.see(now, seen));
+                    match (seen, self.deaf_until(now, r)) {
+                        (Some(seen), Some(until)) if !matches!(seen, Seen::Drained(.., false)) => {
+                            self.at(until, Ev::Told(seen));
+                        }
+                        (seen, _) => seen.into_iter().for_each(|seen| self.checker.see(now, seen)),
+                    }
                 }
+                Ev::Told(seen) => self.checker.see(now, seen),
+                Ev::Cancel(no) => self.cancel(now, no),
                 Ev::Fault(i) => self.fault(now, i).await,
                 Ev::FaultOver(i) => self.fault_over(now, i),
                 Ev::Seat(r) => self.look_at_seat(now, r).await,
@@ -129,6 +136,10 @@
         // Under faults each answer is judged, with the slack that sockets have.
         let slack = if self.soak.is_some() { SLACK_MS } else { 0.0 };
         self.at(due + slack, Ev::Due(no));
+        if self.soak.is_some() && self.between([0.0, IMPATIENT_ONE_IN]) < 1.0 {
+            let after = self.between(PATIENCE_MS);
+            self.at(now + after, Ev::Cancel(no));
+        }
     }
 
     /// The client's time is up: it leaves, and nothing is owed to it.
@@ -153,6 +164,10 @@
         let text = |i: usize| words.get(i).and_then(|w| std::str::from_utf8(w).ok()).unwrap_or_default();
         let Ok(tag) = text(0).parse::<u64>() else { return };
         let Some(c) = self.seats[router].clients.iter_mut().find(|c| c.conn == conn) else { return };
+        if let Some(soak) = self.soak.as_mut().filter(|_| !c.answered.insert(tag)) {
+            let what = format!("router {router}, tag {tag}: answered again");
+            soak.violated(now, Invariant::SecondAnswer, what);
+        }
         let Some(no) = c.open.remove(&tag) else { return };
         let Some(request) = self.requests.get_mut(&no).filter(|r| !r.answered) else { return };
         request.answered = true;
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -24,10 +24,10 @@
 use futures_lite::future;
 use hdrhistogram::Histogram;
 use serde_json::Value;
-use soak::Soak;
 pub use soak::{Invariant, Planned, SoakFault, SoakLimits, SoakReport};
+use soak::{Soak, IMPATIENT_ONE_IN, PATIENCE_MS};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -101,6 +101,8 @@
     out: Sender<Vec<u8>>,
     open: BTreeMap<u64, u64>,
     tag: u64,
+    /// Tags whose answers came.
+    answered: BTreeSet<u64>,
 }
 
 struct Waiting {
@@ -121,6 +123,10 @@
     Tell(usize, u64, u8, Vec<u8>, Option<Seen>),
     Fault(usize),
     FaultOver(usize),
+    /// What counts as told only now.
+    Told(Seen),
+    /// A client loses patience.
+    Cancel(u64),
     /// A router ends or starts.
     Seat(usize),
     Hup(usize, String),
--- a/crates/emulator/src/world/soak.rs
+++ b/crates/emulator/src/world/soak.rs
@@ -14,6 +14,10 @@
 const KNOWN_PURGES: usize = 200;
 /// One answer in so many is broken off, while caches do that.
 const HALF_ONE_IN: f64 = 8.0;
+/// One client in so many loses patience before its time, after such a time.
+pub(super) const IMPATIENT_ONE_IN: f64 = 12.0;
+/// See [`IMPATIENT_ONE_IN`].
+pub(super) const PATIENCE_MS: [Ms; 2] = [2.0, 400.0];
 /// SIGKILL comes no sooner than this after SIGTERM, beyond the longest deadline.
 const KILL_AFTER_MS: Ms = 700.0;
 /// The longest deadline counts as no less than this.
@@ -30,6 +34,8 @@
 const HARNESS_LATE_MS: Ms = 40.0;
 /// How long the harness's lateness is remembered.
 const LATE_KEPT_MS: Ms = 1_000.0;
+/// After an outage of its change log a router may take this long to ask again.
+const ASKS_AGAIN_MS: Ms = 1_000.0;
 /// Violations of a kind that are told in words.
 const TOLD: usize = 5;
 
@@ -132,6 +138,8 @@
 pub enum Invariant {
     /// A request had no answer in time.
     Unanswered,
+    /// A request had two answers.
+    SecondAnswer,
     /// A connection was closed over a request without an answer.
     ClosedUnanswered,
     /// An attempt began after its client had left.
@@ -177,6 +185,8 @@
     pub excused_until: Ms,
     /// Its connections break without its doing until then.
     pub broken_until: Ms,
+    /// It hears nothing of the change log until then, and what that tells counts as told no sooner.
+    pub deaf_until: Ms,
     /// Counted up with each process.
     pub generation: u64,
     pub log: Rc<LogStatus>,
@@ -186,7 +196,16 @@
 impl SoakSeat {
     pub(super) fn new(faults: Option<Faults>, log: Rc<LogStatus>) -> Self {
         let state = SeatState::Up;
-        Self { faults, state, excused_until: 0.0, broken_until: 0.0, generation: 0, log, stopped: false }
+        Self {
+            faults,
+            state,
+            excused_until: 0.0,
+            broken_until: 0.0,
+            deaf_until: 0.0,
+            generation: 0,
+            log,
+            stopped: false,
+        }
     }
 }
 
--- a/crates/emulator/src/world/soak/inject.rs
+++ b/crates/emulator/src/world/soak/inject.rs
@@ -17,6 +17,10 @@
         if !up {
             return self.at(now + 100.0, Ev::Fault(index));
         }
+        if matches!(planned.fault, SoakFault::Stop | SoakFault::LogSilent | SoakFault::LogDown) {
+            let deaf = &mut soak.seats[r].deaf_until;
+            *deaf = deaf.max(until + ASKS_AGAIN_MS);
+        }
         match planned.fault {
             SoakFault::Terminate => {
                 soak.seats[r].state = SeatState::Ending(now);
@@ -149,6 +153,17 @@
         }
     }
 
+    /// A client takes its request back, unless that is answered.
+    pub(in crate::world) fn cancel(&mut self, now: Ms, no: u64) {
+        let Some(request) = self.requests.get(&no).filter(|r| !r.answered) else { return };
+        let (router, conn, tag) = (request.router, request.conn, request.tag);
+        let Some(client) = self.seats[router].clients.iter_mut().find(|c| c.conn == conn) else { return };
+        if client.open.remove(&tag).is_some() {
+            let _ = client.out.try_send(encode(&[b"UNDO", tag.to_string().as_bytes(), b""]));
+            self.forgive(now, no);
+        }
+    }
+
     fn clients_cancel(&mut self, now: Ms, r: usize) {
         let mut taken_back = Vec::new();
         for client in &mut self.seats[r].clients {
--- a/crates/emulator/src/world/soak/seats.rs
+++ b/crates/emulator/src/world/soak/seats.rs
@@ -3,6 +3,9 @@
 use super::*;
 use serde_json::json;
 
+/// For so long a process that does not end is asked for its counters.
+const LAST_COUNTERS: Duration = Duration::from_millis(300);
+
 impl World<'_> {
     /// Looks at a router that ends or starts.
     pub(in crate::world) async fn look_at_seat(&mut self, now: Ms, r: usize) {
@@ -11,6 +14,8 @@
         match &soak.seats[r].state {
             SeatState::Up => return,
             SeatState::Ending(_) if !self.seats[r].process.runs() => {
+                // Else all that it said would be waited for.
+                self.seats[r].process.read_log(true);
                 let status = self.seats[r].process.over();
                 if !status.is_some_and(|s| s.success()) {
                     soak.violated(now, Invariant::Crashed, format!("router {r} ended by {status:?}"));
@@ -26,7 +31,10 @@
                     Invariant::NotEnded,
                     format!("router {r} runs {:.0} ms after SIGTERM", now - since),
                 );
+                // Its counters tell what it waits for.
+                let _ = self.seats[r].process.counters(LAST_COUNTERS);
                 self.seats[r].process.kill();
+                self.keep_log(r);
                 self.restart(now, r);
                 return;
             }
@@ -208,6 +216,12 @@
         }
     }
 
+    /// Until when a router hears nothing of its change log; `None` if it hears it.
+    pub(in crate::world) fn deaf_until(&self, now: Ms, r: usize) -> Option<Ms> {
+        let until = self.soak.as_ref()?.seats[r].deaf_until;
+        (until > now).then_some(until)
+    }
+
     /// Which process of a router runs.
     pub(in crate::world) fn generation(&self, r: usize) -> u64 {
         self.soak.as_ref().map_or(0, |soak| soak.seats[r].generation)
--- a/crates/emulator/src/world/start.rs
+++ b/crates/emulator/src/world/start.rs
@@ -141,7 +141,13 @@
     pub(super) async fn connect(&mut self, r: usize) {
         let at = self.seats[r].process.address;
         if let Some((conn, out)) = client(self.net.clone(), r, at).await {
-            self.seats[r].clients.push(ClientConn { conn, out, open: BTreeMap::new(), tag: 0 });
+            self.seats[r].clients.push(ClientConn {
+                conn,
+                out,
+                open: BTreeMap::new(),
+                tag: 0,
+                answered: BTreeSet::new(),
+            });
         }
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -28,6 +28,7 @@
       --seed N           another seed than the file's
       --seeds A..B       soak: all seeds from A to B
       --jobs N           soak: so many seeds side by side
+      --breaks           soak: play a program built with the feature `breaks`; ends 0 if every break is caught
       --router PROGRAM   soak: another router program than the one beside this one
       --out DIR          keep a table (CSV) and charts (SVG) there
   page FILE DIR          hold the marked figures of a page against a folder's tables of `capacity`; ends 0 if all agree, 1 if not
@@ -51,12 +52,13 @@
 struct SoakOptions {
     seeds: Option<std::ops::RangeInclusive<u64>>,
     jobs: Option<usize>,
+    breaks: bool,
     router: Option<PathBuf>,
 }
 
 impl SoakOptions {
     fn given(&self) -> bool {
-        self.seeds.is_some() || self.jobs.is_some() || self.router.is_some()
+        self.breaks || self.seeds.is_some() || self.jobs.is_some() || self.router.is_some()
     }
 }
 
@@ -83,6 +85,7 @@
             let (quick, seed) = (args.contains("--quick"), args.opt_value_from_str("--seed").map_err(say)?);
             let (real, out) = (args.contains("--real"), args.opt_value_from_str("--out").map_err(say)?);
             let soak = SoakOptions {
+                breaks: args.contains("--breaks"),
                 seeds: args.opt_value_from_fn("--seeds", seeds).map_err(say)?,
                 jobs: args.opt_value_from_str("--jobs").map_err(say)?,
                 router: args.opt_value_from_str("--router").map_err(say)?,
@@ -156,10 +159,12 @@
             return bad(format!("--seeds, --jobs and --router: {name} is no soak"));
         }
         Ok(Command::Run { name, quick, seed, out, soak, .. }) if soak::is(&name) => {
-            let SoakOptions { seeds, jobs, router } = soak;
+            let SoakOptions { seeds, jobs, breaks, router } = soak;
             let asked =
                 soak::Asked { quick, seed, seeds, jobs: jobs.unwrap_or(1), router, out: out.as_deref() };
-            match soak::play(&name, &asked, origin) {
+            let played =
+                if breaks { soak::play_breaks(&name, &asked) } else { soak::play(&name, &asked, origin) };
+            match played {
                 Ok(true) => {}
                 Ok(false) => return ExitCode::FAILURE,
                 Err(e) => return bad(e),
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -101,6 +101,11 @@
 }
 
 impl Played {
+    /// Whether a rule or an invariant was broken.
+    fn violated(&self) -> bool {
+        !self.sockets.broken.is_empty() || !self.report.violations.is_empty()
+    }
+
     /// What did not hold, in words.
     fn faults(&self) -> Vec<String> {
         let mut all: Vec<String> = Vec::new();
@@ -208,6 +213,61 @@
     text
 }
 
+/// Rules that a router program built with the feature `breaks` breaks on purpose, by the name that it knows each under.
+const BREAKS: [&str; 8] = [
+    "purge_ignored",
+    "second_answer",
+    "repeat_after_execution",
+    "cancel_ignored",
+    "close_over_request",
+    "drain_ignored",
+    "wall_clock",
+    "stale_deadline",
+];
+
+/// Plays seeds against each deliberate break; true if each was caught by one of them at least.
+pub fn play_breaks(name: &str, asked: &Asked<'_>) -> Result<bool, String> {
+    let (experiment, _) = find(name).map_err(|e| e.to_string())?;
+    let program =
+        asked.router.clone().ok_or("--breaks: expected --router, a program with the feature `breaks`")?;
+    let seeds = asked.seeds.clone().unwrap_or(1..=8);
+    let mut caught = 0;
+    for broken in BREAKS {
+        // Routers inherit it.
+        std::env::set_var("GW_BREAK", broken);
+        let all: Vec<u64> = seeds.clone().collect();
+        let found: Mutex<Vec<(u64, String)>> = Mutex::default();
+        for some in all.chunks(asked.jobs.max(1)) {
+            std::thread::scope(|scope| {
+                for seed in some {
+                    scope.spawn(|| {
+                        let played = play_seed(&experiment, asked.quick, *seed, &program, None);
+                        let violated = played.ok().filter(Played::violated);
+                        let fault = violated.and_then(|p| p.faults().into_iter().next());
+                        if let (Some(fault), Ok(mut found)) = (fault, found.lock()) {
+                            found.push((*seed, fault));
+                        }
+                    });
+                }
+            });
+            if found.lock().is_ok_and(|found| !found.is_empty()) {
+                break;
+            }
+        }
+        let found = found.into_inner().map_err(|e| e.to_string())?;
+        match found.iter().min_by_key(|(seed, _)| *seed) {
+            Some((seed, fault)) => {
+                caught += 1;
+                println!("  {broken}: caught by {} seeds, first {seed}: {fault}", found.len());
+            }
+            None => println!("  {broken}: NOT caught by seeds {} to {}", seeds.start(), seeds.end()),
+        }
+    }
+    std::env::remove_var("GW_BREAK");
+    println!("{name} --breaks: {caught} of {} caught", BREAKS.len());
+    Ok(caught == BREAKS.len())
+}
+
 /// Plays the seeds that are asked for; true if all held.
 pub fn play(name: &str, asked: &Asked<'_>, origin: fn(u64, &str) -> Origin) -> Result<bool, String> {
     let (experiment, text) = find(name).map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/node/tests/system_calls.rs
@@ -0,0 +1,133 @@
+//! System calls that fail, are interrupted or move little, and a log that nobody reads: what a router still owes.
+
+mod common;
+
+use basaltgw_emulator::faults::{Fault, Faults};
+use common::*;
+use serde_json::{json, Value};
+use tempfile::TempDir;
+
+/// Requests asked for under a fault.
+const REQUESTS: u64 = 60;
+
+struct Rig {
+    router: Process,
+    faults: Faults,
+    _caches: [Cache; 3],
+    _dir: TempDir,
+}
+
+fn configured(caches: &[Cache; 3]) -> Value {
+    let log = ChangeLog::start();
+    let mut config = configuration(&three(&caches[0], &caches[1], &caches[2]), log.address);
+    config["settings"]["limits"]["connect-timeout"] = json!(20_000.0);
+    config
+}
+
+fn rig() -> Rig {
+    let caches = [(); 3].map(|()| Cache::full());
+    let dir = TempDir::new().expect("a folder");
+    let faults = Faults::new(&dir.path().join("faults")).expect("the fault injection library");
+    let router = Process::start_under(binary(), &configured(&caches), &faults).expect("a router");
+    Rig { router, faults, _caches: caches, _dir: dir }
+}
+
+/// All requests of one connection are served while one call in so many is so.
+fn serves_all_under(fault: Fault, one_in: i64) {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(client.settle(), []);
+    rig.faults.set(fault, one_in).expect("a fault");
+    for tag in 1..=REQUESTS {
+        client.ask(tag, "pages", tag, "", b"");
+        let got = client.must();
+        assert_eq!((got.tag, got.word.as_str()), (tag, "200"));
+    }
+    assert!(rig.faults.hits(fault).expect("hits") > 0, "the fault came about");
+}
+
+#[test]
+fn interrupted_reads_and_writes_end_no_connection() {
+    serves_all_under(Fault::Interrupted, 2);
+}
+
+#[test]
+fn transfers_of_single_bytes_carry_whole_messages() {
+    serves_all_under(Fault::Short, 2);
+}
+
+#[test]
+fn clients_are_accepted_though_every_other_accept_fails() {
+    let rig = rig();
+    rig.faults.set(Fault::Accept, 2).expect("a fault");
+    for tag in 1..=20 {
+        let mut client = rig.router.client();
+        client.ask(tag, "pages", tag, "", b"");
+        assert_eq!(client.must().word, "200");
+    }
+    assert!(rig.faults.hits(Fault::Accept).expect("hits") > 0, "the fault came about");
+}
+
+#[test]
+fn connection_that_wants_descriptors_for_a_moment_is_tried_again_and_the_server_is_not_blamed() {
+    let caches = [(); 3].map(|()| Cache::full());
+    let router = router(&configured(&caches));
+    let mut client = router.client();
+    assert_eq!(client.settle(), []);
+    router.descriptors_up_to(Some(1));
+    client.ask(1, "pages", 1, "", b"");
+    until("it waits for a connection", || router.counter("attempts") >= 1);
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    assert_eq!(caches.iter().map(Cache::count).sum::<usize>(), 0, "no connection could be made");
+    router.descriptors_up_to(None);
+    assert_eq!(client.must().word, "200");
+    assert_eq!((router.counter("attempts_no_connection"), router.counter("conns_failed")), (0, 0));
+}
+
+#[test]
+fn log_that_nobody_reads_does_not_stop_the_router() {
+    let caches = [(); 3].map(|()| Cache::full());
+    let router = router_by(&configured(&caches), "GW_LOG=debug exec \"$0\" serve");
+    let mut client = router.client();
+    assert_eq!(client.settle(), []);
+    router.read_log(false);
+    // Each connection is a line; a pipe holds 64 KB, and its reader some more.
+    for _ in 0..6_000 {
+        drop(router.client());
+    }
+    for tag in 1..=20 {
+        client.ask(tag, "pages", tag, "", b"");
+        assert_eq!(client.must().word, "200");
+    }
+    router.read_log(true);
+    // A line that is logged while the pipe is full still is dropped too.
+    until("the pipe is empty again", || router.counters(std::time::Duration::from_millis(300)).is_some());
+    assert!(router.counter("log_dropped") > 0, "the log's pipe was full");
+    assert!(router.said("lines were not logged"));
+}
+
+#[test]
+fn order_to_end_is_heeded_though_every_transfer_is_of_a_single_byte() {
+    let rig = rig();
+    rig.faults.set(Fault::Short, 1).expect("a fault");
+    // One that is garbled must not garble those behind it.
+    rig.router.signal("HUP");
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    rig.faults.set(Fault::Short, 0).expect("no fault");
+    rig.router.end();
+    let mut router = rig.router;
+    assert!(router.ended().success());
+}
+
+#[test]
+fn order_to_end_is_heeded_though_every_second_call_is_interrupted() {
+    let rig = rig();
+    rig.faults.set(Fault::Interrupted, 2).expect("a fault");
+    for _ in 0..4 {
+        rig.router.signal("HUP");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    rig.router.end();
+    let mut router = rig.router;
+    assert!(router.ended().success());
+}
