Signals are noted by flags, so that no failing call loses SIGTERM

Changed: signals.rs in place of async-signal, which ignores what its handler's write came to and drops a number that it has read in part. Each signal sets a flag (signal-hook's safe interface) and wakes the reader by one byte; flags are looked at each 250 ms too, so a lost byte costs a short wait. Signals of one kind that come together are one; a reload goes before an end that came with it.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod platform_time;
 pub mod shown;
 pub mod shutdown;
+pub mod signals;
 pub mod socket;
 pub mod stalls;
 pub mod tree;
@@ -121,7 +122,7 @@
 /// If it can't start, or one of the fleet's threads has ended by itself.
 pub fn serve(mut config: NodeConfig, own: Own) -> io::Result<String> {
     config.unread.iter().for_each(|fault| log::warn!("left out: {fault}"));
-    let signals = shutdown::listen()?;
+    let signals = signals::Signals::listen()?;
     let (queue, from_clients) = async_channel::bounded(limits::QUEUE);
     let (answers, from_servers) = async_channel::bounded(limits::QUEUE);
     let (urgent, news) = async_channel::bounded(limits::QUEUE);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -2,21 +2,14 @@
 
 use crate::limits::{END_ACCEPT_MS, END_QUIET_MS};
 use crate::permissions::{may_end, EndState};
+use crate::signals::{Order, Signals};
 use crate::{shown, Input, Own};
 use async_channel::Sender;
-use async_signal::{Signal, Signals};
 use basaltgw::api::Ms;
 use basaltgw_config::fleet::Fleet;
 use basaltgw_config::{own_settings, Environment, NodeConfig};
-use futures_lite::StreamExt;
-use std::io;
 use std::net::SocketAddr;
 
-/// Listens for signals from now on; before this, each of them would kill the process.
-pub fn listen() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
-}
-
 /// Passes signals on: TERM and INT end the router, HUP has the configuration read again, USR1 asks for the counters.
 pub async fn watch(
     mut signals: Signals,
@@ -24,18 +17,16 @@
     (running, mut own): (NodeConfig, Own),
     changelog: Sender<SocketAddr>,
 ) {
-    while let Some(signal) = signals.next().await {
-        let input = match signal {
-            Ok(Signal::Usr1) => Input::Count,
-            Ok(Signal::Hup) => Input::Reloaded(reload(&running, &mut own, &urgent, &changelog).await),
-            Ok(_) => Input::End,
-            Err(e) => {
-                log::warn!("a signal was not read: {e}");
-                continue;
+    loop {
+        for order in signals.next().await {
+            let input = match order {
+                Order::Count => Input::Count,
+                Order::Reload => Input::Reloaded(reload(&running, &mut own, &urgent, &changelog).await),
+                Order::End => Input::End,
+            };
+            if urgent.send(input).await.is_err() {
+                return;
             }
-        };
-        if urgent.send(input).await.is_err() {
-            return;
         }
     }
 }
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -114,3 +114,16 @@
     let mut router = rig.router;
     assert!(router.ended().success());
 }
+
+#[test]
+fn order_to_end_is_heeded_though_every_second_call_is_interrupted() {
+    let rig = rig();
+    rig.faults.set(Fault::Interrupted, 2).expect("a fault");
+    for _ in 0..4 {
+        rig.router.signal("HUP");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    rig.router.end();
+    let mut router = rig.router;
+    assert!(router.ended().success());
+}
