Two stops with little between them are one: what lay in sockets counts from the first

By reading: what had not been read between the two stops was dated by the second alone, up to 0.9 s too late, and by that its deadline was not over.

--- a/crates/node/src/stalls.rs
+++ b/crates/node/src/stalls.rs
@@ -46,7 +46,10 @@
         let now = Instant::now();
         let before = self.turned.replace(now);
         if now.saturating_duration_since(before) >= STOP {
-            self.last.set(Some(Stop { from: before + LONGEST_TURN, to: now }));
+            // What lay in the sockets from an earlier stop may not have been read before this one.
+            let earlier = self.last.get().filter(|stop| before < stop.to + BACKLOG_READ);
+            let from = earlier.map_or(before + LONGEST_TURN, |stop| stop.from);
+            self.last.set(Some(Stop { from, to: now }));
             self.count.set(self.count.get() + 1);
         }
         now
@@ -112,6 +115,20 @@
         assert_eq!(stalls.count(), 1);
     }
 
+    #[test]
+    fn two_stops_with_little_between_them_are_one() {
+        let (stalls, start) = stopped_for(Duration::from_secs(3));
+        let between = start + Duration::from_secs(1);
+        stalls.last.set(Some(Stop { from: start + LONGEST_TURN, to: between }));
+        stalls.turned.set(between + Duration::from_millis(40));
+        assert!(stalls.waited(start) >= Duration::from_millis(2_800));
+        // One that came long after is another.
+        let (stalls, start) = stopped_for(Duration::from_secs(3));
+        stalls.last.set(Some(Stop { from: start, to: start + Duration::from_secs(1) }));
+        stalls.turned.set(start + Duration::from_secs(2));
+        assert!(stalls.waited(start) < Duration::from_secs(1));
+    }
+
     #[test]
     fn turn_of_usual_length_is_no_stop() {
         let (stalls, start) = stopped_for(LONGEST_TURN);
