--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -13,7 +13,7 @@
 struct Rig {
     router: Process,
     faults: Faults,
-    _caches: [Cache; 3],
+    caches: [Cache; 3],
     _dir: TempDir,
 }
 
@@ -29,7 +29,7 @@
     let dir = TempDir::new().expect("a folder");
     let faults = Faults::new(&dir.path().join("faults")).expect("the fault injection library");
     let router = Process::start_under(binary(), &configured(&caches), &faults).expect("a router");
-    Rig { router, faults, _caches: caches, _dir: dir }
+    Rig { router, faults, caches: caches, _dir: dir }
 }
 
 /// All requests of one connection are served while one call in so many is so.
@@ -127,3 +127,35 @@
     let mut router = rig.router;
     assert!(router.ended().success());
 }
+
+/// How long a client waits, and how long its request lies unread.
+const WAIT_MS: u64 = 4_000;
+const LIES: std::time::Duration = std::time::Duration::from_millis(1_200);
+/// What the deadline that is passed on may exceed the client's time by.
+const SLACK_MS: u64 = 150;
+
+/// What each fetch was told is what its client had left, who asked at that time.
+fn tells_what_is_left(rig: &Rig, asked: u64) {
+    let fetches: Vec<Seen> = rig.caches.iter().flat_map(Cache::all).collect();
+    assert!(!fetches.is_empty());
+    for fetch in fetches {
+        let told: u64 = fetch.field("w").expect("a wait").parse().expect("whole milliseconds");
+        let left = (asked + WAIT_MS).saturating_sub(fetch.at);
+        assert!(told <= left + SLACK_MS, "told {told} ms, its client has {left} ms left");
+    }
+}
+
+#[test]
+fn deadline_after_a_stop_counts_from_arrival_though_reads_are_of_single_bytes() {
+    let rig = rig();
+    let mut client = rig.router.client();
+    assert_eq!(client.settle(), []);
+    rig.faults.set(Fault::Short, 1).expect("a fault");
+    rig.router.signal("STOP");
+    let asked = unix_ms();
+    client.ask_for(WAIT_MS, 1, "pages", 1, "", b"");
+    std::thread::sleep(LIES);
+    rig.router.signal("CONT");
+    assert_eq!(client.must().tag, 1);
+    tells_what_is_left(&rig, asked);
+}
