Only a read that has to wait finds its socket empty; failing accepts keep connections waiting

The reader notes a socket as empty when a read of it has to wait; a connection that is accepted after accepts have failed counts from the first of them, as one that waited for a place does.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -205,7 +205,7 @@
 pub async fn accept(listener: Async<TcpListener>, most: usize, places: Rc<Places>, shared: Shared) {
     let mut count = 0;
     let mut row = 0;
-    // While there was no place, connections may have come that wait in the backlog still; since then.
+    // While there was no place, or accepts failed, connections may have come that wait in the backlog still; since then.
     let mut waiting_since = None;
     // Whoever connects on and on does not hold up the end.
     let mut at_end = 0;
@@ -235,6 +235,7 @@
             }
             Some(Err(e)) => {
                 log::debug!("accept: {e}");
+                waiting_since.get_or_insert_with(Instant::now);
                 Timer::after(ACCEPT_REST).await;
             }
             None => return,
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -195,7 +195,19 @@
         };
         let (mut socket, piece) = (self.socket, &mut self.piece);
         // What has come is read before it is called late, and before the connection is said to rest.
-        let read = async { Next::Read(socket::read(&mut socket, piece).await) };
+        let empty_since = &mut self.empty_since;
+        let read = async {
+            let mut reading = pin!(socket::read(&mut socket, piece));
+            let noted = future::poll_fn(|cx| {
+                let polled = reading.as_mut().poll(cx);
+                // A short read proves nothing: only one that has to wait found the socket empty.
+                if polled.is_pending() {
+                    *empty_since = Instant::now();
+                }
+                polled
+            });
+            Next::Read(noted.await)
+        };
         match future::or(read, future::or(late, wanted)).await {
             Next::Read(Ok(n)) if n > 0 => Ok(n),
             Next::Read(Ok(_) | Err(_)) => Err(Over::Ended),
@@ -217,9 +229,6 @@
             false => self.shared.stalls.waited(self.empty_since),
         };
         let now = self.shared.clock.now() - waited.as_secs_f64() * 1000.0;
-        if n < self.piece.len() {
-            self.empty_since = Instant::now();
-        }
         let mut next = self.decoder.message();
         while self.fault.is_none() {
             let words = match next {
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -159,3 +159,16 @@
     assert_eq!(client.must().tag, 1);
     tells_what_is_left(&rig, asked);
 }
+
+#[test]
+fn deadline_on_a_connection_that_waited_for_failing_accepts_counts_from_arrival() {
+    let rig = rig();
+    rig.faults.set(Fault::Accept, 1).expect("a fault");
+    let mut client = rig.router.client();
+    let asked = unix_ms();
+    client.ask_for(WAIT_MS, 1, "pages", 1, "", b"");
+    std::thread::sleep(LIES);
+    rig.faults.set(Fault::Accept, 0).expect("no fault");
+    assert_eq!(client.must().tag, 1);
+    tells_what_is_left(&rig, asked);
+}
