Names of the node by the glossary: OutgoingMessage, AttemptReport, AbortingAttempt and their like

Parcel, Telling, UNTOLD, Leaving, depart, relieve and let_go of crates/node are renamed by shared/glossary.md; no behaviour changes.

--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -5,7 +5,7 @@
 use crate::clock::late;
 use crate::inbox::{either, read_all, Over};
 use crate::limits::{CONNECT_REST, FROM_CACHE, PROVEN_MS, SERVER_STALLED, SILENT_MS};
-use crate::outbox::{write_all, Drained, FetchTerms, Outbox, Parcel};
+use crate::outbox::{write_all, Drained, FetchTerms, Outbox, OutgoingMessage};
 use crate::resp::encode;
 use crate::{socket, Input, Shared};
 use async_io::{Async, Timer};
@@ -40,7 +40,7 @@
     heard: Option<Ms>,
     /// Under this tag it was asked whether it works; what is to be written waits for the answer.
     pub proving: Option<WireId>,
-    held: Vec<Rc<Parcel>>,
+    held: Vec<Rc<OutgoingMessage>>,
     /// Since when its server takes nothing new.
     pub drained: Drained,
 }
@@ -82,7 +82,13 @@
     }
 
     /// Puts a request in line, behind a proof where one is needed.
-    pub(super) fn put(&mut self, now: Ms, at: ConnId, bytes: Vec<u8>, terms: FetchTerms) -> Rc<Parcel> {
+    pub(super) fn put(
+        &mut self,
+        now: Ms,
+        at: ConnId,
+        bytes: Vec<u8>,
+        terms: FetchTerms,
+    ) -> Rc<OutgoingMessage> {
         if self.proving.is_none() && self.unproven(now) {
             let tag = WireId(Arc::from(at.0.to_string()));
             self.out.put(encode(&[b"alive", tag.0.as_bytes()]));
@@ -165,7 +171,7 @@
     place: Place,
     limit: Duration,
     shared: &Shared,
-    parcels: async_channel::Receiver<Rc<Parcel>>,
+    parcels: async_channel::Receiver<Rc<OutgoingMessage>>,
 ) -> Down {
     let socket = match connect(place, limit).await {
         Ok(socket) => socket,
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -8,7 +8,7 @@
 use crate::clients::WireId;
 use crate::inbox::Over;
 use crate::limits::{ABANDONED_MS, CONNS_PER_SERVER, IDLE_SHARE, SHARED};
-use crate::outbox::{outbox, FetchTerms, Parcel};
+use crate::outbox::{outbox, FetchTerms, OutgoingMessage};
 use crate::{Input, Shared};
 use basaltgw::api::{AttemptNo, Ms, ServerId};
 use basaltgw_config::{Place, Transport};
@@ -88,7 +88,7 @@
         key: AttemptKey,
         (id, asked, alone): (&WireId, &[ConnId], bool),
         (bytes, terms): (Vec<u8>, FetchTerms),
-    ) -> Option<(ConnId, Rc<Parcel>)> {
+    ) -> Option<(ConnId, Rc<OutgoingMessage>)> {
         let (server, place) = to;
         let streams = self.transport.max_streams;
         let mut of_server = 0;
@@ -169,7 +169,7 @@
 
     /// Gives an attempt up. The attempt never ran if no byte of it was written; else the server has it until it has read the `abort`
     /// that this puts in line, and an `alive` behind that tells when.
-    pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &Parcel) -> GivenUp {
+    pub fn give_up(&mut self, at: ConnId, id: &WireId, parcel: &OutgoingMessage) -> GivenUp {
         let taken_back = parcel.take_back();
         let mut conn = self.conns.get_mut(&at);
         if let Some(conn) = &mut conn {
--- a/crates/node/src/log_writer.rs
+++ b/crates/node/src/log_writer.rs
@@ -13,7 +13,7 @@
 /// Lines dropped since the start.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 /// Those of them that no line has told of yet.
-static UNTOLD: AtomicU64 = AtomicU64::new(0);
+static NO_REPORT: AtomicU64 = AtomicU64::new(0);
 
 /// Lines dropped since the start.
 pub fn dropped() -> u64 {
@@ -48,11 +48,11 @@
 
 impl Write for LogWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let untold = UNTOLD.swap(0, Ordering::Relaxed);
+        let untold = NO_REPORT.swap(0, Ordering::Relaxed);
         let told = untold == 0 || Self::write_line(format!("{untold} lines were not logged\n").as_bytes());
         if !told || !Self::write_line(line) {
             DROPPED.fetch_add(1, Ordering::Relaxed);
-            UNTOLD.fetch_add(if told { 1 } else { untold + 1 }, Ordering::Relaxed);
+            NO_REPORT.fetch_add(if told { 1 } else { untold + 1 }, Ordering::Relaxed);
         }
         Ok(line.len())
     }
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -204,14 +204,14 @@
 
 /// A message.
 #[derive(Debug)]
-pub struct Parcel {
+pub struct OutgoingMessage {
     stage: Cell<Stage>,
     /// Of a fetch: what it goes by.
     fetch: Option<Box<FetchTerms>>,
     bytes: RefCell<Option<Counted>>,
 }
 
-impl Parcel {
+impl OutgoingMessage {
     /// How far it has got.
     pub fn stage(&self) -> Stage {
         self.stage.get()
@@ -264,13 +264,13 @@
 /// The writing end of a connection, as the owner holds it.
 #[derive(Debug)]
 pub struct Outbox {
-    queue: Sender<Rc<Parcel>>,
+    queue: Sender<Rc<OutgoingMessage>>,
     all: Rc<Meter>,
     own: Rc<Meter>,
 }
 
 /// An outbox and the end from which its connection writes.
-pub fn outbox(all: &Rc<Meter>, own: &Rc<Meter>) -> (Outbox, Receiver<Rc<Parcel>>) {
+pub fn outbox(all: &Rc<Meter>, own: &Rc<Meter>) -> (Outbox, Receiver<Rc<OutgoingMessage>>) {
     // Bounded by what may be open on the connection; the owner must not wait for a socket.
     let (queue, parcels) = async_channel::unbounded();
     (Outbox { queue, all: Rc::clone(all), own: Rc::clone(own) }, parcels)
@@ -278,24 +278,24 @@
 
 impl Outbox {
     /// Puts a message in line.
-    pub fn put(&self, bytes: Vec<u8>) -> Rc<Parcel> {
+    pub fn put(&self, bytes: Vec<u8>) -> Rc<OutgoingMessage> {
         let parcel = self.parcel(bytes, None);
         self.release(&parcel);
         parcel
     }
 
     /// A fetch that is not in line until it is released.
-    pub fn hold(&self, bytes: Vec<u8>, fetch: FetchTerms) -> Rc<Parcel> {
+    pub fn hold(&self, bytes: Vec<u8>, fetch: FetchTerms) -> Rc<OutgoingMessage> {
         self.parcel(bytes, Some(Box::new(fetch)))
     }
 
-    fn parcel(&self, bytes: Vec<u8>, fetch: Option<Box<FetchTerms>>) -> Rc<Parcel> {
+    fn parcel(&self, bytes: Vec<u8>, fetch: Option<Box<FetchTerms>>) -> Rc<OutgoingMessage> {
         let bytes = RefCell::new(Some(Counted::new(bytes, &[&self.all, &self.own])));
-        Rc::new(Parcel { stage: Cell::new(Stage::Waiting), fetch, bytes })
+        Rc::new(OutgoingMessage { stage: Cell::new(Stage::Waiting), fetch, bytes })
     }
 
     /// Puts a held message in line.
-    pub fn release(&self, parcel: &Rc<Parcel>) {
+    pub fn release(&self, parcel: &Rc<OutgoingMessage>) {
         if self.queue.try_send(Rc::clone(parcel)).is_err() {
             // The connection is over; nothing of this will be written.
             parcel.take_back();
@@ -314,7 +314,7 @@
 }
 
 /// Writes messages until the outbox is dropped or the connection fails; whether all were written. `stall` bounds each write.
-pub async fn write_all<W, S, F>(mut socket: W, parcels: Receiver<Rc<Parcel>>, stall: S) -> bool
+pub async fn write_all<W, S, F>(mut socket: W, parcels: Receiver<Rc<OutgoingMessage>>, stall: S) -> bool
 where
     W: AsyncWrite + Unpin,
     S: Fn() -> F,
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -9,7 +9,7 @@
 use crate::inbox::Over;
 use crate::invariants::Violation;
 use crate::limits::LONGEST_WAIT_MS;
-use crate::outbox::{Counted, FetchTerms, FetchTime, Parcel, Stage};
+use crate::outbox::{Counted, FetchTerms, FetchTime, OutgoingMessage, Stage};
 use crate::permissions::{may_begin, may_repeat, BeginState, EarlierAttempt};
 use basaltgw::api::{AttemptNo, End, Event, Fetch, Load, Ms, Note, Outcome, ServerId};
 use std::rc::Rc;
@@ -23,7 +23,7 @@
     /// The connection on which it went.
     on: Option<ConnId>,
     /// Where it is on its way; `None` once it is over.
-    pub way: Option<(ConnId, Rc<Parcel>)>,
+    pub way: Option<(ConnId, Rc<OutgoingMessage>)>,
     /// How it ended, once it has.
     end: Option<End>,
 }
@@ -41,7 +41,7 @@
 }
 
 /// An attempt that was given up, and is out until its server has shown that it knows, or its connection is over.
-pub(super) struct Leaving {
+pub(super) struct AbortingAttempt {
     key: AttemptKey,
     end: End,
     pub on: ConnId,
@@ -50,13 +50,13 @@
 }
 
 /// How an attempt came out, besides its end.
-pub(super) struct Telling {
+pub(super) struct AttemptReport {
     note: Note,
     waited: Ms,
     load: Load,
 }
 
-const UNTOLD: Telling = Telling {
+const NO_REPORT: AttemptReport = AttemptReport {
     note: Note::Untold,
     waited: 0.0,
     load: Load { inflight: None, util: None, hits: None, link: None },
@@ -108,7 +108,7 @@
             }
         } else {
             // Also where all connections are in use: the limit is the router's own, and tells nothing of the server.
-            self.report((no, n), End::NotSent, UNTOLD, true);
+            self.report((no, n), End::NotSent, NO_REPORT, true);
         }
     }
 
@@ -119,7 +119,7 @@
         n: AttemptNo,
         fetch: &Fetch,
         until: Ms,
-    ) -> Option<(ConnId, Rc<Parcel>)> {
+    ) -> Option<(ConnId, Rc<OutgoingMessage>)> {
         let open = self.requests.get(no)?;
         let place = *self.servers.get(&fetch.server)?;
         let now = Instant::now();
@@ -181,7 +181,7 @@
             Down::Ended(Over::Unreadable(_)) => self.counters.conns.unreadable.one(),
             Down::Ended(Over::Unfinished) => self.counters.conns.unfinished.one(),
         }
-        self.depart(|leaving| leaving.on == at);
+        self.reap_aborted(|leaving| leaving.on == at);
         for key in self.caches.down(at) {
             let end = match (down, self.requests.attempt(key).and_then(Attempt::stage)) {
                 (Down::NeverUp, _) => End::NoConnection,
@@ -191,7 +191,7 @@
                 // Its last byte was not written.
                 (Down::Ended(_), _) => End::NotSent,
             };
-            self.end(key, end, UNTOLD, false);
+            self.end(key, end, NO_REPORT, false);
         }
     }
 
@@ -205,21 +205,21 @@
             return;
         }
         match self.caches.give_up(*conn, &open.request.id, parcel) {
-            GivenUp::Never => self.end((no, n), never, UNTOLD, later),
-            GivenUp::Closed => self.end((no, n), end, UNTOLD, later),
+            GivenUp::Never => self.end((no, n), never, NO_REPORT, later),
+            GivenUp::Closed => self.end((no, n), end, NO_REPORT, later),
             GivenUp::Behind(tag) => {
-                self.leaving.push(Leaving { key: (no, n), end, on: *conn, tag, since: self.now })
+                self.leaving.push(AbortingAttempt { key: (no, n), end, on: *conn, tag, since: self.now })
             }
         }
     }
 
     /// What was given up and has left its server is over; gives how many that were.
-    pub(super) fn depart(&mut self, gone: impl Fn(&Leaving) -> bool) -> u64 {
+    pub(super) fn reap_aborted(&mut self, gone: impl Fn(&AbortingAttempt) -> bool) -> u64 {
         let all = std::mem::take(&mut self.leaving).into_iter();
         let (over, leaving): (Vec<_>, Vec<_>) = all.partition(gone);
         self.leaving = leaving;
         let many = over.len() as u64;
-        over.into_iter().for_each(|l| self.end(l.key, l.end, UNTOLD, false));
+        over.into_iter().for_each(|l| self.end(l.key, l.end, NO_REPORT, false));
         many
     }
 
@@ -252,7 +252,7 @@
     pub(super) fn outcome(&mut self, at: ConnId, answer: Answer) {
         // A server that knows of what was given up has answered no request by that.
         if self.leaving.iter().any(|l| l.on == at && l.tag == answer.id) {
-            self.depart(|l| l.tag == answer.id);
+            self.reap_aborted(|l| l.tag == answer.id);
             return;
         }
         let key = self.caches.answered(self.now, at, &answer.id);
@@ -267,7 +267,7 @@
             self.counters.conns.unreadable.one();
             self.caches.end(at);
             self.recall(|_, a| a.way.as_ref().is_some_and(|(conn, _)| *conn == at));
-            return self.end(key, End::Broken, UNTOLD, false);
+            return self.end(key, End::Broken, NO_REPORT, false);
         }
         if let Some(copy) = &answer.copy {
             let grown = self.platform.observe(self.now, copy.born as Ms);
@@ -278,19 +278,19 @@
             let reply = if answer.same { Reply::Same } else { Reply::Served(answer.body.bytes()) };
             self.answer(key.0, reply);
         }
-        let telling = Telling { note: answer.note, waited: answer.waited, load: answer.load };
+        let telling = AttemptReport { note: answer.note, waited: answer.waited, load: answer.load };
         self.end(key, end, telling, false);
     }
 
     /// An attempt is over: the module is told, at once or (of what its own action led to) in the next batch.
-    fn end(&mut self, key: AttemptKey, end: End, telling: Telling, later: bool) {
+    fn end(&mut self, key: AttemptKey, end: End, telling: AttemptReport, later: bool) {
         let attempt = self.requests.attempt_mut(key);
         if attempt.is_some_and(|a| a.way.take().is_some()) {
             self.report(key, end, telling, later);
         }
     }
 
-    fn report(&mut self, (no, n): AttemptKey, end: End, telling: Telling, later: bool) {
+    fn report(&mut self, (no, n): AttemptKey, end: End, telling: AttemptReport, later: bool) {
         let breaks = broken(Break::RepeatAfterExecution) && end != End::Served;
         let end = if breaks { End::NotSent } else { end };
         let Some(open) = self.requests.get_mut(no) else { return };
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -138,7 +138,7 @@
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
         let silent = self.now - LEAVING_MS;
-        let unheeded = self.depart(|leaving| leaving.since < silent);
+        let unheeded = self.reap_aborted(|leaving| leaving.since < silent);
         self.counters.attempts.unheeded.more(unheeded);
         left_over.into_iter().for_each(|event| self.tell(event));
         others.into_iter().for_each(|input| self.input(input));
@@ -156,8 +156,8 @@
             self.tidied = self.now;
             self.tidy();
         }
-        self.relieve();
-        self.clients.let_go();
+        self.apply_memory_pressure();
+        self.clients.release_closed();
         self.counters.batches.given.one();
         self.counters.batches.longest.raise(self.clock.now() - begun);
         self.counters.memory.held_most.raise(self.meter.held() as u64);
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -15,7 +15,7 @@
     OPEN_PER_CLIENT, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SHARE, ROOM_SILENT_MS, TAGS_KEPT, UNDONE_MOST,
     UNDONE_WINDOW_MS, UNREADABLE_MOST,
 };
-use crate::outbox::{Outbox, Parcel, Stage};
+use crate::outbox::{Outbox, OutgoingMessage, Stage};
 use basaltgw::api::Ms;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -25,7 +25,7 @@
     pub outbox: Outbox,
     pub open: BTreeMap<Tag, RequestNo>,
     /// Answers that may not be written yet.
-    pub unsent: BTreeMap<Tag, Rc<Parcel>>,
+    pub unsent: BTreeMap<Tag, Rc<OutgoingMessage>>,
     /// Tags of its last requests.
     used: VecDeque<Tag>,
     /// Requests of it that could not be understood.
@@ -147,7 +147,7 @@
     }
 
     /// Lets go of those from which nothing more is taken and that have what they are owed.
-    pub(super) fn let_go(&mut self) {
+    pub(super) fn release_closed(&mut self) {
         let Self(clients, closing) = self;
         closing.retain(|id| match clients.get(id) {
             Some(client) if client.at_rest() || broken(Break::CloseOverRequest) => {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -36,7 +36,7 @@
 use crate::stalls::Stalls;
 use crate::tree::Tree;
 use crate::{Input, Shared};
-use attempts::Leaving;
+use attempts::AbortingAttempt;
 use basaltgw::api::{Action, Class, End, Event, Ms, RequestId, ServerId};
 use basaltgw::rules::carry::Learnt;
 use basaltgw::rules::Router;
@@ -74,7 +74,7 @@
     places: Rc<Places>,
     requests: Requests,
     /// Attempts that were given up and are out still.
-    leaving: Vec<Leaving>,
+    leaving: Vec<AbortingAttempt>,
     /// Where each server that is listed is reached.
     servers: BTreeMap<ServerId, Place>,
     list_in: bool,
--- a/crates/node/src/owner/promise_tests.rs
+++ b/crates/node/src/owner/promise_tests.rs
@@ -8,7 +8,7 @@
 use crate::fleet::stand_in::{fleet, Thread};
 use crate::fleet::{Question, Told};
 use crate::inbox::Over;
-use crate::outbox::{Parcel, Stage};
+use crate::outbox::{OutgoingMessage, Stage};
 use basaltgw_holds::{step, AskNo, Change, Hold, HoldKey, Kind, Outcome, Unkept, Verdict};
 use proptest::prelude::*;
 
@@ -105,7 +105,7 @@
 struct Play {
     owner: Owner,
     keepers: Keepers,
-    written: async_channel::Receiver<Rc<Parcel>>,
+    written: async_channel::Receiver<Rc<OutgoingMessage>>,
     answers: usize,
     left: bool,
     /// An attempt was written whole, and not answered as one that never ran.
@@ -138,7 +138,7 @@
     }
 
     /// The attempt that is out: where, and how far it has got.
-    fn out(&self) -> Option<(crate::caches::ConnId, Rc<Parcel>)> {
+    fn out(&self) -> Option<(crate::caches::ConnId, Rc<OutgoingMessage>)> {
         let open = self.owner.requests.get(NO)?;
         open.attempts.iter().rev().find_map(|a| a.way.clone())
     }
--- a/crates/node/src/owner/relief.rs
+++ b/crates/node/src/owner/relief.rs
@@ -23,7 +23,7 @@
 
 impl Owner {
     /// While too much is held, answers are withheld from the client for which most waits.
-    pub(super) fn relieve(&mut self) {
+    pub(super) fn apply_memory_pressure(&mut self) {
         while self.meter.held() > self.most_held {
             let Some(withheld) = self.clients.withhold() else { return };
             self.counters.clients.withheld.more(withheld);
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -7,7 +7,7 @@
 use crate::clients::{ClientId, Do, FromClient, Tag, WireId};
 use crate::inbox::Over;
 use crate::limits::{CLIENT_IDLE_MS, LEAVING_MS, ROOM_IDLE_MS, ROOM_REST_MS, ROOM_SILENT_MS};
-use crate::outbox::{outbox, Parcel};
+use crate::outbox::{outbox, OutgoingMessage};
 use async_executor::LocalExecutor;
 use basaltgw::api::{AttemptNo, GroupId, Listed, ObjectId, Part, Role, ServerEntry, ZoneId};
 use basaltgw_config::{parse, Environment, Member, News};
@@ -19,7 +19,7 @@
 pub(super) const CLIENT: ClientId = ClientId(1);
 
 /// An owner before two edge caches whose connections never come up, since nothing runs its executor.
-pub(super) fn owner() -> (Owner, async_channel::Receiver<Rc<Parcel>>) {
+pub(super) fn owner() -> (Owner, async_channel::Receiver<Rc<OutgoingMessage>>) {
     let member = |id: &str, port: u16, flavor: &str| {
         json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "locality": "here", "flavor": flavor,
                "phase": "SERVING"})
@@ -85,7 +85,7 @@
             let out: Vec<bool> = attempts(&owner, 1).iter().map(|a| a.1).collect();
             assert_eq!(out, [true], "no other may go out while the server may still have it");
         }
-        let [Leaving { on, tag, .. }] = &owner.leaving[..] else { panic!("one that leaves") };
+        let [AbortingAttempt { on, tag, .. }] = &owner.leaving[..] else { panic!("one that leaves") };
         let (on, words) = (*on, vec![tag.0.as_bytes().to_vec(), b"yes".to_vec()]);
         let yes = Answer::read(words, &[]).expect("an answer");
         owner.batch(&mut vec![Input::Cache(on, yes)]);
@@ -207,7 +207,7 @@
     let asked = owner.clients.0.iter().filter_map(|(id, c)| Some((*id, c.life.asked().map(|_| &c.life)?)));
     let over: Vec<_> = asked.filter_map(|(id, life)| Some((id, life.stops(None)?))).collect();
     over.into_iter().for_each(|(id, over)| owner.client_stopped(id, over));
-    owner.clients.let_go();
+    owner.clients.release_closed();
 }
 
 #[test]
--- a/crates/node/src/owner/tests/crossing.rs
+++ b/crates/node/src/owner/tests/crossing.rs
@@ -144,7 +144,7 @@
 struct Play {
     class: &'static str,
     owner: Owner,
-    written: async_channel::Receiver<Rc<Parcel>>,
+    written: async_channel::Receiver<Rc<OutgoingMessage>>,
     inputs: Vec<Input>,
     up: BTreeSet<ConnId>,
     proved: BTreeSet<ConnId>,
@@ -168,7 +168,7 @@
     }
 
     /// The last attempt, if it is out.
-    fn out(&self) -> Option<(usize, ConnId, Rc<Parcel>)> {
+    fn out(&self) -> Option<(usize, ConnId, Rc<OutgoingMessage>)> {
         let open = self.owner.requests.get(RequestNo(1))?;
         let n = open.attempts.len().checked_sub(1)?;
         let (conn, parcel) = open.attempts[n].way.as_ref()?;
--- a/crates/node/tests/system_calls.rs
+++ b/crates/node/tests/system_calls.rs
@@ -29,7 +29,7 @@
     let dir = TempDir::new().expect("a folder");
     let faults = Faults::new(&dir.path().join("faults")).expect("the fault injection library");
     let router = Process::start_under(binary(), &configured(&caches), &faults).expect("a router");
-    Rig { router, faults, caches: caches, _dir: dir }
+    Rig { router, faults, caches, _dir: dir }
 }
 
 /// All requests of one connection are served while one call in so many is so.
