--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -112,6 +112,9 @@
         let what = &member.what;
         let class = &self.setup.load.classes[what.class];
         let due = what.at + class.deadline_ms;
+        if self.soak.is_some() && now >= due {
+            return;
+        }
         let unsafe_ = class.effect == EffectSpec::Unsafe;
         let client = &mut self.seats[r].clients[c];
         client.tag += 1;
