A server that starts as the router does is new to it; what was told before the start is not

Seen: tests/moved.rs, twenty_routers_share_a_cold_caches_budget, on the commit before: nothing was sent to a server whose start and the router's own fall on one moment. At fault: the guard took a start at the router's birth for one before it, so that starts known at the process's start, which map to that moment by rounding, count as before. Run: all of basaltgw's tests, platform_time, crossing::cold.

--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -102,7 +102,7 @@
         // This router's former process may have sent all of a window, unless the server started since.
         let (born, started) = (self.born.unwrap_or(self.now), s.started.unwrap_or(f64::NEG_INFINITY));
         let life = (self.now - born).min(age);
-        let alone = started > born || life >= rule.window;
+        let alone = started >= born || life >= rule.window;
         // Before any answer nothing tells what work takes, and an aim may be far less: one a window.
         let weight = if self.longest() > 0.0 { weight } else { weight.max(budget) };
         let sent = |span: Ms| s.sent.since(self.now - span.min(age)) + weight;
@@ -115,8 +115,8 @@
         alone && sent(turn) <= rate * turn && fits
     }
 
-    /// Whether this router alone has sent a server that started lately more than all routers may send it together,
-    /// with what chance adds (twice the root, and two). It never should: its own share is far less.
+    /// Whether this router alone has sent a server that started lately more than all routers may send it
+    /// together, with what chance adds (twice the root, and two). It never should: its own share is far less.
     pub fn beyond_slow_start(&self, server: &ServerId) -> bool {
         let Some(s) = self.servers.get(server) else { return false };
         let cold = self.age_if_cold(s).filter(|_| s.entry.role != Role::Origin);
