--- a/crates/node/src/platform_time.rs
+++ b/crates/node/src/platform_time.rs
@@ -1,8 +1,8 @@
 //! Unix times that the platform tells (purges, starts of servers, births of copies), mapped to the router's monotonic clock.
 //!
 //! The router's own wall clock may be wrong, at the start of the process too, so an age is never reckoned by it alone. What the platform
-//! tells is a lower bound of the platform's present time: nothing is told before it happens. An age by the highest such bound is never too
-//! great, so a copy from before a purge is never asked for and a server that has just started is never taken for a warm one. The wall clock
+//! tells is a lower bound of the platform's present time: nothing is told before it happens. An age by the highest such bound is too
+//! great by no more than the rounding (1 ms, which the module takes off), so a copy from before a purge is never asked for and a server that has just started is never taken for a warm one. The wall clock
 //! only limits bounds that come from less trusted sources.
 
 use basaltgw::api::Ms;
