Lab: an experiment's file of a form of its own is found in one place

The soak had written again how capacity and partial find their file and tell its form; the three go by experiment::text_of and is_of_form now. No behaviour changes.

--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -29,14 +29,13 @@
 mod table;
 mod troubles;
 
-use crate::experiment::{Must, Variant};
+use crate::experiment::{is_of_form, text_of, Must, Variant};
 use crate::out::{short, Origin};
 use crate::runs::{binary, held, Done};
 use basaltgw_config::yaml::{schema, BadFile, Document};
 use fit::{fit, Fit};
 use row::{Kind, Row};
 use serde::Deserialize;
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Instant;
@@ -133,23 +132,14 @@
 /// The one that the program brings along.
 pub const OWN: (&str, &str) = ("capacity", include_str!("../../experiments/capacity.yaml"));
 
-fn text(name: &str) -> Option<String> {
-    if name == OWN.0 {
-        Some(OWN.1.to_string())
-    } else {
-        std::fs::read_to_string(name).ok()
-    }
-}
-
 /// Whether it is of this form.
 pub fn is(name: &str) -> bool {
-    let document = text(name).and_then(|t| Document::parse(name, &t, &schema("{}")).ok());
-    document.is_some_and(|d| d.value.get("on").and_then(Value::as_str) == Some("capacity"))
+    is_of_form(OWN, name, "capacity")
 }
 
 /// Reads it, by its name or its file.
 pub fn find(name: &str) -> Result<(Experiment, String), BadFile> {
-    let text = text(name).unwrap_or_default();
+    let text = text_of(OWN, name).unwrap_or_default();
     let document = Document::parse(name, &text, &schema("{}"))?;
     let experiment: Experiment = document.typed()?;
     let e = &experiment.expected;
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -125,6 +125,21 @@
     ("reshape-at-scale", include_str!("../experiments/reshape-at-scale.yaml")),
 ];
 
+/// The text of an experiment that has a form of its own: the program's, by its name, or a file's.
+pub fn text_of(own: (&str, &str), name: &str) -> Option<String> {
+    if name == own.0 {
+        Some(own.1.to_string())
+    } else {
+        std::fs::read_to_string(name).ok()
+    }
+}
+
+/// Whether such an experiment is of this form, as its key `on` says.
+pub fn is_of_form(own: (&str, &str), name: &str, form: &str) -> bool {
+    let document = text_of(own, name).and_then(|t| Document::parse(name, &t, &schema("{}")).ok());
+    document.is_some_and(|d| d.value.get("on").and_then(serde_json::Value::as_str) == Some(form))
+}
+
 impl Experiment {
     /// Reads one of the program's own by name, or a file by its path.
     pub fn find(name: &str) -> Result<(Self, String), BadFile> {
--- a/crates/lab/src/partial.rs
+++ b/crates/lab/src/partial.rs
@@ -3,7 +3,7 @@
 
 mod seen;
 
-use crate::experiment::{Must, Variant};
+use crate::experiment::{is_of_form, text_of, Must, Variant};
 use crate::runs::{binary, Done, Row};
 use crate::Played;
 use basaltgw_config::yaml::{schema, BadFile, Document};
@@ -12,7 +12,6 @@
 use basaltgw_model::{draw, rng, Rng};
 use seen::{check, Client, One, Seen};
 use serde::Deserialize;
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -54,23 +53,14 @@
 /// The one that the program brings along.
 pub const OWN: (&str, &str) = ("partial", include_str!("../experiments/partial.yaml"));
 
-fn text(name: &str) -> Option<String> {
-    if name == OWN.0 {
-        Some(OWN.1.to_string())
-    } else {
-        std::fs::read_to_string(name).ok()
-    }
-}
-
 /// Whether it is of this form.
 pub fn is(name: &str) -> bool {
-    let document = text(name).and_then(|t| Document::parse(name, &t, &schema("{}")).ok());
-    document.is_some_and(|d| d.value.get("on").and_then(Value::as_str) == Some("partial"))
+    is_of_form(OWN, name, "partial")
 }
 
 /// Reads it, by its name or its file.
 pub fn find(name: &str) -> Result<(Experiment, String), BadFile> {
-    let text = text(name).unwrap_or_default();
+    let text = text_of(OWN, name).unwrap_or_default();
     let document = Document::parse(name, &text, &schema("{}"))?;
     let experiment: Experiment = document.typed()?;
     for (key, n) in [("clients", experiment.clients), ("objects", experiment.objects)] {
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -2,13 +2,13 @@
 
 mod draw;
 
+use crate::experiment::{is_of_form, text_of};
 use crate::out::Origin;
 use crate::runs::binary;
 use basaltgw_config::yaml::{schema, BadFile, Document};
 use basaltgw_emulator::{run_soak, SoakReport, Sockets};
 use basaltgw_model::spec::{FleetSpec, LoadSpec};
 use serde::Deserialize;
-use serde_json::Value;
 use std::fmt::Write;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -56,23 +56,14 @@
 /// Of the answers so many may go unjudged since the harness was late, as a share.
 const UNJUDGED_MOST: f64 = 0.02;
 
-fn text(name: &str) -> Option<String> {
-    if name == OWN.0 {
-        Some(OWN.1.to_string())
-    } else {
-        std::fs::read_to_string(name).ok()
-    }
-}
-
 /// Whether it is of this form.
 pub fn is(name: &str) -> bool {
-    let document = text(name).and_then(|t| Document::parse(name, &t, &schema("{}")).ok());
-    document.is_some_and(|d| d.value.get("on").and_then(Value::as_str) == Some("soak"))
+    is_of_form(OWN, name, "soak")
 }
 
 /// Reads it, by its name or its file.
 pub fn find(name: &str) -> Result<(Experiment, String), BadFile> {
-    let text = text(name).unwrap_or_default();
+    let text = text_of(OWN, name).unwrap_or_default();
     let document = Document::parse(name, &text, &schema("{}"))?;
     Ok((document.typed()?, text))
 }
