A failing test: a restarted cache gets more than its budget from a real router

One router with the whole budget (N 40, bound 54.6) before stand-ins that count a fetch when they read it, under closed-loop demand of 240 open requests. Tries that showed nothing: connections 320 ms late (the cache counts as silent and is taken out), 220 ms late (the concurrency limit cuts), a pause that begins after the first answers (nothing is held against the cache). The stand-ins gain a late proof, and try_ask takes further fields.

--- a/crates/emulator/src/standin/cache.rs
+++ b/crates/emulator/src/standin/cache.rs
@@ -71,6 +71,8 @@
     Mute,
     /// It says `yes` once the stand-in is let go on.
     Held,
+    /// It says `yes` after this time, and reads nothing meanwhile: a connection that comes up late.
+    Late(Duration),
     /// It ends the connection.
     Cut,
 }
@@ -171,12 +173,17 @@
                 if proves == Proof::Held {
                     wait_for(go_on);
                 }
+                if let Proof::Late(by) = proves {
+                    thread::sleep(by);
+                }
                 match proves {
-                    Proof::Yes | Proof::Held if writer.lock().expect("lock").write_all(&yes).is_ok() => {
+                    Proof::Yes | Proof::Held | Proof::Late(_)
+                        if writer.lock().expect("lock").write_all(&yes).is_ok() =>
+                    {
                         continue
                     }
                     Proof::Mute => continue,
-                    Proof::Yes | Proof::Held | Proof::Cut => return,
+                    Proof::Yes | Proof::Held | Proof::Late(_) | Proof::Cut => return,
                 }
             }
             if words[0] == b"abort" {
--- a/crates/emulator/src/standin/client.rs
+++ b/crates/emulator/src/standin/client.rs
@@ -70,9 +70,9 @@
     }
 
     /// Sends a request on a connection that the router may have closed.
-    pub fn try_ask(&mut self, tag: u64, class: &str, object: u64) {
+    pub fn try_ask(&mut self, tag: u64, class: &str, object: u64, more: &str) {
         let (id, tag) = (format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst)), tag.to_string());
-        let fields = format!("i={id},d=5000,o={object:016x},nth=0,batch=17");
+        let fields = format!("i={id},d=5000,o={object:016x},nth=0,batch=17{more}");
         let bytes = encode(&[b"DO", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), b""]);
         let _ = self.socket.write_all(&bytes);
     }
--- a/crates/node/tests/crossing/closing.rs
+++ b/crates/node/tests/crossing/closing.rs
@@ -204,7 +204,7 @@
         let mut new = rig.router.client();
         new.ask(1, "pages", 1, "", b"");
         asked += 1;
-        crowd.iter_mut().for_each(|c| c.try_ask(100 + round, "pages", 1));
+        crowd.iter_mut().for_each(|c| c.try_ask(100 + round, "pages", 1, ""));
         let mut stay = Vec::new();
         for mut client in std::mem::take(&mut crowd) {
             asked += 1;
@@ -234,7 +234,7 @@
     let mut crowd: Vec<Client> = (0..60).map(|_| rig.router.client()).collect();
     // Those that go for others have had their answers, and send nothing.
     for (tag, client) in (1..).zip(&mut crowd) {
-        client.try_ask(tag, "pages", tag);
+        client.try_ask(tag, "pages", tag, "");
     }
     for (tag, mut client) in (1..).zip(crowd) {
         if let Some(got) = client.next() {
--- a/crates/node/tests/crossing/cold.rs
+++ b/crates/node/tests/crossing/cold.rs
@@ -51,7 +51,7 @@
         thread::spawn(move || {
             let Ok(socket) = TcpStream::connect(address) else { return };
             let mut client = Client::new(socket);
-            (1..=at_once).for_each(|tag| client.try_ask(tag, "pages", from + tag));
+            (1..=at_once).for_each(|tag| client.try_ask(tag, "pages", from + tag, ""));
             let mut tag = at_once;
             while let Some(got) = client.next().filter(|_| !stop.load(Ordering::SeqCst)) {
                 if got.word == "200" {
@@ -60,7 +60,7 @@
                     thread::sleep(Duration::from_millis(20));
                 }
                 tag += 1;
-                client.try_ask(tag, "pages", from + tag % 40);
+                client.try_ask(tag, "pages", from + tag % 40, "");
             }
         });
         load
--- a/crates/node/tests/crossing/main.rs
+++ b/crates/node/tests/crossing/main.rs
@@ -9,5 +9,6 @@
 mod leaving;
 mod retries;
 mod settings;
+mod slow_start;
 mod stops;
 mod watches;
--- a/crates/node/tests/crossing/watches.rs
+++ b/crates/node/tests/crossing/watches.rs
@@ -293,7 +293,7 @@
     let idle: Vec<Client> = (0..80)
         .map(|n| {
             let mut client = router.client();
-            client.try_ask(1, "pages", n);
+            client.try_ask(1, "pages", n, "");
             client
         })
         .collect();
--- a/crates/node/tests/sockets/limits.rs
+++ b/crates/node/tests/sockets/limits.rs
@@ -33,7 +33,7 @@
     until("the places are taken", || router.counter("clients_now") == 24);
     for mut client in waiting {
         // One that was closed for others had said nothing.
-        client.try_ask(1, "pages", 5);
+        client.try_ask(1, "pages", 5, "");
         if let Some(got) = client.next() {
             assert_eq!(got.word, "200");
         }
