Slow start: the account books arrivals, no guess renews it, and work comes from bytes

At fault, all of one class, an estimate in place of what happened: (a) Router::send booked a send when it was decided, and has_room summed by that time, so that what waited for a connection arrived with the next window's; (b) has_room cut the window at the start, which a guess of a restart (judge, mark) set to now, so that one process got its budget anew; (c) learn took answers without bytes (current, note hit) for the object's least time, for good; (d) a source's booking was taken back for any answer that told of no fill, also of an old copy that is renewed behind; (e) a process took any start at or after its own first event as proof that its former process had sent nothing, also a guess; (f) a start that seemed to lie ahead was mapped to another moment with each list, which reset strikes and account; (g) a server's slot was reused with its account. Changed: src/account.rs books a send until its arrival is proven (its own end, or an answer 20 ms and more after its last byte was written) and dates it then; Event::Written tells of last bytes; a listed start alone cuts the window, inferred ones only lower the share; src/work.rs weighs an attempt by the least but one time of objects sent whole, with a standard error added; late and silent lists do not make a process older; the watch at the writer (slow_start_watch.rs) counts first bytes by process with its own unit and replaces beyond_slow_start, which summed with the decider's figures; the highest share of the bound is a counter, each listed start a log line. First try: an account that never cuts at a told start left nothing to a server restarted under load.

--- a/crates/adapter/src/read.rs
+++ b/crates/adapter/src/read.rs
@@ -166,6 +166,7 @@
             note: note(m.integer_or_0(8, "detail")?)?,
             source_wait: m.number_or_0(9, "source-wait")?,
             load: load(m.value(10))?,
+            whole: true,
         }),
         "EXPIRED" => Event::ClientLeft(m.request()?),
         "TICK_DUE" => Event::Timer(m.integer(2, "cookie")?),
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -113,6 +113,7 @@
         note: Note::FilledBySource,
         source_wait: 9.4,
         load: Load { inflight: Some(7.0), util: Some(0.62), hits: Some(0.4), link: Some(2.0) },
+        whole: true,
     };
     assert_eq!(read(done), Ok(Some(Event::Outcome(expected))));
     assert_eq!(read(json!(["EXPIRED", 3, R])), Ok(Some(Event::ClientLeft(rid()))));
--- a/crates/config/tests/nonsense.rs
+++ b/crates/config/tests/nonsense.rs
@@ -144,6 +144,7 @@
                 note,
                 source_wait: 3.0,
                 load: Load::default(),
+                whole: true,
             };
             router.handle(now, Event::Outcome(outcome), &mut acts);
         }
--- a/crates/lab/src/capacity/data/cold.rs
+++ b/crates/lab/src/capacity/data/cold.rs
@@ -109,8 +109,18 @@
                     let (note, end, last, load) = (Note::FilledBySource, End::Served, true, Load::default());
                     let (request, attempt, server) = (f.request, AttemptNo(0), f.server);
                     let (source_wait, delay) = (20.0, WORK + 20.0);
-                    let outcome =
-                        Outcome { request, attempt, server, end, delay, last, note, source_wait, load };
+                    let outcome = Outcome {
+                        request,
+                        attempt,
+                        server,
+                        end,
+                        delay,
+                        last,
+                        note,
+                        source_wait,
+                        load,
+                        whole: true,
+                    };
                     self.at(now + delay, Due::Answer(k, Box::new(outcome)));
                 }
                 Action::Cancel(..) | Action::Refuse(..) | Action::Fail(_) => {}
--- a/crates/lab/src/capacity/data/world.rs
+++ b/crates/lab/src/capacity/data/world.rs
@@ -149,8 +149,18 @@
                     let delay = HIT_MS + source_wait;
                     let (attempt, end, last, load) = (AttemptNo(0), End::Served, true, Load::default());
                     let (request, server) = (f.request, f.server);
-                    let outcome =
-                        Outcome { request, attempt, server, end, delay, last, note, source_wait, load };
+                    let outcome = Outcome {
+                        request,
+                        attempt,
+                        server,
+                        end,
+                        delay,
+                        last,
+                        note,
+                        source_wait,
+                        load,
+                        whole: true,
+                    };
                     self.answers.push_back((self.now + delay, outcome));
                 }
                 Action::Cancel(..) | Action::Refuse(..) | Action::Fail(_) => {}
--- a/crates/model/src/sim/requests.rs
+++ b/crates/model/src/sim/requests.rs
@@ -159,6 +159,7 @@
             note: reply.note,
             source_wait: reply.waited,
             load: Load::default(),
+            whole: true,
         };
         if later {
             self.at(self.now, Ev::Outcome(r, outcome));
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -183,6 +183,8 @@
         closed_over_request: Count = "violated_closed_over_request",
         /// Sends to a server that had just started, beyond what all routers may send.
         slow_start_exceeded: Count = "violated_slow_start_exceeded",
+        /// The highest share of the slow-start bound that a server had from this router.
+        slow_start_highest: Level<f64> = "slow_start_highest_share",
         /// Times that the process stood still; no violation, but what may lead to one.
         stops: Count = "process_stops",
         /// Lines that were not logged, since nobody took them.
--- a/crates/node/src/counters/mod.rs
+++ b/crates/node/src/counters/mod.rs
@@ -188,7 +188,7 @@
              loops_set_aside=0 batches=0 batch_longest_ms=1.24 violated_second_answer=0 \
              violated_attempt_after_client_left=0 violated_repeat_after_execution=0 violated_refusal_after_execution=0 \
              violated_sent_to_drained=0 violated_deadline_exceeded=0 violated_closed_over_request=0 \
-             violated_slow_start_exceeded=0 process_stops=0 log_dropped=0"
+             violated_slow_start_exceeded=0 slow_start_highest_share=0.00 process_stops=0 log_dropped=0"
         );
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod shown;
 pub mod shutdown;
 pub mod signals;
+pub mod slow_start_watch;
 pub mod socket;
 pub mod stalls;
 pub mod tree;
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -2,11 +2,12 @@
 
 use crate::breaks::{broken, Break};
 use crate::clients::presence::Wanted;
-use crate::invariants::{FetchBegun, Invariants};
+use crate::invariants::{FetchBegun, Invariants, Violation};
 use crate::permissions::{may_send, SendState};
+use crate::slow_start_watch::{Exceeded, SlowStartWatch};
 use crate::socket;
 use crate::stalls::Stalls;
-use basaltgw::api::Ms;
+use basaltgw::api::{Ms, ServerId};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -146,6 +147,19 @@
     pub invariants: Rc<Invariants>,
     /// Stops of the process.
     pub stalls: Rc<Stalls>,
+    /// Where it goes; `None` where nobody watches.
+    pub route: Option<FetchRoute>,
+}
+
+/// Where a fetch goes, for the watch on slow start.
+#[derive(Clone, Debug)]
+pub struct FetchRoute {
+    /// Its server, and the source of a miss.
+    pub to: [Option<ServerId>; 2],
+    /// The place of its class in the settings.
+    pub class: usize,
+    /// Counts what is written.
+    pub watch: Rc<SlowStartWatch>,
 }
 
 impl FetchTerms {
@@ -160,6 +174,7 @@
             ids: (0, 0),
             invariants: Rc::default(),
             stalls: Rc::default(),
+            route: None,
         }
     }
 
@@ -172,6 +187,22 @@
         }
     }
 
+    /// Counts that its first byte is written.
+    fn count(&self, now: Instant) {
+        let Some(FetchRoute { to, class, watch }) = &self.route else { return };
+        let over = watch.begun(now, *class, [to[0].as_ref(), to[1].as_ref()]);
+        if let Some(Exceeded { server, sent, bound }) = over {
+            let (request, attempt) = self.ids;
+            self.invariants.violated(
+                Violation::SlowStartExceeded,
+                format_args!(
+                    "request {request}, attempt {attempt}: {} was sent {sent:.1} of {bound:.1}",
+                    server.0
+                ),
+            );
+        }
+    }
+
     /// The bytes as they are to be written now.
     fn told(&self, now: Instant, bytes: Counted) -> Counted {
         let Some(time) = self.time else { return bytes };
@@ -194,6 +225,7 @@
         };
         let (request, attempt) = self.ids;
         self.invariants.begun(&begun, format_args!("request {request}, attempt {attempt}"));
+        self.count(now);
         bytes
     }
 }
@@ -253,6 +285,14 @@
         })
     }
 
+    /// Its last byte is written.
+    fn finish(&self) {
+        self.stage.set(Stage::Written);
+        if let Some(fetch) = &self.fetch {
+            fetch.route.iter().for_each(|route| route.watch.written(fetch.ids));
+        }
+    }
+
     /// Waits for what has to be done before a fetch may be begun: after a stop of the process, what lay in the sockets is read first.
     async fn may_come_up(&self) {
         if let Some(fetch) = &self.fetch {
@@ -330,7 +370,7 @@
                 Ok(_) | Err(_) => return false,
             }
         }
-        parcel.stage.set(Stage::Written);
+        parcel.finish();
     }
     true
 }
--- a/crates/node/src/owner/attempts.rs
+++ b/crates/node/src/owner/attempts.rs
@@ -7,9 +7,8 @@
 use crate::caches::{with_wait, Answer, Ask, AttemptKey, ConnId, Down, GivenUp, RequestNo};
 use crate::clients::{Reply, WireId};
 use crate::inbox::Over;
-use crate::invariants::Violation;
 use crate::limits::LONGEST_WAIT_MS;
-use crate::outbox::{Counted, FetchTerms, FetchTime, OutgoingMessage, Stage};
+use crate::outbox::{Counted, FetchRoute, FetchTerms, FetchTime, OutgoingMessage, Stage};
 use crate::permissions::{may_begin, may_repeat, BeginState, EarlierAttempt};
 use basaltgw::api::{AttemptNo, End, Event, Fetch, Load, Ms, Note, Outcome, ServerId};
 use std::rc::Rc;
@@ -54,12 +53,15 @@
     note: Note,
     waited: Ms,
     load: Load,
+    /// The answer carried the object's bytes.
+    whole: bool,
 }
 
 const NO_REPORT: AttemptReport = AttemptReport {
     note: Note::Untold,
     waited: 0.0,
     load: Load { inflight: None, util: None, hits: None, link: None },
+    whole: false,
 };
 
 impl Owner {
@@ -126,6 +128,7 @@
         // Monotonic times of the owner's clock, in the terms of the writers.
         let instant = |at: Ms| now + millis((at - self.clock.now()).clamp(0.0, LONGEST_WAIT_MS));
         let begin_by = fetch.begin_by.is_finite().then(|| instant(fetch.begin_by));
+        let source = Some(&fetch.fill_from).filter(|s| **s != fetch.server);
         let body = open.body.as_ref().map_or(&[][..], Counted::bytes);
         let ask = Ask {
             id: &open.request.id,
@@ -133,7 +136,7 @@
             object: &open.request.object_text,
             part: open.request.part.0,
             wait: until - self.now,
-            from: Some(&fetch.fill_from).filter(|s| **s != fetch.server),
+            from: source,
             rank: fetch.rank,
             oldest: fetch.max_age,
             share: fetch.join,
@@ -157,6 +160,11 @@
             ids: (no.0, n.0),
             invariants: Rc::clone(&self.invariants),
             stalls: Rc::clone(&self.stalls),
+            route: open.class.map(|class| FetchRoute {
+                to: [Some(fetch.server.clone()), source.cloned()],
+                class: class.0,
+                watch: Rc::clone(&self.slow_start),
+            }),
         };
         if let Some(effect) = open.class.and_then(|c| self.classes.get(c.0)).map(|c| c.effect) {
             let earlier = open.attempts.iter().map(|a| a.end);
@@ -164,12 +172,7 @@
         }
         let used: Vec<ConnId> = open.attempts.iter().filter_map(|a| a.on).collect();
         let of = (&open.request.id, &used[..], !body.is_empty());
-        let sent = self.caches.send(self.now, (&fetch.server, place), (no, n), of, (ask.encode(), terms));
-        if sent.is_some() && self.router.beyond_slow_start(&fetch.server) {
-            let ids = format_args!("request {}, attempt {}, server {}", no.0, n.0, fetch.server.0);
-            self.invariants.violated(Violation::SlowStartExceeded, ids);
-        }
-        sent
+        self.caches.send(self.now, (&fetch.server, place), (no, n), of, (ask.encode(), terms))
     }
 
     /// A connection is over, and with it what was open on it.
@@ -278,7 +281,8 @@
             let reply = if answer.same { Reply::Same } else { Reply::Served(answer.body.bytes()) };
             self.answer(key.0, reply);
         }
-        let telling = AttemptReport { note: answer.note, waited: answer.waited, load: answer.load };
+        let whole = end == End::Served && !answer.same;
+        let telling = AttemptReport { note: answer.note, waited: answer.waited, load: answer.load, whole };
         self.end(key, end, telling, false);
     }
 
@@ -305,16 +309,21 @@
             }
             None => Vec::new(),
         };
+        let delay = self.now - attempt.sent;
+        if let Some(class) = open.class.filter(|_| telling.whole) {
+            self.slow_start.answered(class.0, open.request.object, (delay - telling.waited).max(1.0));
+        }
         let event = Event::Outcome(Outcome {
             request: name(no),
             attempt: n,
             server: attempt.server.clone(),
             end,
-            delay: self.now - attempt.sent,
+            delay,
             last: open.answered || open.promise.decided(),
             note: telling.note,
             source_wait: telling.waited,
             load: telling.load,
+            whole: telling.whole,
         });
         self.pending.extend(planned);
         if later {
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -135,6 +135,7 @@
         // Purges and drains go before all that came with them, and before what is decided again.
         let (news, others): (Vec<_>, Vec<_>) =
             inputs.drain(..).partition(|input| matches!(input, Input::News(..)));
+        self.tell_written();
         let left_over = std::mem::take(&mut self.pending);
         news.into_iter().for_each(|input| self.input(input));
         let silent = self.now - LEAVING_MS;
--- a/crates/node/src/owner/learnt.rs
+++ b/crates/node/src/owner/learnt.rs
@@ -30,7 +30,7 @@
             let grown = self.platform.observe(self.now, latest);
             self.grown_older(grown);
         }
-        let (now, mut listed, platform) = (self.now, self.platform, &mut self.platform);
+        let (now, mut listed, platform) = (self.now, self.platform.clone(), &mut self.platform);
         mapped(learnt, |unix| listed.local(now, unix), |unix| platform.local(now, unix))
     }
 
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -33,11 +33,12 @@
 use crate::outbox::Meter;
 use crate::platform_time::PlatformTime;
 use crate::shutdown::Ending;
+use crate::slow_start_watch::SlowStartWatch;
 use crate::stalls::Stalls;
 use crate::tree::Tree;
 use crate::{Input, Shared};
 use attempts::AbortingAttempt;
-use basaltgw::api::{Action, Class, End, Event, Ms, RequestId, ServerId};
+use basaltgw::api::{Action, AttemptNo, Class, End, Event, Ms, RequestId, ServerId};
 use basaltgw::rules::carry::Learnt;
 use basaltgw::rules::Router;
 use basaltgw_config::{Names, NodeConfig, OwnSettings, Place};
@@ -63,6 +64,8 @@
     most_held: usize,
     invariants: Rc<Invariants>,
     stalls: Rc<Stalls>,
+    /// What is put on the wire to servers that started lately.
+    slow_start: Rc<SlowStartWatch>,
     clock: Clock,
     /// Unix times of the platform in terms of that clock.
     platform: PlatformTime,
@@ -112,6 +115,7 @@
             drain_grace: config.settings.drain_grace + SOCKET_SLACK_MS,
             invariants: Rc::clone(&shared.invariants),
             stalls: Rc::clone(&shared.stalls),
+            slow_start: Rc::new(SlowStartWatch::new(&config.settings)),
             most_held: config.limits.share_of_memory(HELD_SHARE),
             now: shared.clock.now(),
             clock: shared.clock,
@@ -133,6 +137,7 @@
             tidied: 0.0,
             counters: Counters::default(),
         };
+        owner.router.expect_written();
         owner.known(&config.known);
         if let Some(hierarchy) = &own.hierarchy {
             let events = owner.tree.offer(owner.now, hierarchy);
@@ -214,10 +219,18 @@
         self.counters.memory.held.set(self.meter.held() as u64);
         self.counters.tree.reached(&self.tree.counters);
         self.counters.violations.reached(&self.invariants);
+        self.counters.violations.slow_start_highest.raise(self.slow_start.highest_share());
         self.counters.violations.stops.reached(self.stalls.count());
         self.counters.violations.log_dropped.reached(crate::log_writer::dropped());
     }
 
+    /// Tells the module which attempts were put on the wire since the last batch.
+    fn tell_written(&mut self) {
+        for (request, attempt) in self.slow_start.take_written() {
+            self.tell(Event::Written(name(RequestNo(request)), AttemptNo(attempt)));
+        }
+    }
+
     fn tell_all(&mut self, events: Vec<Event>) {
         events.into_iter().for_each(|event| self.tell(event));
     }
--- a/crates/node/src/owner/news.rs
+++ b/crates/node/src/owner/news.rs
@@ -5,8 +5,9 @@
 use super::Owner;
 use crate::breaks::{broken, Break};
 use crate::fleet::purges::purge;
-use basaltgw::api::{End, Event, GroupId, ListMode, Listed, Ms, ObjectId, ServerId};
+use basaltgw::api::{End, Event, GroupId, ListMode, Listed, Ms, ObjectId, ServerEntry, ServerId};
 use basaltgw_config::{Member, News};
+use std::time::Instant;
 
 /// What a purge names.
 #[derive(Clone, Copy)]
@@ -67,6 +68,7 @@
     /// What the platform told before is older than was reckoned.
     pub(super) fn grown_older(&mut self, grown: Option<Ms>) {
         if let Some(grown) = grown {
+            self.slow_start.older_by(grown);
             self.tell(Event::OlderBy(grown));
         }
     }
@@ -142,7 +144,7 @@
         let mode = if whole { ListMode::Whole } else { ListMode::Changes };
         let mut entries: Vec<_> = members.into_iter().map(|m| m.entry).collect();
         for entry in &mut entries {
-            entry.started = entry.started.map(|unix| self.platform.local(self.now, unix));
+            self.map_start(entry);
         }
         self.tell(Event::Servers(mode, entries));
         self.tell_all(planned);
@@ -154,6 +156,21 @@
         });
     }
 
+    /// Maps the start that the list tells to the router's clock, and watches what is sent to a server that started lately.
+    fn map_start(&mut self, entry: &mut ServerEntry) {
+        let Some(unix) = entry.started else {
+            self.slow_start.listed(Instant::now(), entry, None);
+            return;
+        };
+        let started = self.platform.local(self.now, unix);
+        let age = (self.now - started).max(0.0);
+        if self.slow_start.listed(Instant::now(), entry, Some(age)) {
+            let (id, size) = (&entry.id.0, entry.weight);
+            log::info!("{id}: the list tells of its start {age:.0} ms ago, at {unix:.0}, size {size}");
+        }
+        entry.started = Some(started);
+    }
+
     /// Takes back what waits to be written and was decided before the news.
     pub(super) fn recall(&mut self, overtaken: impl Fn(&Open, &Attempt) -> bool) {
         let keys = self.requests.waiting(overtaken);
--- a/crates/node/src/platform_time.rs
+++ b/crates/node/src/platform_time.rs
@@ -6,6 +6,7 @@
 //! only limits bounds that come from less trusted sources.
 
 use basaltgw::api::Ms;
+use std::collections::BTreeMap;
 
 /// Offsets are rounded up to whole milliseconds, so that what was told by now maps to before now. By so much an age may be too great; the module
 /// takes twice that off each age limit.
@@ -13,13 +14,16 @@
 /// Bounds that grow by less than this are not worth telling of: reckoned ages are short by no more.
 const GROWTH_LEAST_MS: Ms = 5.0;
 
+/// Unix times that seem to lie in the future and are remembered, the latest ones.
+const MOST_AHEAD: usize = 256;
+
 /// Unix time less monotonic time by something that happened at a Unix time before now.
 fn offset_at(now: Ms, unix: Ms) -> Ms {
     (unix - now).floor() + ROUNDING_MS
 }
 
 /// The platform's time in terms of the monotonic clock. Offsets are in whole milliseconds, so that mapped times compare exactly.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct PlatformTime {
     /// Unix time less monotonic time, by the wall clock at the start of the process.
     wall: Ms,
@@ -29,12 +33,15 @@
     latest_purge: Ms,
     /// Ages told before must not grow any more: the bound stays as it is.
     settled: bool,
+    /// Unix times that seemed to lie in the future, and what they were mapped to.
+    ahead: BTreeMap<u64, Ms>,
 }
 
 impl PlatformTime {
     /// Nothing was told yet; `now` is monotonic, `wall` Unix time at that moment.
     pub fn new(now: Ms, wall: Ms) -> Self {
-        Self { wall: (wall - now).floor(), offset: None, latest_purge: f64::NEG_INFINITY, settled: false }
+        let (latest_purge, ahead) = (f64::NEG_INFINITY, BTreeMap::new());
+        Self { wall: (wall - now).floor(), offset: None, latest_purge, settled: false, ahead }
     }
 
     /// Raises the bound; gives by how much ages reckoned before were too small.
@@ -61,7 +68,7 @@
         self.raise(offset_at(now, unix).min(self.wall), GROWTH_LEAST_MS)
     }
 
-    /// The monotonic time of what happened at a Unix time, as late as it may have been; later than now by rounding alone, so that the same
+    /// The monotonic time of what happened at a Unix time, as late as it may have been, so that the same
     /// Unix time is mapped alike at any time. What seems to lie in the future happened at an unknown time, and must not be moved with the
     /// others when the bound is raised.
     pub fn local(&mut self, now: Ms, unix: Ms) -> Ms {
@@ -71,7 +78,21 @@
             return local;
         }
         self.settle();
-        now
+        self.ahead(now, unix)
+    }
+
+    /// The monotonic time of what seems to lie in the future: a little after now, and the same whenever it is told again.
+    fn ahead(&mut self, now: Ms, unix: Ms) -> Ms {
+        let key = unix.max(0.0) as u64;
+        if let Some(local) = self.ahead.get(&key) {
+            return *local;
+        }
+        if self.ahead.len() >= MOST_AHEAD {
+            self.ahead.pop_first();
+        }
+        let local = now + 2.0 * ROUNDING_MS;
+        self.ahead.insert(key, local);
+        local
     }
 
     /// The Unix time of a monotonic one.
@@ -146,6 +167,17 @@
         assert_eq!(time.observe_purge(300.0, TODAY + HOUR), None);
     }
 
+    #[test]
+    fn time_that_seems_to_lie_ahead_is_mapped_alike_whenever_it_is_told() {
+        let mut time = PlatformTime::new(0.0, TODAY - HOUR);
+        time.observe(10.0, TODAY);
+        let local = time.local(10.0, TODAY);
+        assert!((10.0..15.0).contains(&local), "{local}");
+        assert_eq!(time.local(5_000.0, TODAY), local);
+        assert_eq!(time.age(5_000.0, TODAY), 5_000.0 - local);
+        assert!(time.local(6_000.0, TODAY + 500.0) > 6_000.0, "another");
+    }
+
     #[test]
     fn mapped_times_stay_the_same_while_the_bound_does() {
         let mut time = PlatformTime::new(17.3, TODAY + 0.7);
--- a/src/api.rs
+++ b/src/api.rs
@@ -201,6 +201,8 @@
     pub source_wait: Ms,
     /// The server's load report, if any.
     pub load: Load,
+    /// The answer carried the object's bytes whole; false where it only says that the client's copy is the one.
+    pub whole: bool,
 }
 
 /// How a server list relates to the one before.
@@ -243,6 +245,8 @@
     Request(Request),
     /// A stream has begun to flow: the request is bound to this attempt.
     Flowing(RequestId, AttemptNo),
+    /// The last byte of an attempt is on the wire.
+    Written(RequestId, AttemptNo),
     /// An attempt is over.
     Outcome(Outcome),
     /// The client has left; nothing is owed any more.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod account;
 pub mod api;
 pub mod carry;
 pub mod rules;
 pub mod shadow;
 mod state;
 pub mod window;
+mod work;
 
 pub use basaltgw_structures::hash;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,8 @@
 //!
 //! Here is the one way of a request through all of it, each step with the file that decides it: filed and
 //! ranked (`split`), a target and a source chosen (`choice`) among servers that are known (`servers`), well
-//! (`health`) and have room (`room`), sent (`attempts`), and sent again or given up (`refusals`).
+//! (`health`) and have room (`room`, `slow_start`), sent (`attempts`), and sent again or given up
+//! (`refusals`).
 
 mod attempts;
 mod choice;
@@ -14,6 +15,7 @@
 mod refusals;
 mod room;
 mod servers;
+mod slow_start;
 mod split;
 
 pub use crate::carry;
@@ -54,6 +56,7 @@
             Event::Servers(mode, entries) => self.on_list(mode, entries, acts),
             Event::Request(req) => self.on_request(req, acts),
             Event::Flowing(id, _) => self.open.get_mut(&id).into_iter().for_each(|open| open.done = true),
+            Event::Written(id, attempt) => self.on_written(&id, attempt),
             Event::Outcome(outcome) => self.on_outcome(outcome, acts),
             Event::ClientLeft(id) => {
                 self.open.get_index_of(&id).into_iter().for_each(|at| self.finish(at, acts));
@@ -132,7 +135,8 @@
         s.out = s.out.saturating_sub(1);
         s.work = (s.work - weight).max(0.0);
         source.into_iter().for_each(|i| self.servers[i].out = self.servers[i].out.saturating_sub(1));
-        self.learn(at, source, key, &o);
+        self.settle(server, source, key, &o);
+        self.learn(at, &o);
         let proved = matches!(o.end, End::Full | End::NoConnection | End::NotSent | End::Miss | End::Served);
         let open = &mut self.open[at];
         if !proved {
--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -29,9 +29,9 @@
     pub(super) fn send(&mut self, at: usize, to: (usize, Option<usize>, bool), acts: &mut Vec<Action>) {
         let (server, source, held_only) = to;
         let mean = self.mean_time(self.open[at].class);
-        let own = self.own_time(&self.open[at].req).unwrap_or(mean);
         self.keys += 1;
         let (key, now) = (self.keys, self.now);
+        self.book(at, server, source, key);
         let open = &self.open[at];
         let class = &self.set.classes[open.class];
         let begin_by = self.harmless_until(open) - self.margin();
@@ -51,8 +51,6 @@
             s.answered = now;
         }
         s.work += mean;
-        s.sent.add(now, if edge { mean } else { own }, key);
-        source.into_iter().for_each(|i| self.servers[i].sent.add(now, own, key));
         for i in [Some(server), source].into_iter().flatten() {
             let s = &mut self.servers[i];
             s.out += 1;
--- a/src/rules/choice.rs
+++ b/src/rules/choice.rs
@@ -17,7 +17,7 @@
         let open = &self.open[at];
         let (mean, ease, origin) = (self.mean_time(open.class), self.ease(open.class), self.origin());
         let edge = self.pick_edge(at, mean);
-        let source = self.pick_source(at, self.own_time(&open.req).unwrap_or(mean), edge);
+        let source = self.pick_source(at, edge);
         let place = |i: usize| self.servers[i].gate.lets(self.now, self.fills_out(Some(i)), ease);
         let lets = source.is_some_and(place) && self.link.lets(self.now, self.fills_out(None), ease);
         // An origin that is late for all is asked for one thing at a time, since none tells of it while out.
@@ -46,7 +46,8 @@
         let (mut order, ease) = (edges.sorted(key), self.ease(self.open[at].class));
         let lets = |s: &Server| s.gate.lets(self.now, s.out as f64, ease);
         order.retain(|i| self.usable(*i) && !self.open[at].blames(*i));
-        order.retain(|i| lets(&self.servers[*i]) && self.has_room(*i, weight));
+        let attempt = self.attempt_weight(self.open[at].class);
+        order.retain(|i| lets(&self.servers[*i]) && self.has_room(*i, attempt));
         let size = |i: &usize| self.servers[*i].size();
         let load = |i: &usize| self.servers[*i].work / size(i);
         let all = order.iter().map(size).sum::<f64>();
@@ -63,8 +64,9 @@
 
     /// The source for a miss at an edge cache: the object's home among all listed parents, or among those
     /// that the plan gives the cache for it, else the next in hash order, else the origin if it may.
-    fn pick_source(&self, at: usize, weight: f64, edge: Option<usize>) -> Option<usize> {
+    fn pick_source(&self, at: usize, edge: Option<usize>) -> Option<usize> {
         let object = self.open[at].req.object.0;
+        let weight = self.fill_weight(&self.open[at].req, self.open[at].class);
         let ready = |i: &usize| self.usable(*i) && !self.open[at].blames(*i) && self.has_room(*i, weight);
         let edge = edge.or(self.up[Role::Edge as usize].first().copied());
         let planned = edge.and_then(|i| self.planned.get(&i));
--- a/src/rules/room.rs
+++ b/src/rules/room.rs
@@ -1,16 +1,10 @@
-//! Cold budgets and gates: how much more a server that has just started, a cache, a source or the link takes.
+//! Gates: how much more a cache, a source or the link takes.
 
 use super::{Router, AVERAGE_SHARE};
 use crate::api::*;
-use crate::hash::{mix, unit};
 use crate::state::{Gate, Try};
 use crate::window::sorted;
 
-/// Share of a cold server's budget, by its listed size, that all routers use; less where sizes are rough.
-const COLD_SHARE: f64 = 1.0;
-const COLD_SHARE_ROUGH: f64 = 0.8;
-/// Requests that all routers' shares for a window must cover before one may send more than its own.
-const COLD_AMPLE: f64 = 4.0;
 /// Mean slowness (delay over the least that the object took) above which a cache, or the link, is full; the
 /// link also at the least stretch of a class's aim, since what takes longer is late.
 const SLOW_CACHE: f64 = 3.0;
@@ -87,47 +81,6 @@
 }
 
 impl Router {
-    /// True if a server may get this much more now. Only one that started lately has a budget: its share
-    /// of what its listed size allows (all routers reckon alike, so their shares add up).
-    pub(super) fn has_room(&self, i: usize, weight: f64) -> bool {
-        let entry = &self.servers[i].entry;
-        let cold = self.age_if_cold(&self.servers[i]).filter(|_| entry.role != Role::Origin);
-        let (Some(age), rule) = (cold, self.set.cold(entry.role)) else { return true };
-        // Listed sizes are in answers at full pace.
-        let part = if self.set.rough_sizes { COLD_SHARE_ROUGH } else { COLD_SHARE };
-        let capacity = part * entry.weight / self.servers[i].gate.routers;
-        let share = rule.share + (1.0 - rule.share) * ((age - rule.window) / rule.span).clamp(0.0, 1.0);
-        let rate = rule.multiple * share * capacity;
-        let (budget, s) = (rate * rule.window, &self.servers[i]);
-        // This router's former process may have sent all of a window, unless the server started since.
-        let (born, started) = (self.born.unwrap_or(self.now), s.started.unwrap_or(f64::NEG_INFINITY));
-        let life = (self.now - born).min(age);
-        let alone = started >= born || life >= rule.window;
-        // Before any answer nothing tells what work takes, and an aim may be far less: one a window.
-        let weight = if self.longest() > 0.0 { weight } else { weight.max(budget) };
-        let sent = |span: Ms| s.sent.since(self.now - span.min(age)) + weight;
-        // With many routers a request may be more than one's share for a window. It goes in turn: in a time
-        // in which the share covers it, at a moment of this router's own, if all shares cover it amply.
-        let turn = rule.window.max(self.longest().max(weight) / rate);
-        let own = life >= turn * unit(mix(self.seed, s.hash));
-        let ample = COLD_AMPLE * weight <= budget * s.gate.routers;
-        let fits = if weight <= budget { sent(rule.window) <= budget } else { own && ample };
-        alone && sent(turn) <= rate * turn && fits
-    }
-
-    /// Whether this router alone has sent a server that started lately more than all routers may send it
-    /// together, with what chance adds (twice the root, and two). It never should: its own share is far less.
-    pub fn beyond_slow_start(&self, server: &ServerId) -> bool {
-        let Some(s) = self.servers.get(server) else { return false };
-        let cold = self.age_if_cold(s).filter(|_| s.entry.role != Role::Origin);
-        let (Some(age), mean) = (cold, self.longest()) else { return false };
-        let rule = self.set.cold(s.entry.role);
-        let share = rule.share + (1.0 - rule.share) * (age / rule.span).clamp(0.0, 1.0);
-        let all = rule.multiple * share * s.entry.weight * rule.window;
-        let most = all + 2.0 * (all * mean).sqrt() + 2.0 * mean;
-        mean > 0.0 && s.sent.since(self.now - rule.window.min(age)) > most
-    }
-
     /// By how much a class may go beyond a gate's limit: one that takes little earns more for the same
     /// room.
     pub(super) fn ease(&self, class: usize) -> f64 {
@@ -187,11 +140,13 @@
             }
         }
         let edge = self.servers[server].entry.role == Role::Edge;
+        // An answer without bytes tells nothing of how quickly they would have come.
+        let timed = o.end != End::Served || o.whole;
         let took = self.slowness(&self.open[at], o.delay - o.source_wait);
         let (behind, here) = (source.map_or(0.0, |i| self.excess(i)), self.excess(server));
         match (o.end, o.note, source) {
-            (End::Served, Note::Hit, _) if edge => self.resize(server, took, true),
-            (End::Served, Note::FilledBySource | Note::FilledByOrigin, Some(i)) if edge => {
+            (End::Served, Note::Hit, _) if edge && timed => self.resize(server, took, true),
+            (End::Served, Note::FilledBySource | Note::FilledByOrigin, Some(i)) if edge && timed => {
                 self.resize(server, took - behind, true);
                 self.resize(i, took - here, true);
             }
@@ -208,10 +163,20 @@
         let near =
             sorted(self.up[Role::Edge as usize].iter().filter_map(|i| self.servers[*i].gate.slow.get()));
         let middle = near.get(near.len() / 2).copied();
+        let filled = match o.note {
+            Note::Hit => Some(0.0),
+            Note::FilledBySource | Note::FilledByOrigin => Some(1.0),
+            _ => None,
+        };
+        if let Some(share) = filled.filter(|_| edge && o.end == End::Served) {
+            self.fills[class].add(share, AVERAGE_SHARE);
+        }
+        if !timed {
+            return;
+        }
         let gate = &mut self.servers[server].gate;
         match (o.end, o.note) {
             (End::Served, Note::Hit) if edge => {
-                self.fills[class].add(0.0, AVERAGE_SHARE);
                 // A router that starts amid overload has seen no unhurried answer; there the aim tells.
                 self.hits[class].add(o.delay.max(1.0).ln(), AVERAGE_SHARE);
                 let aim = HIT_OF_AIM * self.set.classes[class].aim;
@@ -221,9 +186,6 @@
                 }
             }
             (End::Served, Note::Hit | Note::FilledBySource | Note::FilledByOrigin) => {
-                if edge {
-                    self.fills[class].add(1.0, AVERAGE_SHARE);
-                }
                 // What the cache is slower by with hits than its zone's middle one is not the link's.
                 let slow = took - gate.slow.get().zip(middle).map_or(0.0, |(s, m)| (s - m).max(0.0));
                 let aims = self.set.classes.iter().filter(|c| !c.uncacheable && c.aim_stretch > 1.0);
--- a/src/rules/servers.rs
+++ b/src/rules/servers.rs
@@ -6,6 +6,7 @@
 use crate::hash::address;
 use crate::state::{place, Gate, Health, Open, Planned, Server};
 use crate::window::{sorted, Average};
+use crate::work::WorkEstimate;
 use basaltgw_structures::Candidates;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,14 +45,19 @@
             let held = |i| self.open.values().flat_map(|o| &o.tries).any(|t| t.names(i));
             let server = place(&mut self.servers, &entry.id, new, held);
             if entry.started > server.entry.started {
-                // A new process, cold by now at the latest: what was held against the old one is void.
-                server.started = entry.started.map(|t| t.min(self.now));
+                // A new process, cold by now at the latest: what was held against the old one is void. It may
+                // have started again since; what was inferred of that stays.
+                let told = entry.started.map(|t| t.min(self.now));
+                server.started = told.into_iter().chain(server.started).reduce(f64::max);
+                server.account_from = entry.started.filter(|at| *at <= self.now);
                 (server.health, server.strikes, server.refused) = (Health::Good, 0, 0.0);
                 server.vanished = false;
                 (server.lag, server.cut) = (Average::default(), 0.0);
                 (server.answered, server.mute) = (self.now, 0.0);
             }
-            server.entry = entry;
+            // A list that is late, or says nothing of the start, does not make the process an older one.
+            let started = entry.started.into_iter().chain(server.entry.started).reduce(f64::max);
+            server.entry = ServerEntry { started, ..entry };
         }
         for role in [Role::Edge, Role::Parent, Role::Origin] {
             let near = |s: &Server| role != Role::Edge || s.entry.zone == self.set.zone;
@@ -116,6 +122,7 @@
                 s.started = s.started.map(|t| t - more);
             }
             s.entry.started = s.entry.started.map(|t| t - more);
+            s.account_from = s.account_from.map(|t| t - more);
         }
     }
 
@@ -222,7 +229,10 @@
         }
         for (name, mean, answers) in learnt.sending {
             let class = self.set.classes.iter().position(|c| c.name == name);
-            class.into_iter().for_each(|c| self.sending[c] = Average::of(mean, answers));
+            if let Some(c) = class {
+                self.sending[c] = Average::of(mean, answers);
+                self.work[c] = WorkEstimate::of(mean, answers);
+            }
         }
         for (object, group, at) in learnt.purges {
             let known = self.purged.entry((object, group)).or_insert(at);
--- a/src/rules/split.rs
+++ b/src/rules/split.rs
@@ -57,19 +57,19 @@
     }
 
     /// Takes in what an outcome tells of latencies, sending times and what a server carries.
-    pub(super) fn learn(&mut self, at: usize, source: Option<usize>, key: u64, o: &Outcome) {
+    pub(super) fn learn(&mut self, at: usize, o: &Outcome) {
         let open = &self.open[at];
         let (class, req) = (open.class, &open.req);
         let filled = matches!(o.note, Note::FilledBySource | Note::FilledByOrigin);
-        if o.end == End::Served {
+        // Only what was sent whole tells what sending takes.
+        if o.end == End::Served && o.whole {
             let beyond = (o.delay - self.own_time(req).unwrap_or(0.0)).max(0.0);
             let (mean, deviation) = &mut self.delay[class];
             deviation.add((beyond - mean.get().unwrap_or(0.0)).abs(), AVERAGE_SHARE);
             mean.add(beyond, AVERAGE_SHARE);
             if let Some(known) = self.known.get_mut(&req.object).filter(|_| filled || o.note == Note::Hit) {
                 let took = (o.delay - o.source_wait).max(1.0);
-                known.least = if known.seen == 0 { took } else { known.least.min(took) };
-                known.seen += 1;
+                known.learn(took);
                 self.sending[class].add(known.least, AVERAGE_SHARE);
             }
         }
@@ -80,9 +80,11 @@
             let layer = usize::from(o.note == Note::FilledByOrigin);
             self.latency[layer].add(o.source_wait, AVERAGE_SHARE);
         }
-        if let Some(source) = source.filter(|_| !filled && o.end == End::Served) {
-            // No fill came to the source, so it weighs nothing there.
-            self.servers[source].sent.take_back(key);
+        let open = &self.open[at];
+        // Each attempt weighs what its object takes, served or not, if it has reached a server.
+        let reached = !matches!(o.end, End::NotSent | End::NoConnection);
+        if let Some(known) = self.known.get(&open.req.object).filter(|known| reached && known.seen > 0) {
+            self.work[open.class].add(known.work());
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,13 @@
 //! What a router holds of its servers and open requests; plain data, nothing here decides.
 
+use crate::account::SendAccount;
 use crate::api::{
     GroupId, Listed, Ms, ObjectId, Rank, Request, RequestId, ServerEntry, ServerId, Settings, SourceTable,
 };
 use crate::rules::{GATE_LEVEL_MS, SHADOW_ENTRIES};
 use crate::shadow::ShadowList;
-use crate::window::{Average, DecayingRate, SlidingSum};
+use crate::window::{Average, DecayingRate};
+use crate::work::WorkEstimate;
 use basaltgw_structures::Candidates;
 use indexmap::IndexMap;
 use std::collections::HashMap;
@@ -61,6 +63,9 @@
     pub vanished: bool,
     /// When it started, or came back as if it had.
     pub started: Option<Ms>,
+    /// When its process started, as the list tells: what arrived earlier went to another. `None` where the start seemed to lie ahead, so that
+    /// nobody knows when it was.
+    pub account_from: Option<Ms>,
     /// Its share of refused connections, decayed.
     pub refused: f64,
     pub gate: Gate,
@@ -75,11 +80,11 @@
     pub out: usize,
     pub work: f64,
     /// What was sent to it lately (a parent: fills too).
-    pub sent: SlidingSum,
+    pub sent: SendAccount,
 }
 
-/// The server of that name; a new one takes the place of one that has gone and that nothing holds any more, so that a table
-/// grows no longer than what is listed at a time. Places of others stay.
+/// The server of that name; a new one takes the place of one that has gone, that nothing holds any more and that was sent nothing lately,
+/// so that a table grows no longer than what is listed at a time, and what has just gone. Places of others stay.
 pub fn place<'a>(
     servers: &'a mut IndexMap<ServerId, Server>,
     id: &ServerId,
@@ -87,7 +92,10 @@
     held: impl Fn(usize) -> bool,
 ) -> &'a mut Server {
     let at = servers.get_index_of(id).unwrap_or_else(|| {
-        let free = |i: &usize| servers[*i].entry.listed == Listed::Gone && !held(*i);
+        let free = |i: &usize| {
+            let s = &servers[*i];
+            s.entry.listed == Listed::Gone && s.sent.is_empty() && !held(*i)
+        };
         match (0..servers.len()).find(free).filter(|i| servers.replace_index(*i, id.clone()).is_ok()) {
             Some(at) => {
                 servers[at] = new();
@@ -222,11 +230,34 @@
     /// The least time in which a part was sent, and of how many.
     pub least: Ms,
     pub seen: u32,
+    /// The least but one.
+    pub second: Ms,
+}
+
+impl Known {
+    /// A part was sent in that time.
+    pub fn learn(&mut self, took: Ms) {
+        (self.least, self.second) = match self.seen {
+            0 => (took, f64::INFINITY),
+            _ if took < self.least => (took, self.least),
+            _ => (self.least, self.second.min(took)),
+        };
+        self.seen += 1;
+    }
+
+    /// What sending a part takes, by the least but one of its answers, so that a single one that is wrong does not make it too little.
+    pub fn work(&self) -> Ms {
+        if self.seen > 1 {
+            self.second
+        } else {
+            self.least
+        }
+    }
 }
 
 impl Default for Known {
     fn default() -> Self {
-        Self { rank: Rank::Low, least: 0.0, seen: 0 }
+        Self { rank: Rank::Low, least: 0.0, seen: 0, second: f64::INFINITY }
     }
 }
 
@@ -256,6 +287,8 @@
     /// By class: delay of what was served, and sending time.
     pub(crate) delay: Vec<(Average, Average)>,
     pub(crate) sending: Vec<Average>,
+    /// By class: what an attempt weighs in the accounts of slow start.
+    pub(crate) work: Vec<WorkEstimate>,
     /// By class: the logarithm of what a hit takes.
     pub(crate) hits: Vec<Average>,
     /// By class: the share of answers that needed a fill.
@@ -267,6 +300,8 @@
     /// When an object, or a group, was purged.
     pub(crate) purged: IndexMap<(Option<ObjectId>, Option<GroupId>), Ms>,
     pub(crate) keys: u64,
+    /// The caller tells when attempts are put on the wire; else they are as they are decided.
+    pub(crate) writes_told: bool,
     pub(crate) seed: u64,
     pub(crate) lines: usize,
 }
@@ -292,18 +327,26 @@
             latency: [Average::default(); 2],
             delay: vec![Default::default(); classes],
             sending: vec![Average::default(); classes],
+            work: vec![WorkEstimate::default(); classes],
             hits: vec![Average::default(); classes],
             fills: vec![Average::default(); classes],
             beyond: Average::default(),
             link: Gate::new(0.0, GATE_LEVEL_MS, set.zone_routers),
             purged: IndexMap::new(),
             keys: 0,
+            writes_told: false,
             lines: 0,
             seed,
             set,
         }
     }
 
+    /// From now on the caller tells of each attempt that its last byte is on the wire ([`Event::Written`](crate::api::Event::Written)). Without this
+    /// attempts count as written when they are decided.
+    pub fn expect_written(&mut self) {
+        self.writes_told = true;
+    }
+
     /// s1, the share of the shadow list that earns top rank, in entries.
     pub fn split(&self) -> usize {
         self.split
@@ -331,10 +374,11 @@
         Self {
             // By a clock ahead of this one's it would not have started yet, and what it is sent would not count.
             started: entry.started.map(|t| t.min(now)),
-            entry,
             hash,
             health: Health::Good,
             strikes: 0,
+            account_from: entry.started.filter(|t| *t <= now),
+            entry,
             vanished: false,
             refused: 0.0,
             gate,
@@ -345,7 +389,7 @@
             mute: 0.0,
             out: 0,
             work: 0.0,
-            sent: SlidingSum::default(),
+            sent: SendAccount::default(),
         }
     }
 }
--- a/src/window.rs
+++ b/src/window.rs
@@ -1,38 +1,4 @@
-//! Sums over time: a sliding window with entries that can be taken back, and a decaying rate.
-
-use std::collections::VecDeque;
-
-/// Weights by the time at which they were added.
-#[derive(Clone, Debug, Default)]
-pub struct SlidingSum {
-    entries: VecDeque<(f64, f64, u64)>,
-}
-
-impl SlidingSum {
-    /// Adds a weight at a time, no earlier than the last, under a key by which it can be taken back.
-    pub fn add(&mut self, now: f64, weight: f64, key: u64) {
-        self.entries.push_back((now, weight, key));
-    }
-
-    /// Takes an entry back.
-    pub fn take_back(&mut self, key: u64) {
-        if let Some(i) = self.entries.iter().rposition(|e| e.2 == key) {
-            self.entries.remove(i);
-        }
-    }
-
-    /// The sum of what was added since then.
-    pub fn since(&self, since: f64) -> f64 {
-        self.entries.iter().rev().take_while(|e| e.0 >= since).map(|e| e.1).sum()
-    }
-
-    /// Drops what is older.
-    pub fn forget(&mut self, before: f64) {
-        while self.entries.front().is_some_and(|e| e.0 < before) {
-            self.entries.pop_front();
-        }
-    }
-}
+//! Sums over time: a decaying rate, and moving averages.
 
 /// A rate that decays with a time constant, corrected for a short past.
 #[derive(Clone, Debug)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -192,6 +192,7 @@
             note,
             source_wait: if note == Note::Hit { 0.0 } else { 20.0 },
             load: Load::default(),
+            whole: true,
         }))
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -85,6 +85,7 @@
         note: Note::Untold,
         source_wait: 0.0,
         load: Load::default(),
+        whole: true,
     }));
     assert_ne!(fetch(&acts).expect("another attempt").fill_from, id("parent-1"));
 }
@@ -330,6 +331,8 @@
                 let f = fetch(&d.ask(*n, SAFE, *n as u64));
                 f.is_some_and(|f| {
                     d.end(*n, 0, &f.server, End::Served, Note::Hit);
+                    // What it was sent before counts until the window is over, whatever is inferred of a restart.
+                    d.wait(10.0);
                     f.server == id("edge-0")
                 })
             })
--- a/tests/settings/world.rs
+++ b/tests/settings/world.rs
@@ -212,6 +212,7 @@
             note,
             source_wait: wait,
             load: Load::default(),
+            whole: true,
         };
         self.tell(Event::Outcome(outcome))
     }
@@ -325,6 +326,7 @@
                     note: Note::Untold,
                     source_wait: 0.0,
                     load: Load::default(),
+                    whole: true,
                 }))
             }
             Step::Flow { pick } => {
