--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -175,7 +175,7 @@
 fn main() -> ExitCode {
     let log = env_logger::Env::new().filter_or("GW_LOG", "info");
     let target = env_logger::Target::Pipe(Box::new(LogWriter));
-    env_logger::Builder::from_env(log).format_timestamp(None).target(target).init();
+    env_logger::Builder::from_env(log).format_timestamp_millis().target(target).init();
     let command = match command() {
         Ok(command) => command,
         Err(e) => {
