--- a/crates/node/tests/crossing/cold.rs
+++ b/crates/node/tests/crossing/cold.rs
@@ -1,7 +1,7 @@
 //! Cold servers: all routers together, as processes asked at full speed, before one that has just started.
 //!
-//! What the stand-in gets is counted when it reads it. Slow times of the machine make it less than the settings allow and chance, but
-//! for one: a cache that answers nothing for a second with four out is taken for restarted (`rules/health.rs`), and its budget begins anew.
+//! What the stand-in gets is counted when it reads it. Slow times of the machine make it less than the settings allow and chance: a cache
+//! that pauses is sent no second budget.
 
 use crate::common::*;
 use serde_json::{json, Value};
--- a/src/rules/slow_start.rs
+++ b/src/rules/slow_start.rs
@@ -64,8 +64,8 @@
     /// What an attempt of a class weighs in a server's account. A class of which little is known weighs no
     /// less than any other.
     pub(super) fn attempt_weight(&self, class: usize) -> Ms {
-        let mean = self.mean_time(class);
-        self.work[class].upper().unwrap_or(self.longest_work()).max(mean)
+        let unknown = || self.longest_work().max(self.mean_time(class));
+        self.work[class].upper().unwrap_or_else(unknown)
     }
 
     /// What a fill for a request weighs in its source's account.
