--- a/src/account.rs
+++ b/src/account.rs
@@ -26,23 +26,35 @@
     key: u64,
 }
 
-/// Sends to one server, under keys that the caller uses once.
 #[derive(Clone, Debug, Default)]
-pub struct SendAccount {
+struct Sends {
     unproven: Vec<Unproven>,
     /// By time.
     arrived: VecDeque<Arrived>,
 }
 
+impl Sends {
+    fn arrive(&mut self, now: Ms, send: Unproven, tolerance: Ms) {
+        let at = send.written.filter(|at| now - at <= tolerance).unwrap_or(now);
+        let place = self.arrived.iter().rposition(|other| other.at <= at).map_or(0, |before| before + 1);
+        self.arrived.insert(place, Arrived { at, weight: send.weight, key: send.key });
+    }
+}
+
+/// Sends to one server, under keys that the caller uses once. Of hundreds that are listed most are sent nothing, and hold nothing.
+#[derive(Clone, Debug, Default)]
+pub struct SendAccount(Option<Box<Sends>>);
+
 impl SendAccount {
     /// Books a send that was decided.
     pub fn book(&mut self, weight: f64, key: u64) {
-        self.unproven.push(Unproven { key, weight, written: None });
+        self.0.get_or_insert_default().unproven.push(Unproven { key, weight, written: None });
     }
 
     /// The last byte of a send was put on the wire.
     pub fn written(&mut self, now: Ms, key: u64) {
-        if let Some(send) = self.unproven.iter_mut().find(|send| send.key == key) {
+        let sends = self.0.iter_mut().flat_map(|sends| &mut sends.unproven);
+        if let Some(send) = sends.into_iter().find(|send| send.key == key) {
             send.written.get_or_insert(now);
         }
     }
@@ -50,53 +62,54 @@
     /// A send is over, so it has arrived by now or never will. Where it may have been on its way for longer than `tolerance`, it counts as
     /// having arrived now.
     pub fn settle(&mut self, now: Ms, key: u64, tolerance: Ms) {
-        if let Some(index) = self.unproven.iter().position(|send| send.key == key) {
-            let send = self.unproven.remove(index);
-            self.arrive(now, send, tolerance);
-        }
+        self.arrive_all(now, tolerance, |send| send.key == key);
     }
 
     /// The server has answered something, the send of that key for one: what was put on the wire well before has arrived, too.
     pub fn answered(&mut self, now: Ms, key: u64, tolerance: Ms) {
         self.settle(now, key, tolerance);
-        let proven = |send: &Unproven| send.written.is_some_and(|at| at <= now - TRANSIT_MS);
-        while let Some(index) = self.unproven.iter().position(proven) {
-            let send = self.unproven.swap_remove(index);
-            self.arrive(now, send, tolerance);
-        }
+        self.arrive_all(now, tolerance, |send| send.written.is_some_and(|at| at <= now - TRANSIT_MS));
     }
 
-    fn arrive(&mut self, now: Ms, send: Unproven, tolerance: Ms) {
-        let at = send.written.filter(|at| now - at <= tolerance).unwrap_or(now);
-        let place = self.arrived.iter().rposition(|other| other.at <= at).map_or(0, |before| before + 1);
-        self.arrived.insert(place, Arrived { at, weight: send.weight, key: send.key });
+    fn arrive_all(&mut self, now: Ms, tolerance: Ms, proven: impl Fn(&Unproven) -> bool) {
+        let Some(sends) = &mut self.0 else { return };
+        while let Some(index) = sends.unproven.iter().position(&proven) {
+            let send = sends.unproven.swap_remove(index);
+            sends.arrive(now, send, tolerance);
+        }
     }
 
     /// Takes back a send that provably never arrived.
     pub fn take_back(&mut self, key: u64) {
-        self.unproven.retain(|send| send.key != key);
-        if let Some(index) = self.arrived.iter().rposition(|send| send.key == key) {
-            self.arrived.remove(index);
+        let Some(sends) = &mut self.0 else { return };
+        sends.unproven.retain(|send| send.key != key);
+        if let Some(index) = sends.arrived.iter().rposition(|send| send.key == key) {
+            sends.arrived.remove(index);
         }
     }
 
     /// The most that can have arrived since then, or may still arrive.
     pub fn since(&self, since: Ms) -> f64 {
-        let unproven: f64 = self.unproven.iter().map(|send| send.weight).sum();
-        let arrived = self.arrived.iter().rev().take_while(|send| send.at >= since);
+        let Some(sends) = &self.0 else { return 0.0 };
+        let unproven: f64 = sends.unproven.iter().map(|send| send.weight).sum();
+        let arrived = sends.arrived.iter().rev().take_while(|send| send.at >= since);
         unproven + arrived.map(|send| send.weight).sum::<f64>()
     }
 
     /// Drops what arrived before.
     pub fn forget(&mut self, before: Ms) {
-        while self.arrived.front().is_some_and(|send| send.at < before) {
-            self.arrived.pop_front();
+        let Some(sends) = &mut self.0 else { return };
+        while sends.arrived.front().is_some_and(|send| send.at < before) {
+            sends.arrived.pop_front();
+        }
+        if self.is_empty() {
+            self.0 = None;
         }
     }
 
     /// Nothing is booked.
     pub fn is_empty(&self) -> bool {
-        self.unproven.is_empty() && self.arrived.is_empty()
+        self.0.as_ref().is_none_or(|sends| sends.unproven.is_empty() && sends.arrived.is_empty())
     }
 }
 
