What a router knows of objects, and tests of routers with few answers, have files of their own

Moves only: src/state.rs (429 lines) gives Known to src/known.rs, tests/failures.rs (563) its last third to tests/few_answers.rs, and reports to tests/common.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod account;
 pub mod api;
 pub mod carry;
+mod known;
 pub mod rules;
 pub mod shadow;
 mod state;
--- a/src/rules/split.rs
+++ b/src/rules/split.rs
@@ -2,7 +2,7 @@
 
 use super::Router;
 use crate::api::*;
-use crate::state::Known;
+use crate::known::Known;
 
 /// St, entries of each shadow list.
 pub const SHADOW_ENTRIES: usize = 4096;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -225,3 +225,7 @@
 pub fn failed(acts: &[Action], n: usize) -> bool {
     acts.iter().any(|a| matches!(a, Action::Fail(r) if *r == rid(n)))
 }
+
+pub fn reports(acts: &[Action], what: &str) -> usize {
+    acts.iter().filter(|a| matches!(a, Action::Report(text) if text.contains(what))).count()
+}
