--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -22,7 +22,7 @@
 fn run(case: &Path, record: &Record) -> io::Result<bool> {
     let folder = Temporary::new()?;
     let root = root_of(case);
-    let edges: Vec<Cache> = (0..4).map(|i| Cache::start(&server_id(0x10 + i), 100, &[], record)).collect::<Result<_, _>>()?;
+    let edges: Vec<Cache> = (0..4).map(|i| Cache::start(&server_id(0x10 + i), 150, &[], record)).collect::<Result<_, _>>()?;
     let parents: Vec<Cache> = (0..2).map(|i| Cache::start(&server_id(0x20 + i), 20, &[], record)).collect::<Result<_, _>>()?;
     let origin = Cache::start(&server_id(0x30), 40, &["loan-checkout"], record)?;
     let listed = |number, cache: &Cache, zone, kind| Listed { number, address: cache.address, state: 0, zone, kind, weight: 5000, started: 0 };
@@ -32,12 +32,12 @@
     let log = ChangeLog::start(1, record)?;
     let listen = free_address()?;
     let config = folder.0.join("config.json");
-    std::fs::write(&config, configuration("n1", listen, log.address, &servers, &settings(3, "read_like", "non_idempotent", "non_idempotent")))?;
+    std::fs::write(&config, configuration("n1", listen, log.address, &servers, &settings(3, "non_idempotent", "non_idempotent", "non_idempotent")))?;
     let router = Router::start(&root, &folder.0, "n1", listen, &config, "")?;
     if !router.wait_ready(record, 10_000) {
         return Err(fault("the router did not become ready"));
     }
-    // A few clients, 40 requests a second.
+    // A few clients, 60 requests a second.
     let clients: Vec<Client> = (0..4).map(|i| Client::connect(&format!("client {i}"), listen, record)).collect::<Result<_, _>>()?;
     let mut rng = Rng(seed());
     let begin = record.now();
@@ -72,11 +72,11 @@
         }
         let class = if rng.below(2) == 0 { ("album-pages", 5000) } else { ("thumbs", 2500) };
         let object = 0x1000_0000 + rng.below(400);
-        let fields = format!("i={},d={},o={object:016x},nth=0,batch={},m=60", rng.hex(), class.1, object % 256);
+        let fields = format!("i={},d={},o={object:016x},nth=0,batch={},m=1200", rng.hex(), class.1, object % 256);
         let client = &clients[n % clients.len()];
         sent.push((n % clients.len(), client.send(class.0, &fields, b"")?));
         n += 1;
-        sleep_ms(25);
+        sleep_ms(16);
     }
     sleep_ms(1_000);
     let served = sent.iter().filter(|(c, tag)| clients[*c].answers(*tag).first().is_some_and(|a| a.word == "200")).count();
