Pipelined writes no longer stop the reading of servers' answers

Cause: one budget for the bytes of requests and of responses. The bodies of open writes filled it, reading paused on all connections, and only the unread responses could have freed it. A partial message then timed out against its client for the time in which the router itself did not read.

Evidence: new counters of the pauses of reading. In the regression test before the repair: "lost: 327, server_read_pauses=8 server_read_pause_ms=2973 closed_unfinished=11 held_most=5721538" of 384 requests with 4 MB: no server was read for the whole time of the requests. Both tests in tests/sockets/pipelined_writes.rs failed so.

Change: requests and responses have budgets of their own (memory_budget.rs). What requests use never stops the reading of servers. A client's bytes wait for memory for at most 0.25 s, half of the 0.5 s after which an unanswered request is lost whatever its deadline; then they are read, and a request with a body for which there is no memory is rejected unexecuted, or failed where its lease could be another router's. The time that bytes lay unread counts towards the deadline of their request and not towards the time-out of a partial message. Above a last limit no message is begun, so that partial messages are bounded. Bodies in the owner's queue are counted. The decoder hands on the buffer of a long bulk string in place of a copy, and reads no further than its end.

Why it works: no wait is left in which the memory that is waited for can only be freed by what waits, and no wait for memory is longer than a request may lie unread.

--- a/crates/emulator/src/standin/client.rs
+++ b/crates/emulator/src/standin/client.rs
@@ -5,6 +5,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
 
 /// The deadline of a request, in milliseconds, unless a test chooses one.
 const DEADLINE_MS: u64 = 5000;
@@ -84,6 +85,17 @@
             self.socket.write_all(&encode_request(&next_id(), DEADLINE_MS, tag, class, object, more, b""));
     }
 
+    /// Sends a write on a connection that the router may close; returns whether all of it was written.
+    pub fn try_send_write(&mut self, deadline_ms: u64, tag: u64, class: &str, body: &[u8]) -> bool {
+        let request = encode_request(&next_id(), deadline_ms, tag, class, tag, "", body);
+        self.socket.write_all(&request).is_ok()
+    }
+
+    /// Another handle of the connection, for a thread of its own that only sends.
+    pub fn sender(&self) -> Self {
+        Self::new(self.socket.try_clone().expect("another handle of the socket"))
+    }
+
     /// Sends a message of a name and a tag, such as `PING`.
     pub fn send_message(&mut self, name: &str, tag: u64) {
         self.write(&encode(&[name.as_bytes(), tag.to_string().as_bytes(), b""]));
@@ -94,6 +106,22 @@
         self.next().expect("the router closed the connection without an answer")
     }
 
+    /// Waits for the next answer until `due`; `None` if there is none by then, or the connection is closed.
+    pub fn next_before(&mut self, due: Instant) -> Option<ClientAnswer> {
+        loop {
+            if let Some(elements) = self.decoder.next_message().expect("a well-formed answer") {
+                return Some(decode_answer(&elements));
+            }
+            let left = Some(due.saturating_duration_since(Instant::now())).filter(|left| !left.is_zero())?;
+            self.socket.set_read_timeout(Some(left)).expect("set the read timeout");
+            let mut chunk = [0; 65536];
+            match self.socket.read(&mut chunk) {
+                Ok(n) if n > 0 => self.decoder.feed(&chunk[..n]),
+                Ok(_) | Err(_) => return None,
+            }
+        }
+    }
+
     /// Sends a `PING` and returns the answers that arrive before its own: all that the router had written until then.
     pub fn answers_before_pong(&mut self) -> Vec<ClientAnswer> {
         self.send_message("PING", PING_TAG);
@@ -130,6 +158,24 @@
     }
 }
 
+/// Appends the message of a request without a body, to be sent with others in one write; returns its id.
+pub fn append_request(
+    messages: &mut Vec<u8>,
+    deadline_ms: u64,
+    tag: u64,
+    class: &str,
+    object: u64,
+) -> String {
+    let id = next_id();
+    messages.extend(encode_request(&id, deadline_ms, tag, class, object, "", b""));
+    id
+}
+
+/// Appends a message of a name and a tag, such as `UNDO`, to be sent with others in one write.
+pub fn append_message(messages: &mut Vec<u8>, name: &str, tag: u64) {
+    messages.extend(encode(&[name.as_bytes(), tag.to_string().as_bytes(), b""]));
+}
+
 fn encode_request(
     id: &str,
     deadline_ms: u64,
--- a/crates/emulator/src/standin/mod.rs
+++ b/crates/emulator/src/standin/mod.rs
@@ -9,7 +9,7 @@
 
 pub use cache::{part_body, Cache, FetchBehaviour, ProbeBehaviour, ReceivedFetch};
 pub use changelog::{frame, frame_kind, record, ChangeLog};
-pub use client::{Client, ClientAnswer};
+pub use client::{append_message, append_request, Client, ClientAnswer};
 pub use config::{
     add_second_edge, configuration, edge_parent_origin, ListedServer, EDGE, EDGE_2, EDGE_KIND, ORIGIN,
     ORIGIN_KIND, PARENT,
--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -191,7 +191,10 @@
     if context.queue.send(Input::ServerConnected(conn_id)).await.is_ok() {
         let read = async {
             let decode = |decoded: DecodedMessage| {
-                Some(Input::ServerAnswer(conn_id, ServerAnswer::decode(decoded.elements, &[&context.meter])?))
+                Some(Input::ServerAnswer(
+                    conn_id,
+                    ServerAnswer::decode(decoded.elements, &[&context.budgets.responses.meter])?,
+                ))
             };
             read_messages(&socket, SERVER_READ_LIMITS, context, || false, decode, None).await
         };
--- a/crates/node/src/caches/mod.rs
+++ b/crates/node/src/caches/mod.rs
@@ -17,6 +17,7 @@
 };
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::{send_queue, OutgoingMessage, SendConditions};
+use crate::read_pauses::ReadPauses;
 use basaltgw::api::{Ms, ServerId};
 use basaltgw_config::{ServerProcess, Transport};
 use conn::{connection, Conn};
@@ -74,6 +75,11 @@
         Self { context, max_connections, transport, conns, by_server, last_number: 0 }
     }
 
+    /// The pauses of reading from the pool's connections.
+    pub fn read_pauses(&self) -> &ReadPauses {
+        &self.context.read_pauses
+    }
+
     /// Counts of the pool's connections.
     pub fn counts(&self) -> PoolCounts {
         PoolCounts { connections: self.conns.len() as u64, last_number: self.last_number }
@@ -137,7 +143,7 @@
     fn open(&mut self, now: Ms, server: &ServerId, process: ServerProcess) -> ConnId {
         self.last_number += 1;
         let conn_id = ConnId(self.last_number);
-        let (outbox, outgoing) = send_queue(&self.context.meter, &Rc::default());
+        let (outbox, outgoing) = send_queue(&self.context.budgets.requests.meter, &Rc::default());
         let conn = Conn::new(now, server.clone(), process, outbox);
         self.by_server.entry(server.clone()).or_default().insert(conn_id);
         self.conns.insert(conn_id, conn);
--- a/crates/node/src/clients/message.rs
+++ b/crates/node/src/clients/message.rs
@@ -80,6 +80,14 @@
         })
     }
 
+    /// The length of its body.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Self::Request(_, request) => request.body.len(),
+            Self::Cancel(_) | Self::Probe(_) | Self::Malformed(_) => 0,
+        }
+    }
+
     /// The message to use if the bytes after it can't be decoded, for example because its array's count is too low: a request may lack
     /// elements and counts as malformed.
     pub fn with_uncertain_end(self) -> Self {
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -19,7 +19,7 @@
     RETRY_INTERVAL,
 };
 use crate::messages::{ConnectionContext, Input};
-use crate::outbox::{send_queue, write_messages, BufferMeter};
+use crate::outbox::{send_queue, write_messages, BufferMeter, BufferReservation};
 use crate::socket;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -95,7 +95,7 @@
     }
     let buffered = Rc::new(BufferMeter::default());
     let state = Rc::new(ConnectionState::with_invariants(slot.slots(), &context.invariants));
-    let (outbox, outgoing) = send_queue(&context.meter, &buffered);
+    let (outbox, outgoing) = send_queue(&context.budgets.responses.meter, &buffered);
     if context.queue.send(Input::ClientConnected(id, outbox, Rc::clone(&state))).await.is_err() {
         return;
     }
@@ -105,7 +105,10 @@
             let message = ClientMessage::decode(decoded.elements)?;
             state.liveness().observe(&message);
             let message = if decoded.boundary_uncertain { message.with_uncertain_end() } else { message };
-            Some(Input::ClientMessage { client: id, message, received_at: decoded.received_at })
+            let mut reservation = BufferReservation::new(&context.budgets.requests.meter);
+            reservation.set(message.body_bytes());
+            let received_at = decoded.received_at;
+            Some(Input::ClientMessage { client: id, message, received_at, buffered: reservation })
         };
         let client = ClientReader { state: &state, waiting_since };
         let reason =
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -42,6 +42,8 @@
         failed: Count = "failed",
         /// Requests rejected without routing, since too many were open.
         rejected_at_capacity: Count = "turned_away",
+        /// Requests rejected without routing, since messages used too much memory; counted among the rejected ones too.
+        rejected_for_memory: Count = "refused_for_memory",
         /// Answers recalled before their first byte, since the client had cancelled.
         recalled: Count = "taken_back",
         /// Served answers replaced by a failure under memory pressure.
@@ -144,6 +146,14 @@
         buffered_bytes: Gauge<u64> = "held",
         /// The most bytes buffered by messages so far.
         max_buffered_bytes: Gauge<u64> = "held_most",
+        /// Times that reading from a client was paused for want of memory.
+        client_read_pauses: Count = "client_read_pauses",
+        /// The longest of these pauses, in milliseconds.
+        longest_client_read_pause_ms: Gauge<f64> = "client_read_pause_ms",
+        /// Times that reading from a server was paused for want of memory.
+        server_read_pauses: Count = "server_read_pauses",
+        /// The longest of these pauses, in milliseconds.
+        longest_server_read_pause_ms: Gauge<f64> = "server_read_pause_ms",
     }
 }
 
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -1,17 +1,23 @@
 //! Reads a connection: decodes messages and queues them for the owner, within the connection's limits of time and size.
 //!
-//! Reading pauses while all buffered messages use too much memory, the peer is slow to read, or the owner's queue is full. A client is
-//! watched meanwhile, so that its close and its cancellations still take effect.
+//! Reading pauses while buffered messages use too much memory, the peer is slow to read, or the owner's queue is full. A client is
+//! watched meanwhile, so that its close and its cancellations still take effect. A server's answers are read whatever memory requests use,
+//! since they free it. A client's requests wait for memory for a bounded time only; then they are read, and the owner sheds them.
+
+mod backlog;
 
 use crate::clients::message::ClientMessage;
 use crate::connection::{CloseReason, ConnectionState};
-use crate::limits::{ReadLimits, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES, READ_BYTES, RETRY_INTERVAL};
+use crate::limits::{
+    PeerKind, ReadLimits, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES, READ_BYTES, RETRY_INTERVAL,
+};
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::BufferReservation;
 use crate::resp::{DecodeError, Decoder};
 use crate::socket;
 use async_channel::TrySendError;
 use async_io::{Async, Timer};
+use backlog::SocketBacklog;
 use basaltgw::api::Ms;
 use futures_lite::future;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -55,7 +61,7 @@
 /// Why reading is paused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PauseReason {
-    /// Buffered messages of all connections use too much memory.
+    /// Buffered messages use too much memory.
     Memory,
     /// Too many bytes wait to be written to this peer.
     SlowPeer,
@@ -105,9 +111,12 @@
         failure: None,
         first_message_due: limits.first_message_timeout.map(|t| Instant::now() + t),
         message_started: None,
-        empty_since: accepted_late.unwrap_or_else(Instant::now),
-        waited_in_backlog: accepted_late.is_some(),
-        buffered: BufferReservation::new(&context.meter),
+        backlog: SocketBacklog::new(accepted_late),
+        buffered: BufferReservation::new(match limits.peer {
+            PeerKind::Client => &context.budgets.requests.meter,
+            PeerKind::Server => &context.budgets.responses.meter,
+        }),
+        memory_pause_started: None,
     };
     loop {
         if let Err(reason) = reader.read_and_enqueue(&is_peer_slow).await {
@@ -136,23 +145,31 @@
     first_message_due: Option<Instant>,
     /// When the first byte of the partial message was received.
     message_started: Option<Instant>,
-    /// When the socket was last known to be empty.
-    empty_since: Instant,
-    /// The next bytes were received while the connection waited in the backlog, since `empty_since`.
-    waited_in_backlog: bool,
+    backlog: SocketBacklog,
     buffered: BufferReservation,
+    /// Since when reading has been paused for want of memory.
+    memory_pause_started: Option<Instant>,
 }
 
 impl<D: Fn(DecodedMessage) -> Option<Input>> Reader<'_, D> {
     /// Reads once and queues the complete messages.
     async fn read_and_enqueue(&mut self, is_peer_slow: &impl Fn() -> bool) -> Result<(), CloseReason> {
         while let Some(reason) = self.pause_reason(is_peer_slow) {
+            if reason == PauseReason::Memory {
+                self.backlog.on_memory_pause();
+                self.memory_pause_started.get_or_insert_with(Instant::now);
+            }
             // Cancellations use no memory and free that of their requests.
             while self.pending.front().is_some_and(is_cancellation) && !self.context.queue.is_full() {
                 self.enqueue(1).await?;
             }
-            self.wait_paused(reason).await?;
+            let waited = self.wait_paused(reason).await;
+            if waited.is_err() {
+                self.end_memory_pause();
+            }
+            waited?;
         }
+        self.end_memory_pause();
         // Messages that were read ahead go first.
         if self.pending.is_empty() && self.failure.is_none() {
             let n = self.read().await?;
@@ -165,13 +182,37 @@
         }
     }
 
+    fn end_memory_pause(&mut self) {
+        if let Some(since) = self.memory_pause_started.take() {
+            self.context.read_pauses.record(since.elapsed());
+        }
+    }
+
     fn pause_reason(&self, is_peer_slow: &impl Fn() -> bool) -> Option<PauseReason> {
-        if self.context.meter.bytes() > self.context.buffer_limit_bytes {
+        if self.waits_for_memory() {
             return Some(PauseReason::Memory);
         }
         is_peer_slow().then_some(PauseReason::SlowPeer)
     }
 
+    /// Whether reading must wait for memory. A server's answers wait for that of other answers only.
+    fn waits_for_memory(&self) -> bool {
+        let budgets = &self.context.budgets;
+        match self.limits.peer {
+            PeerKind::Server => budgets.responses.stops_reading(),
+            PeerKind::Client => {
+                let delayed = budgets.requests.delays_reading() || budgets.responses.delays_reading();
+                let stopped = budgets.requests.stops_reading() && !self.is_within_message();
+                stopped || (delayed && self.backlog.may_wait_for_memory())
+            }
+        }
+    }
+
+    /// Whether more of a message is buffered than is read ahead during a pause.
+    fn is_within_message(&self) -> bool {
+        self.decoder.buffered_bytes() > READ_AHEAD_BYTES
+    }
+
     /// Reads once, within the time limits; returns the number of bytes, 0 if a close request lapsed.
     async fn read(&mut self) -> Result<usize, CloseReason> {
         match self.wait_readable().await {
@@ -191,6 +232,8 @@
 
     /// Waits for bytes, a time limit or a close request, in this order where several are ready.
     async fn wait_readable(&mut self) -> ReadEvent {
+        // A long message is read to its end and no further, so that one message at most is buffered.
+        let bytes = self.decoder.missing_bytes().map_or(READ_BYTES, |missing| missing.min(READ_BYTES));
         let message_due = self
             .message_started
             .map(|t| (t + self.limits.message_timeout).min(Instant::now() + self.limits.read_gap_timeout));
@@ -209,19 +252,9 @@
             }
             ReadEvent::CloseRequested
         };
-        let (mut socket, chunk) = (self.socket, &mut self.chunk);
-        let empty_since = &mut self.empty_since;
         let read = async {
-            let mut reading = pin!(socket::read(&mut socket, chunk));
-            let result = future::poll_fn(|cx| {
-                let polled = reading.as_mut().poll(cx);
-                // Only a read that has to wait proves that the socket is empty; a short read doesn't.
-                if polled.is_pending() {
-                    *empty_since = Instant::now();
-                }
-                polled
-            });
-            ReadEvent::Read(result.await)
+            let chunk = self.chunk.get_mut(..bytes).unwrap_or_default();
+            ReadEvent::Read(self.backlog.read(self.socket, chunk).await)
         };
         future::or(read, future::or(timeout, close_requested)).await
     }
@@ -257,13 +290,9 @@
         }
     }
 
-    /// When the bytes just read were received; if they may have waited in the socket during a pause of the process, the earliest possible
-    /// time.
+    /// When the bytes just read were received; if they may have waited in the socket, the earliest possible time.
     fn receive_time(&mut self) -> Ms {
-        let waited = match std::mem::take(&mut self.waited_in_backlog) {
-            true => self.empty_since.elapsed(),
-            false => self.context.pause_detector.max_wait_in_socket(self.empty_since),
-        };
+        let waited = self.backlog.max_wait(&self.context.pause_detector);
         self.context.clock.now() - waited.as_secs_f64() * 1000.0
     }
 
@@ -305,41 +334,51 @@
         let since = Instant::now();
         let read_ahead_bytes =
             READ_AHEAD_BYTES.saturating_sub(self.pending_bytes + self.decoder.buffered_bytes());
-        let may_read_ahead = self.limits.watch_while_paused
+        let watched = self.limits.peer == PeerKind::Client;
+        let may_read_ahead = watched
             && self.failure.is_none()
             && self.pending.len() < READ_AHEAD_MESSAGES
             && read_ahead_bytes > 0;
         if may_read_ahead {
             self.read_ahead(read_ahead_bytes).await?;
-        } else if self.limits.watch_while_paused && peer_closed(self.socket) {
+        } else if watched && peer_closed(self.socket) {
             return Err(CloseReason::PeerClosed);
         } else {
             Timer::after(RETRY_INTERVAL).await;
         }
         match reason {
-            // A partial message must time out here, since it may be what uses up the memory.
-            PauseReason::Memory
-                if self.message_started.is_some_and(|t| t.elapsed() > self.limits.message_timeout) =>
-            {
-                Err(CloseReason::IncompleteMessage)
+            // A partial message must time out here, since it may be what uses up the memory. Time in which a client's bytes lay unread
+            // doesn't count; a server's answers have their attempts' timeouts, and count.
+            PauseReason::Memory => {
+                if self.limits.peer == PeerKind::Client && !self.backlog.is_empty() {
+                    self.exclude_from_message_time(since.elapsed());
+                }
+                match self.message_started.filter(|t| t.elapsed() > self.limits.message_timeout) {
+                    Some(_) => Err(CloseReason::IncompleteMessage),
+                    None => Ok(()),
+                }
             }
-            PauseReason::Memory => Ok(()),
             // The pause doesn't count towards the time limit of the partial message.
             PauseReason::SlowPeer | PauseReason::QueueFull => {
-                self.message_started = self.message_started.map(|t| t + since.elapsed());
+                self.exclude_from_message_time(since.elapsed());
                 Ok(())
             }
         }
     }
 
+    fn exclude_from_message_time(&mut self, time: Duration) {
+        self.message_started = self.message_started.map(|started| started + time);
+    }
+
     /// Reads at most `bytes`, for one retry interval.
     async fn read_ahead(&mut self, bytes: usize) -> Result<(), CloseReason> {
-        let (mut socket, chunk) = (self.socket, self.chunk.get_mut(..bytes).unwrap_or_default());
+        let chunk = self.chunk.get_mut(..bytes).unwrap_or_default();
+        let read = self.backlog.read(self.socket, chunk);
         let timeout = async {
             Timer::after(RETRY_INTERVAL).await;
             None
         };
-        match future::or(async { Some(socket::read(&mut socket, chunk).await) }, timeout).await {
+        match future::or(async { Some(read.await) }, timeout).await {
             Some(Ok(n)) if n > 0 => self.decode_chunk(n),
             Some(Ok(_) | Err(_)) => return Err(CloseReason::PeerClosed),
             None => {}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -15,9 +15,18 @@
     pub message_timeout: Duration,
     /// The longest pause between two reads within a message.
     pub read_gap_timeout: Duration,
-    /// While reading is paused, the peer is watched: its close takes effect at once, and a bounded amount is read ahead to find
+    /// The kind of peer.
+    pub peer: PeerKind,
+}
+
+/// The kind of peer from which messages are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerKind {
+    /// A client. It is watched while reading is paused: its close takes effect at once, and a bounded amount is read ahead to find
     /// cancellations.
-    pub watch_while_paused: bool,
+    Client,
+    /// A server. Its answers sent before a close still count.
+    Server,
 }
 
 /// Messages of clients: a write carries up to [`MAX_BODY_BYTES`].
@@ -26,7 +35,7 @@
     first_message_timeout: Some(Duration::from_millis(2000)),
     message_timeout: Duration::from_millis(2000),
     read_gap_timeout: Duration::from_millis(2000),
-    watch_while_paused: true,
+    peer: PeerKind::Client,
 };
 /// Answers of servers: an object has up to 240,000 bytes. Attempts have their own timeouts; these limits bound how long a connection that
 /// stops in the middle of an answer delays the other attempts on it.
@@ -35,8 +44,7 @@
     first_message_timeout: None,
     message_timeout: Duration::from_millis(5000),
     read_gap_timeout: Duration::from_millis(250),
-    // Answers sent before a close still count.
-    watch_while_paused: false,
+    peer: PeerKind::Server,
 };
 /// Delay that sockets and queues add to the time limits of the decision module, in milliseconds.
 pub const SOCKET_SLACK_MS: Ms = 50.0;
@@ -152,11 +160,22 @@
 
 // Memory.
 
-/// When buffered messages use more than this share of memory, unsent answers are replaced by failures, first those of the client with the
+/// While buffered requests use more than this share of memory, clients are not read, for at most [`CLIENT_MEMORY_PAUSE_MAX`].
+pub const REQUEST_DELAY_MEMORY_SHARE: f64 = 0.15;
+/// When buffered requests use more than this share of memory, further requests with a body are rejected.
+pub const REQUEST_SHED_MEMORY_SHARE: f64 = 0.2;
+/// While buffered requests use more than this share of memory, no further message of a client is begun to be read. Partial messages alone
+/// can use that much, and they are complete or time out within [`ReadLimits::message_timeout`].
+pub const REQUEST_STOP_MEMORY_SHARE: f64 = 0.3;
+/// When buffered responses use more than this share of memory, unsent answers are replaced by failures, first those of the client with the
 /// most unsent bytes, so that slow readers don't exhaust the router.
-pub const MEMORY_PRESSURE_SHARE: f64 = 0.4;
-/// While buffered messages use more than this share of memory, nothing is read.
-pub const READ_STOP_MEMORY_SHARE: f64 = 0.5;
+pub const RESPONSE_SHED_MEMORY_SHARE: f64 = 0.4;
+/// While buffered responses use more than this share of memory, servers are not read, clients for at most [`CLIENT_MEMORY_PAUSE_MAX`], and
+/// further requests are rejected.
+pub const RESPONSE_STOP_MEMORY_SHARE: f64 = 0.5;
+/// The longest time for which a client's request may wait unread for memory: half of the 0.5 s after its deadline at which it counts as
+/// lost, since its deadline is not known before it is read.
+pub const CLIENT_MEMORY_PAUSE_MAX: Duration = Duration::from_millis(250);
 
 // Change log.
 
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -7,8 +7,10 @@
 use crate::clock::Clock;
 use crate::connection::{CloseReason, ConnectionState};
 use crate::invariants::Invariants;
-use crate::outbox::{BufferMeter, SendQueue};
+use crate::memory_budget::MemoryBudgets;
+use crate::outbox::{BufferReservation, SendQueue};
 use crate::pause_detector::PauseDetector;
+use crate::read_pauses::ReadPauses;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use basaltgw::api::Ms;
@@ -27,6 +29,8 @@
         message: ClientMessage,
         /// When its last byte was received, in milliseconds of the router's clock.
         received_at: Ms,
+        /// Counts the bytes of its body until the owner handles the message.
+        buffered: BufferReservation,
     },
     /// Nothing more is read from a client.
     ClientReadStopped(ClientId, CloseReason),
@@ -84,12 +88,12 @@
     pub queue: Sender<Input>,
     /// The process's monotonic clock.
     pub clock: Clock,
-    /// Counts the bytes buffered by all connections.
-    pub meter: Rc<BufferMeter>,
+    /// The budgets of the bytes buffered by all connections.
+    pub budgets: MemoryBudgets,
     /// The invariant checker.
     pub invariants: Rc<Invariants>,
     /// The detector of pauses of the process.
     pub pause_detector: Rc<PauseDetector>,
-    /// While more bytes than this are buffered, nothing is read from connections.
-    pub buffer_limit_bytes: usize,
+    /// The pauses of reading from these connections for want of memory.
+    pub read_pauses: Rc<ReadPauses>,
 }
--- a/crates/node/src/owner/inputs.rs
+++ b/crates/node/src/owner/inputs.rs
@@ -16,7 +16,9 @@
             Input::ClientConnected(id, outbox, connection) => {
                 self.on_client_connected(id, outbox, connection)
             }
-            Input::ClientMessage { client, message, received_at } => {
+            Input::ClientMessage { client, message, received_at, buffered } => {
+                // From here the request's own accounting counts the body.
+                drop(buffered);
                 self.on_client_message(client, message, received_at)
             }
             Input::ClientReadStopped(id, reason) => self.on_client_stopped(id, reason),
@@ -118,7 +120,12 @@
         counters.clients.closes_lingered.set(lingered);
         counters.clients.closed_stalled.set(stalled);
         counters.log.servers_now.set(self.upstream.endpoints.len() as u64);
-        counters.memory.buffered_bytes.set(self.memory.meter.bytes() as u64);
+        counters.memory.buffered_bytes.set(self.memory.budgets.buffered_bytes() as u64);
+        let (clients, servers) = (&self.memory.client_read_pauses, self.upstream.caches.read_pauses());
+        counters.memory.client_read_pauses.set(clients.count());
+        counters.memory.longest_client_read_pause_ms.set(clients.longest_ms());
+        counters.memory.server_read_pauses.set(servers.count());
+        counters.memory.longest_server_read_pause_ms.set(servers.longest_ms());
         counters.tree.copy_from(&self.upstream.tree.counters);
         counters.violations.copy_from(&self.monitors.invariants);
         counters.violations.slow_start_highest_share.raise(self.monitors.slow_start.highest_share());
--- a/crates/node/src/owner/lease/acquire.rs
+++ b/crates/node/src/owner/lease/acquire.rs
@@ -34,7 +34,7 @@
         if let Some(fleet) = &mut self.fleet {
             fleet.counters.rejected += 1;
             let retry_after = fleet.settings.retry_after;
-            self.reject_unleased(number, retry_after);
+            self.reject_unexecuted(number, retry_after);
         }
     }
 
@@ -61,13 +61,14 @@
         true
     }
 
-    /// Rejects a request whose lease was not granted, since this router has not executed it. If it may have been sent to another router
-    /// too, that router may have executed it, and it is failed instead.
-    fn reject_unleased(&mut self, number: RequestNo, retry_after: Ms) {
+    /// Rejects a request that this router has not executed. If it must run once and may have been sent to another router too, that router may
+    /// have executed it, and it is failed instead.
+    pub(in crate::owner) fn reject_unexecuted(&mut self, number: RequestNo, retry_after: Ms) {
         // After a pause of the process its input may be stale, and the client may have sent the request to another router since.
+        let runs_once = self.requires_lease(number);
         let stale = self.fleet.as_ref().is_some_and(|fleet| self.time.now < fleet.stale_input_until);
-        let may_be_repeated =
-            stale || self.requests.get(number).is_some_and(|pending| pending.request.repeated);
+        let repeated = self.requests.get(number).is_some_and(|pending| pending.request.repeated);
+        let may_be_repeated = runs_once && (stale || repeated);
         if may_be_repeated {
             self.count_unknown_outcome();
         }
@@ -111,7 +112,7 @@
                 fleet.counters.timeouts += 1;
                 pending.lease = Lease::Released;
                 let retry_after = fleet.settings.retry_after;
-                self.reject_unleased(number, retry_after);
+                self.reject_unexecuted(number, retry_after);
             }
             Lease::Completing { body } => {
                 fleet.counters.timeouts += 1;
@@ -155,7 +156,7 @@
         fleet.counters.unavailable += 1;
         log::debug!("request {}: lease not granted: {reason:?}, retry_after={retry_after:.0} ms", number.0);
         pending.lease = Lease::Released;
-        self.reject_unleased(number, retry_after);
+        self.reject_unexecuted(number, retry_after);
     }
 
     /// Handles a record that shows that another router has leased the request, or how the request ended.
--- a/crates/node/src/owner/lease/outcome.rs
+++ b/crates/node/src/owner/lease/outcome.rs
@@ -43,7 +43,7 @@
         let outcome = fleet.stored_outcome(body);
         let change = Change::Complete(fleet.me.clone(), term, outcome.clone());
         if self.change_record(number, change) {
-            let body = BufferedBytes::new(body.to_vec(), &[&self.memory.meter]);
+            let body = BufferedBytes::new(body.to_vec(), &[&self.memory.budgets.responses.meter]);
             if let Some(pending) = self.requests.get_mut(number) {
                 pending.lease = Lease::Completing { body };
             }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -86,7 +86,7 @@
             router: Router::new(config.settings.clone(), config.seed),
             config: RoutingConfig::new(config),
             time: Time::new(context.clock),
-            memory: Memory::new(config, context),
+            memory: Memory::new(context),
             monitors: Monitors::new(config, context),
             clients: Clients::default(),
             requests: Requests::new(config.transport.max_open_requests),
--- a/crates/node/src/owner/scatter_gather/sub_requests.rs
+++ b/crates/node/src/owner/scatter_gather/sub_requests.rs
@@ -143,7 +143,7 @@
             }
             return self.on_sub_request_failed(key, EndCause::Failed);
         }
-        let meter = &self.memory.meter;
+        let meter = &self.memory.budgets.responses.meter;
         let sub_request = self.scatter_gather.as_mut().and_then(|state| state.sub_requests.get_mut(&key));
         let Some(sub_request) = sub_request else { return };
         let PartBody { bytes, copy: CopyTag { version, origin_time_ms }, elapsed, purges } = part;
--- a/crates/node/src/owner/state.rs
+++ b/crates/node/src/owner/state.rs
@@ -5,11 +5,12 @@
 use crate::caches::ServerPool;
 use crate::clock::{wall_now, Clock};
 use crate::invariants::Invariants;
-use crate::limits::{MEMORY_PRESSURE_SHARE, SOCKET_SLACK_MS};
-use crate::outbox::BufferMeter;
+use crate::limits::SOCKET_SLACK_MS;
+use crate::memory_budget::MemoryBudgets;
 use crate::pause_detector::PauseDetector;
 use crate::permissions::{RetryPolicy, NO_RETRIES};
 use crate::platform_time::PlatformTime;
+use crate::read_pauses::ReadPauses;
 use crate::slow_start_watch::SlowStartWatch;
 use crate::tree::Tree;
 use crate::ConnectionContext;
@@ -81,22 +82,27 @@
     }
 }
 
-/// The bytes buffered by messages of all connections, and their limit.
+/// The memory that messages buffer.
 pub(super) struct Memory {
-    pub(super) meter: Rc<BufferMeter>,
-    limit_bytes: usize,
+    pub(super) budgets: MemoryBudgets,
+    /// The pauses of reading from clients.
+    pub(super) client_read_pauses: Rc<ReadPauses>,
 }
 
 impl Memory {
-    pub(super) fn new(config: &RouterConfig, context: &ConnectionContext) -> Self {
-        Self {
-            meter: Rc::clone(&context.meter),
-            limit_bytes: config.limits.share_of_memory(MEMORY_PRESSURE_SHARE),
-        }
+    pub(super) fn new(context: &ConnectionContext) -> Self {
+        Self { budgets: context.budgets.clone(), client_read_pauses: Rc::clone(&context.read_pauses) }
     }
 
+    /// Whether responses use so much memory that load must be shed.
     pub(super) fn is_exceeded(&self) -> bool {
-        self.meter.bytes() > self.limit_bytes
+        self.budgets.responses.must_shed()
+    }
+
+    /// Whether there is no memory for a further request, with a body of this length, and its response.
+    pub(super) fn lacks_room_for(&self, body_bytes: usize) -> bool {
+        let lacks_request_memory = body_bytes > 0 && self.budgets.requests.must_shed();
+        lacks_request_memory || self.budgets.responses.delays_reading()
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -3,9 +3,10 @@
 use crate::caches::ServerPool;
 use crate::connection::ConnectionSlots;
 use crate::limits::{
-    BIND_RETRY_TIMEOUT, INPUT_QUEUE_CAPACITY, LISTEN_BACKLOG, READ_STOP_MEMORY_SHARE, RESERVED_DESCRIPTORS,
-    RETRY_INTERVAL, SERVER_DESCRIPTOR_DIVISOR,
+    BIND_RETRY_TIMEOUT, INPUT_QUEUE_CAPACITY, LISTEN_BACKLOG, RESERVED_DESCRIPTORS, RETRY_INTERVAL,
+    SERVER_DESCRIPTOR_DIVISOR,
 };
+use crate::memory_budget::MemoryBudgets;
 use crate::messages::{ConnectionContext, Input, InputQueues};
 use crate::owner::Owner;
 use crate::reload::SettingsFile;
@@ -44,7 +45,8 @@
     let (senders, inputs) = input_queues();
     let context = context(&config, senders.clients);
     let descriptors = descriptor_budget(&config);
-    let to_servers = ConnectionContext { queue: senders.servers, ..context.clone() };
+    let to_servers =
+        ConnectionContext { queue: senders.servers, read_pauses: Rc::default(), ..context.clone() };
     let caches = ServerPool::new(to_servers, descriptors.servers, config.transport);
     let mut owner = Owner::new(&config, &settings_file.settings, &context, caches);
     if let Some(snapshot) = settings_file.settings.snapshot_file.as_ref().and_then(snapshot_file::load) {
@@ -92,10 +94,10 @@
         executor: Rc::new(LocalExecutor::new()),
         queue,
         clock: crate::clock::Clock::default(),
-        meter: Rc::default(),
+        budgets: MemoryBudgets::new(&config.limits),
         invariants: Rc::default(),
         pause_detector: Rc::default(),
-        buffer_limit_bytes: config.limits.share_of_memory(READ_STOP_MEMORY_SHARE),
+        read_pauses: Rc::default(),
     }
 }
 
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -5,10 +5,11 @@
 
 mod changelog;
 mod limits;
+mod pipelined_writes;
 
 use common::*;
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -100,15 +100,8 @@
                     self.expect = Expect::BulkString { length };
                 }
                 Expect::BulkString { length } => {
-                    let Some(bytes) = self.buffer.get(self.position..self.position + length + 2) else {
-                        break;
-                    };
-                    let (element, end) = bytes.split_at(length);
-                    if end != b"\r\n" {
-                        return Err(DecodeError("a bulk string that does not end after its length"));
-                    }
-                    self.elements.push(element.to_vec());
-                    self.position += length + 2;
+                    let Some(element) = self.take_bulk_string(length)? else { break };
+                    self.elements.push(element);
                     self.elements_left -= 1;
                     if self.elements_left == 0 {
                         self.expect = Expect::ArrayHeader;
@@ -126,11 +119,50 @@
         Ok(None)
     }
 
+    /// Takes a bulk string from the buffer; `None` if it is not complete.
+    fn take_bulk_string(&mut self, length: usize) -> Result<Option<Vec<u8>>, DecodeError> {
+        let end = self.position + length;
+        let Some(bytes) = self.buffer.get(self.position..end + 2) else {
+            if length > IDLE_BUFFER_BYTES {
+                self.buffer.drain(..self.position);
+                self.position = 0;
+                self.buffer.reserve_exact((length + 2).saturating_sub(self.buffer.len()));
+            }
+            return Ok(None);
+        };
+        let (element, line_end) = bytes.split_at(length);
+        if line_end != b"\r\n" {
+            return Err(DecodeError("a bulk string that does not end after its length"));
+        }
+        // A long bulk string at the end of the buffer takes the buffer with it, in place of a copy.
+        if length > IDLE_BUFFER_BYTES && end + 2 == self.buffer.len() {
+            let mut element = std::mem::take(&mut self.buffer);
+            element.truncate(end);
+            element.drain(..self.position);
+            self.position = 0;
+            return Ok(Some(element));
+        }
+        let element = element.to_vec();
+        self.position = end + 2;
+        Ok(Some(element))
+    }
+
     /// Bytes buffered of messages that are not yet returned.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len() - self.position + self.elements.iter().map(Vec::len).sum::<usize>()
     }
 
+    /// Bytes that complete the bulk string whose length was read last; `None` between bulk strings.
+    pub fn missing_bytes(&self) -> Option<usize> {
+        match self.expect {
+            Expect::ArrayHeader | Expect::BulkStringHeader => None,
+            // Its line end has two bytes.
+            Expect::BulkString { length } => {
+                Some((length + 2).saturating_sub(self.buffer.len() - self.position))
+            }
+        }
+    }
+
     /// Whether a message has begun and is not complete.
     pub fn has_partial_message(&self) -> bool {
         self.position < self.buffer.len() || !matches!(self.expect, Expect::ArrayHeader)
