A stored outcome answers only the request that was executed

Cause: the record of an execution is found by the id alone, and nothing in it says which request the outcome is for.

Evidence: no attempt is made for the second request, and the router counts an outcome told again.

Change: outcomes are stored with a fingerprint of their request (class, object, part, group, key and body; BLAKE3, 128 bits). A request with another fingerprint is failed and counted (id_conflicts). The key stays the id, so that an id runs once; with the fingerprint in the key both requests would run.

Why it works: an outcome leaves the record only towards a request that would have had the same effect.

The new outcome is a variant behind the others: the bytes of all records that were stored before are read as before, but an old outcome with a body names no request and is failed when it is asked for again. Builds before this one can't read the new variant.

Related: continuations are compared with object and parts already; ids open on the same router are turned away; connections to servers don't use an id twice.

One assertion of lease/tests.rs names the new variant with its fingerprint.

--- a/crates/emulator/src/rig/client_connection.rs
+++ b/crates/emulator/src/rig/client_connection.rs
@@ -113,6 +113,25 @@
         self.send_checkout(id, timeout_ms, true)
     }
 
+    /// Presents another checkout under an id that a checkout has already, as a client that breaks the protocol does.
+    pub fn foreign_checkout(
+        &self,
+        id: &str,
+        object: u64,
+        body: &'static [u8],
+        timeout_ms: u64,
+    ) -> RequestNumber {
+        self.send(Message {
+            id,
+            kind: RequestKind::Checkout,
+            timeout_ms,
+            class: CHECKOUT_CLASS,
+            object,
+            body,
+            presented_again: false,
+        })
+    }
+
     fn send_checkout(&self, id: &str, timeout_ms: u64, presented_again: bool) -> RequestNumber {
         self.send(Message {
             id,
--- a/crates/node/src/fleet/counters.rs
+++ b/crates/node/src/fleet/counters.rs
@@ -15,6 +15,8 @@
     pub polls: u64,
     /// Requests answered with the stored outcome of the same id.
     pub replayed_outcomes: u64,
+    /// Requests failed because another request was executed under their id.
+    pub id_conflicts: u64,
     /// Requests failed because it is unknown whether they were executed.
     pub unknown_outcomes: u64,
     /// Requests that were served here but failed, because another router had marked their outcome as unknown.
@@ -34,6 +36,7 @@
         write!(f, " promised={} promises_unkept={} ", self.acquired, self.unavailable)?;
         write!(f, "promises_turned_away={} looks={} ", self.rejected, self.polls)?;
         write!(f, "told_again={} in_doubt={} ", self.replayed_outcomes, self.unknown_outcomes)?;
+        write!(f, "id_conflicts={} ", self.id_conflicts)?;
         write!(f, "fenced={} stalled={} ring_full={} ", self.fenced, self.timeouts, self.ring_full)?;
         write!(f, "ring_dropped={} peers_unasked={} ", self.backlog_dropped, self.unsolicited)
     }
--- a/crates/node/src/fleet/handle.rs
+++ b/crates/node/src/fleet/handle.rs
@@ -9,7 +9,7 @@
 use crate::caches::RequestNo;
 use async_channel::Receiver;
 use basaltgw_membership as membership;
-use basaltgw_registers::{Change, Outcome, RecordKey, RequestNumber};
+use basaltgw_registers::{Change, Outcome, RecordKey, RequestFingerprint, RequestNumber};
 use basaltgw_scatter_gather::Evidence;
 use basaltgw_transport::{CommandError, Lane, LinkCommand, LinkEvent, Port, TransportHandle};
 use basaltgw_types::{Member, Ms};
@@ -224,9 +224,9 @@
     }
 
     /// The outcome to store for a served request: without the body if that is too long.
-    pub fn stored_outcome(&self, body: &[u8]) -> Outcome {
+    pub fn stored_outcome(&self, request: RequestFingerprint, body: &[u8]) -> Outcome {
         if body.len() <= self.settings.max_outcome_bytes {
-            Outcome::Served(body.to_vec())
+            Outcome::ServedRequest { request, body: body.to_vec() }
         } else {
             Outcome::ServedBodyOmitted
         }
--- a/crates/node/src/owner/lease/acquire.rs
+++ b/crates/node/src/owner/lease/acquire.rs
@@ -164,10 +164,18 @@
         let (Some(fleet), Some(pending)) = (&mut self.fleet, self.requests.get_mut(number)) else { return };
         pending.lease = Lease::Released;
         match record {
-            Some(Record::Completed(Outcome::Served(body))) => {
+            Some(Record::Completed(Outcome::ServedRequest { request, body }))
+                if request == pending.fingerprint() =>
+            {
                 fleet.counters.replayed_outcomes += 1;
                 self.answer(number, Reply::Served(&body));
             }
+            // Another request has this id. Its outcome is none of this client's, and the id can't be executed a second time.
+            Some(Record::Completed(Outcome::ServedRequest { .. })) => {
+                log::debug!("request {}: another request was executed under its id", number.0);
+                fleet.counters.id_conflicts += 1;
+                self.answer(number, Reply::Failed);
+            }
             Some(Record::Leased { .. } | Record::Released { .. }) => {
                 if pending.answered {
                     return self.remove_if_complete(number);
@@ -179,7 +187,7 @@
             }
             // The request may have been executed.
             Some(
-                Record::Completed(Outcome::ServedBodyOmitted | Outcome::Failed)
+                Record::Completed(Outcome::Served(_) | Outcome::ServedBodyOmitted | Outcome::Failed)
                 | Record::OutcomeUnknown
                 | Record::Tombstone
                 | Record::Purged { .. }
--- a/crates/node/src/owner/lease/mod.rs
+++ b/crates/node/src/owner/lease/mod.rs
@@ -8,6 +8,7 @@
 //! answered while it waits for its lease is removed in that state; a lease that is granted later is released.
 
 mod acquire;
+mod fingerprint;
 mod outcome;
 #[cfg(test)]
 mod tests;
@@ -17,6 +18,7 @@
 use crate::permissions::not_executed;
 use basaltgw::api::{AttemptResult, Ms};
 use basaltgw_registers::{Kind, RecordKey};
+pub(super) use fingerprint::request_fingerprint;
 
 /// The time before a request's deadline that is reserved for writing its response; the lease is not awaited during it.
 pub(super) const RESPONSE_WRITE_MARGIN_MS: Ms = 15.0;
--- a/crates/node/src/owner/lease/outcome.rs
+++ b/crates/node/src/owner/lease/outcome.rs
@@ -26,6 +26,7 @@
             return if completing { SendResponse::OnceStored } else { SendResponse::Now };
         };
         let key = execution_key(&pending.request.id);
+        let fingerprint = pending.fingerprint();
         pending.lease = Lease::Released;
         let body = match reply {
             // Rejections and failures are sent at once, and the record is changed in the background.
@@ -40,7 +41,7 @@
             Reply::Served(body) => body,
             Reply::NotModified => &[],
         };
-        let outcome = fleet.stored_outcome(body);
+        let outcome = fleet.stored_outcome(fingerprint, body);
         let change = Change::Complete(fleet.me.clone(), term, outcome.clone());
         if self.change_record(number, change) {
             let body = BufferedBytes::new(body.to_vec(), &[&self.memory.budgets.responses.meter]);
--- a/crates/node/src/owner/lease/tests.rs
+++ b/crates/node/src/owner/lease/tests.rs
@@ -330,6 +330,7 @@
 fn outcome_whose_client_left_while_it_was_being_stored_is_stored_still() {
     for client_leaves in [Step::ClientCancels, Step::ClientCloses] {
         let mut scenario = Scenario::new();
+        let request = scenario.owner.requests.get(NO).expect("a request").fingerprint();
         for step in [Step::Committed, Step::Written, Step::Ok] {
             scenario.steps(&[step]);
         }
@@ -337,7 +338,8 @@
         scenario.steps(&[client_leaves]);
         scenario.steps(&[Step::NotCommitted]);
         scenario.replicas.apply_background();
-        assert_eq!(scenario.replicas.record, Some(Record::Completed(Outcome::Served(b"receipt".to_vec()))));
+        let outcome = Outcome::ServedRequest { request, body: b"receipt".to_vec() };
+        assert_eq!(scenario.replicas.record, Some(Record::Completed(outcome)));
         scenario.check_nothing_is_left();
     }
 }
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -1,7 +1,7 @@
 //! The table of open requests: a request stays in it until it is answered and none of its attempts is in flight.
 
 use super::attempts::Attempt;
-use super::lease::Lease;
+use super::lease::{request_fingerprint, Lease};
 use super::requester::{IncomingRequest, Requester};
 use crate::caches::{AttemptKey, CopyTag, RequestNo};
 use crate::clients::{RequestMessage, WireId};
@@ -9,6 +9,7 @@
 use crate::outbox::{BufferMeter, BufferedBytes, DeliveryState};
 use crate::permissions::EarlierAttempt;
 use basaltgw::api::{AttemptNo, AttemptResult, ClassId, Ms};
+use basaltgw_registers::RequestFingerprint;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -48,6 +49,11 @@
         }
     }
 
+    /// The fingerprint of the request; to be used only while it is unanswered and so has its body.
+    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+        request_fingerprint(&self.request, self.body.as_ref().map_or(&[][..], BufferedBytes::bytes))
+    }
+
     pub(super) fn is_complete(&self) -> bool {
         self.answered && !self.attempts.iter().any(Attempt::is_in_flight)
     }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod checkouts;
 mod crossings;
 mod cuts;
+mod foreign_requests;
 mod harness;
 mod overlay;
 mod purges;
--- a/crates/registers/src/byte_tests.rs
+++ b/crates/registers/src/byte_tests.rs
@@ -7,7 +7,7 @@
 use crate::message::{AcceptedValue, Body, Envelope, ListReply, RegisterSummary, RejectReason};
 use crate::partition::Partition;
 use crate::value::Value;
-use crate::{Change, Kind, Outcome, Record, RecordKey};
+use crate::{Change, Kind, Outcome, Record, RecordKey, RequestFingerprint};
 use basaltgw_types::{Incarnation, Member, RouterId, Shard};
 use serde::{de::DeserializeOwned, Serialize};
 use std::fmt::Debug;
@@ -50,6 +50,11 @@
     assert_encoding(Record::Completed(Outcome::Served(b"body".to_vec())), "01020004626f6479");
     assert_encoding(Record::Completed(Outcome::ServedBodyOmitted), "010201");
     assert_encoding(Record::Completed(Outcome::Failed), "010202");
+    let request = RequestFingerprint(0x0102);
+    assert_encoding(
+        Record::Completed(Outcome::ServedRequest { request, body: b"body".to_vec() }),
+        "010203820204626f6479",
+    );
     assert_encoding(Record::OutcomeUnknown, "0103");
     assert_encoding(
         Record::Purged { group: 7, object: Some(9), time: 1_700_000_000_123 },
--- a/crates/registers/src/lib.rs
+++ b/crates/registers/src/lib.rs
@@ -54,7 +54,7 @@
 pub use encoding::DecodeError;
 pub use error::OpenError;
 pub use injected_bug::InjectedBug;
-pub use record::{Change, Kind, Outcome, Record, RecordKey};
+pub use record::{Change, Kind, Outcome, Record, RecordKey, RequestFingerprint};
 pub use registers::Registers;
 pub use settings::{InvalidSetting, Settings};
 pub use transition::{applies_to, transition, InvalidTransition};
--- a/crates/registers/src/proposer/mod.rs
+++ b/crates/registers/src/proposer/mod.rs
@@ -111,7 +111,7 @@
             return self.fail(request, UnavailableReason::InvalidTransition, context);
         }
         if let Change::Complete(_, _, outcome) = &mut request.change {
-            if matches!(outcome, Outcome::Served(body) if body.len() > self.settings.max_outcome_bytes) {
+            if outcome.body().is_some_and(|body| body.len() > self.settings.max_outcome_bytes) {
                 *outcome = Outcome::ServedBodyOmitted;
             }
         }
--- a/crates/registers/src/record.rs
+++ b/crates/registers/src/record.rs
@@ -31,12 +31,33 @@
 /// The outcome of an execution, for clients that repeat the request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// Served with this body, of at most `max_outcome_bytes`; a longer one is stored as `ServedBodyOmitted`.
+    /// Served with this body, for a request that is not recorded. Only earlier builds store this; it answers no other request.
     Served(Vec<u8>),
     /// Served; the body was too long to store.
     ServedBodyOmitted,
     /// The request was or may have been executed, and failed.
     Failed,
+    /// Served with this body, of at most `max_outcome_bytes`; a longer one is stored as `ServedBodyOmitted`.
+    ServedRequest {
+        /// The request that was served. The body answers no other request, whatever its id.
+        request: RequestFingerprint,
+        /// The body.
+        body: Vec<u8>,
+    },
+}
+
+/// A hash of all that determines what the execution of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestFingerprint(pub u128);
+
+impl Outcome {
+    /// The stored body, if there is one.
+    pub fn body(&self) -> Option<&[u8]> {
+        match self {
+            Self::Served(body) | Self::ServedRequest { body, .. } => Some(body),
+            Self::ServedBodyOmitted | Self::Failed => None,
+        }
+    }
 }
 
 /// The value of a register.
@@ -102,8 +123,7 @@
     /// The bytes of the parts whose length varies; the other parts have a fixed bound.
     pub(crate) fn payload_bytes(&self) -> usize {
         match self {
-            Self::Completed(Outcome::Served(body)) => body.len(),
-            Self::Completed(Outcome::ServedBodyOmitted | Outcome::Failed) => 0,
+            Self::Completed(outcome) => outcome.body().map_or(0, <[u8]>::len),
             Self::Ticket { server, .. } => server.len(),
             Self::Continuation { version, missing, .. } => version.len() + 8 * missing.len(),
             Self::Table { body, .. } => body.len(),
