A slow change log is heard: silence alone no longer closes its connection

What callers saw: all bytes of the change log arrive 3 s late for 24 s.

Cause: each connection to the change log was closed after 2.5 s without a complete frame, also one that had just been opened. What came later than that was thrown away with its connection and asked for anew.

Evidence: "change log: connection lost (timed out)" in the log, 17 connections in 24 s. Regression tests before the change: "bytes 3s late: not heard after 7.005s, connections: 6, lost: 4", the same at 5.5 s, with a known list and without; at 1.4 s late it was heard. A frame in pieces over 5.4 s: "not heard within 7s, lost: 4".

Change: the active connection has no time limit; it is only closed by the change log or replaced by a standby that has spoken. A standby is still opened after 1.25 s of silence. It is given 1.25 s for its first frame, the next one 5 s, later ones 8 s, until a frame comes. Log lines name a standby.

Why it works: the connection on which late bytes are on their way stays, so they arrive however late they are; the growing time does the same for new connections, and the short first one still passes over one that is never answered.

With bytes 5.5 s late, and for a router that starts meanwhile without a list, the drain is heard within the 7 s too.

--- a/crates/emulator/src/standin/changelog.rs
+++ b/crates/emulator/src/standin/changelog.rs
@@ -8,9 +8,10 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The time between two heartbeats, and between two checks for new events.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,6 +46,8 @@
     pub events_withheld_up_to: Arc<AtomicUsize>,
     /// Connections up to this number, counted from 1, stay open and are sent nothing more.
     pub silent_up_to: Arc<AtomicUsize>,
+    /// How much later than written all bytes arrive, on open connections and new ones, in milliseconds.
+    pub delay_ms: Arc<AtomicU64>,
     /// The highest number of an event that was written completely.
     pub written_up_to: Arc<AtomicU64>,
 }
@@ -65,6 +68,7 @@
             down: Arc::default(),
             events_withheld_up_to: Arc::default(),
             silent_up_to: Arc::default(),
+            delay_ms: Arc::default(),
             written_up_to: Arc::default(),
         };
         let acceptor = log.clone();
@@ -89,12 +93,13 @@
                 positions.len()
             };
             let log = self.clone();
+            let socket = DelayedSocket::new(socket, Arc::clone(&self.delay_ms));
             thread::spawn(move || log.serve(connection, position, socket));
         }
     }
 
     /// Sends events and heartbeats to a connection until the change log is down or the router closes it.
-    fn serve(&self, connection: usize, mut position: u64, mut socket: TcpStream) {
+    fn serve(&self, connection: usize, mut position: u64, mut socket: DelayedSocket) {
         while !self.down.load(Ordering::SeqCst) {
             if connection <= self.silent_up_to.load(Ordering::SeqCst) {
                 thread::sleep(SILENT_POLL_INTERVAL);
@@ -120,7 +125,7 @@
     }
 
     /// Sends the events after `position`; an error ends the connection.
-    fn send_events(&self, position: &mut u64, socket: &mut TcpStream) -> std::io::Result<()> {
+    fn send_events(&self, position: &mut u64, socket: &mut DelayedSocket) -> std::io::Result<()> {
         let events: Vec<_> =
             self.frames.lock().expect("lock").iter().filter(|f| f.0 > *position).cloned().collect();
         for (number, bytes) in events {
@@ -150,6 +155,46 @@
     }
 }
 
+/// A connection whose bytes arrive late, in order.
+struct DelayedSocket {
+    socket: TcpStream,
+    delay_ms: Arc<AtomicU64>,
+    /// Writes what is delayed; none before the first delay.
+    delayed: Option<Sender<(Instant, Vec<u8>)>>,
+}
+
+impl DelayedSocket {
+    fn new(socket: TcpStream, delay_ms: Arc<AtomicU64>) -> Self {
+        Self { socket, delay_ms, delayed: None }
+    }
+
+    fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        let delay = Duration::from_millis(self.delay_ms.load(Ordering::SeqCst));
+        if delay.is_zero() && self.delayed.is_none() {
+            return self.socket.write_all(bytes);
+        }
+        let sender = match &self.delayed {
+            Some(sender) => sender,
+            None => self.delayed.insert(write_when_due(self.socket.try_clone()?)),
+        };
+        sender.send((Instant::now() + delay, bytes.to_vec())).map_err(|_| ErrorKind::BrokenPipe.into())
+    }
+}
+
+/// Writes each message when it is due, until a write fails.
+fn write_when_due(mut socket: TcpStream) -> Sender<(Instant, Vec<u8>)> {
+    let (sender, messages) = mpsc::channel::<(Instant, Vec<u8>)>();
+    thread::spawn(move || {
+        for (due, bytes) in messages {
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            if socket.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    });
+    sender
+}
+
 /// A server's record in an event of the endpoint list. The address has to be an IPv4 address; `kind` is [`EDGE_KIND`] or another index in the
 /// kinds of [`super::configuration`]. An edge cache is in the zone of the router, any other server in the first zone.
 pub fn record(id: u32, address: SocketAddr, state: EndpointState, kind: u8) -> Vec<u8> {
--- a/crates/node/src/changelog/follow.rs
+++ b/crates/node/src/changelog/follow.rs
@@ -3,11 +3,17 @@
 //! A standby is opened when the active connection has sent no complete frame for [`crate::limits::CHANGELOG_HEDGE_AFTER`], or when empty
 //! frames name events that were not sent; with its first frame it becomes the active connection. Failed connections are retried with
 //! exponential backoff.
+//!
+//! The active connection stays until it is closed or replaced, since a slow change log may still speak on it. A standby without a frame is
+//! replaced by another one, each given more time than the last, so that neither a connection that is never answered nor a change log that
+//! answers late keeps events from the router.
 
 use super::watch::Watch;
 use super::{Follower, Frame, ReconnectReason};
 use crate::limits::{
-    CHANGELOG_BACKOFF_MAX, CHANGELOG_BACKOFF_MIN, CHANGELOG_RECHECK_MAX, CHANGELOG_RECHECK_MIN,
+    CHANGELOG_BACKOFF_MAX, CHANGELOG_BACKOFF_MIN, CHANGELOG_FIRST_FRAME_TIMEOUT_GROWTH,
+    CHANGELOG_FIRST_FRAME_TIMEOUT_MAX, CHANGELOG_FIRST_FRAME_TIMEOUT_MIN, CHANGELOG_RECHECK_MAX,
+    CHANGELOG_RECHECK_MIN,
 };
 use crate::messages::Input;
 use async_channel::{Receiver, Sender};
@@ -50,6 +56,8 @@
     /// The earliest time at which a connection may be opened.
     not_before: Instant,
     recheck: RecheckTimer,
+    /// How long the next standby is given for its first frame.
+    first_frame_timeout: Duration,
 }
 
 /// Follows the change log from the event after `from` until the owner ends; each address received from `addresses` replaces the last one.
@@ -68,6 +76,7 @@
         backoff: CHANGELOG_BACKOFF_MIN,
         not_before: Instant::now(),
         recheck: RecheckTimer { interval: CHANGELOG_RECHECK_MIN, due: None },
+        first_frame_timeout: CHANGELOG_FIRST_FRAME_TIMEOUT_MIN,
     };
     loop {
         // A new address doesn't interrupt this loop, so that every event that was taken reaches the owner.
@@ -98,7 +107,7 @@
                 let reason = self.standby.as_ref().map(|standby| standby.reason);
                 self.on_frame(frame, reason)
             }
-            Wakeup::Standby(Err(e)) => self.standby_failed(&e.to_string()),
+            Wakeup::Standby(Err(e)) => self.standby_failed(&e),
         }
     }
 
@@ -145,13 +154,15 @@
     fn change_address(&mut self, address: SocketAddr) -> Vec<Input> {
         self.address = address;
         (self.backoff, self.not_before) = (CHANGELOG_BACKOFF_MIN, Instant::now());
+        self.first_frame_timeout = CHANGELOG_FIRST_FRAME_TIMEOUT_MIN;
         self.standby = None;
         self.active = None;
         self.connection_lost(&format!("address changed to {address}"))
     }
 
     fn connect(&mut self, reason: Option<ReconnectReason>) -> Vec<Input> {
-        let watch = Watch::open(self.address, self.follower.last());
+        let timeout = reason.map(|_| self.first_frame_timeout);
+        let watch = Watch::open(self.address, self.follower.last(), timeout);
         let Some(reason) = reason else {
             self.active = Some(watch);
             return Vec::new();
@@ -167,6 +178,7 @@
     /// Handles a frame of the active connection, or, with the reason for the standby, the first frame of the standby.
     fn on_frame(&mut self, frame: Frame, standby: Option<ReconnectReason>) -> Vec<Input> {
         let last_before = self.follower.last();
+        self.first_frame_timeout = CHANGELOG_FIRST_FRAME_TIMEOUT_MIN;
         let event = match self.follower.on_frame(frame) {
             Ok(event) => event,
             Err(e) => {
@@ -196,14 +208,21 @@
     fn active_failed(&mut self, cause: &str) -> Vec<Input> {
         let received = self.active.take().is_some_and(|watch| watch.has_received());
         self.active = self.standby.take().map(|standby| standby.watch);
+        self.active.iter_mut().for_each(Watch::activate);
         self.back_off(received);
         self.connection_lost(cause)
     }
 
-    fn standby_failed(&mut self, cause: &str) -> Vec<Input> {
-        let received = self.standby.take().is_some_and(|standby| standby.watch.has_received());
-        self.back_off(received);
-        self.connection_lost(cause)
+    /// Handles a failure of the standby. If it was established, the change log may be slow, and the next one is given more time.
+    fn standby_failed(&mut self, error: &io::Error) -> Vec<Input> {
+        let watch = self.standby.take().map(|standby| standby.watch);
+        let is_silent = error.kind() == io::ErrorKind::TimedOut;
+        if is_silent && watch.as_ref().is_some_and(Watch::is_established) {
+            let longer = self.first_frame_timeout * CHANGELOG_FIRST_FRAME_TIMEOUT_GROWTH;
+            self.first_frame_timeout = longer.min(CHANGELOG_FIRST_FRAME_TIMEOUT_MAX);
+        }
+        self.back_off(watch.is_some_and(|watch| watch.has_received()));
+        self.connection_lost(&format!("standby: {error}"))
     }
 
     /// Delays the next connection; a connection that sent a frame resets the backoff.
--- a/crates/node/src/changelog/watch.rs
+++ b/crates/node/src/changelog/watch.rs
@@ -1,8 +1,11 @@
 //! One connection to the change log.
+//!
+//! A connection that the change log has not closed may still bring every event, however late its bytes arrive, so silence alone never ends the
+//! active connection. Only a standby has time limits, until its first frame: another one may be answered sooner.
 
 use super::{Decoder, Frame};
 use crate::clock::timed_out_after;
-use crate::limits::{CHANGELOG_CONNECT_TIMEOUT, CHANGELOG_HEDGE_AFTER, CHANGELOG_READ_TIMEOUT, READ_BYTES};
+use crate::limits::{CHANGELOG_CONNECT_TIMEOUT, CHANGELOG_HEDGE_AFTER, READ_BYTES};
 use crate::socket as io_socket;
 use async_io::Async;
 use basaltgw_config::{Seq, WireNames};
@@ -11,7 +14,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 type Socket = Async<TcpStream>;
 
@@ -28,14 +31,16 @@
     decoder: Decoder,
     /// When the connection was opened or received its last complete frame; partial frames don't count.
     last_frame: Instant,
-    /// When the connection fails unless it is established, or a frame is complete, before.
-    timeout_at: Instant,
+    /// How long after it is established the first frame of a standby must be complete; `None` for the active connection.
+    first_frame_timeout: Option<Duration>,
+    /// When a standby fails unless it is established, or its first frame is complete, before.
+    timeout_at: Option<Instant>,
     has_received: bool,
 }
 
 impl Watch {
-    /// Connects and requests the events after `last`.
-    pub fn open(address: SocketAddr, last: Seq) -> Self {
+    /// Connects and requests the events after `last`. `first_frame_timeout` is given for a standby.
+    pub fn open(address: SocketAddr, last: Seq, first_frame_timeout: Option<Duration>) -> Self {
         let connecting = async move {
             let mut socket = Async::<TcpStream>::connect(address).await?;
             socket.get_ref().set_nodelay(true)?;
@@ -44,8 +49,19 @@
         };
         let last_frame = Instant::now();
         let state = State::Connecting(Box::pin(connecting));
-        let timeout_at = last_frame + CHANGELOG_CONNECT_TIMEOUT;
-        Self { state, decoder: Decoder::default(), last_frame, timeout_at, has_received: false }
+        let timeout_at = first_frame_timeout.map(|_| last_frame + CHANGELOG_CONNECT_TIMEOUT);
+        let decoder = Decoder::default();
+        Self { state, decoder, last_frame, first_frame_timeout, timeout_at, has_received: false }
+    }
+
+    /// Ends the time limits of a standby, since it becomes the active connection.
+    pub fn activate(&mut self) {
+        (self.first_frame_timeout, self.timeout_at) = (None, None);
+    }
+
+    /// Whether the connection is established.
+    pub fn is_established(&self) -> bool {
+        matches!(self.state, State::Open(..))
     }
 
     /// Whether a complete frame was received on the connection.
@@ -68,11 +84,13 @@
             if let Some(frame) = self.decoder.next_frame(names).map_err(invalid)? {
                 self.has_received = true;
                 self.last_frame = Instant::now();
-                self.timeout_at = self.last_frame + CHANGELOG_READ_TIMEOUT;
+                self.activate();
                 return Ok(frame);
             }
-            let left = self.timeout_at.saturating_duration_since(Instant::now());
-            future::or(self.advance(), timed_out_after(left)).await?;
+            match self.timeout_at.map(|at| at.saturating_duration_since(Instant::now())) {
+                Some(left) => future::or(self.advance(), timed_out_after(left)).await?,
+                None => self.advance().await?,
+            }
         }
     }
 
@@ -82,7 +100,7 @@
             State::Connecting(connecting) => {
                 let socket = connecting.await?;
                 self.state = State::Open(socket, vec![0; READ_BYTES]);
-                self.timeout_at = Instant::now() + CHANGELOG_READ_TIMEOUT;
+                self.timeout_at = self.first_frame_timeout.map(|timeout| Instant::now() + timeout);
             }
             State::Open(socket, chunk) => {
                 let n = io_socket::read(socket, chunk).await?;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -182,10 +182,15 @@
 /// The change log sends a frame each second; after this long without one a second connection is opened, and replaces the first with its
 /// first frame.
 pub const CHANGELOG_HEDGE_AFTER: Duration = Duration::from_millis(1250);
-/// A connection without a frame for this long is closed.
-pub const CHANGELOG_READ_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Time in which a connection must be established.
+/// Time in which a second connection must be established.
 pub const CHANGELOG_CONNECT_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Time from then until its first frame; multiplied by [`CHANGELOG_FIRST_FRAME_TIMEOUT_GROWTH`] up to
+/// [`CHANGELOG_FIRST_FRAME_TIMEOUT_MAX`] each time that there is none, since the change log may be slow.
+pub const CHANGELOG_FIRST_FRAME_TIMEOUT_MIN: Duration = Duration::from_millis(1250);
+/// See [`CHANGELOG_FIRST_FRAME_TIMEOUT_MIN`].
+pub const CHANGELOG_FIRST_FRAME_TIMEOUT_GROWTH: u32 = 4;
+/// See [`CHANGELOG_FIRST_FRAME_TIMEOUT_MIN`]. Longer than the 7 s within which an event counts as notified.
+pub const CHANGELOG_FIRST_FRAME_TIMEOUT_MAX: Duration = Duration::from_millis(8000);
 /// When an empty frame names an event that was not sent, a second connection is opened after this, since the event may be in transit;
 /// doubled up to [`CHANGELOG_RECHECK_MAX`] each time that the event is still missing.
 pub const CHANGELOG_RECHECK_MIN: Duration = Duration::from_millis(100);
--- a/crates/node/tests/crossing/watches.rs
+++ b/crates/node/tests/crossing/watches.rs
@@ -1,6 +1,7 @@
 //! The change log: silence, reloads and endpoint lists at the same time as each other and as requests.
 
 mod lists;
+mod slow;
 
 use crate::common::frame_kind::{COMPLETE_LIST, PURGE_OBJECT};
 use crate::common::*;
