A lease takes its request's fingerprint, before the body may be dropped

What callers would see: the client of a leased write leaves while its attempt goes on, as where attempts may not be cancelled; the write is served, and its own repeat is failed where the stored receipt was due. Found on re-reading, before any release.

Cause: the fingerprint was computed with the outcome, and the body, which it covers, is dropped as soon as the client has left.

Change: acquire_lease computes the fingerprint and keeps it with the request; without one no body is stored.

--- a/crates/node/src/fleet/handle.rs
+++ b/crates/node/src/fleet/handle.rs
@@ -223,12 +223,13 @@
         self.push(ControlRequest::ReportEvidence(evidence));
     }
 
-    /// The outcome to store for a served request: without the body if that is too long.
-    pub fn stored_outcome(&self, request: RequestFingerprint, body: &[u8]) -> Outcome {
-        if body.len() <= self.settings.max_outcome_bytes {
-            Outcome::ServedRequest { request, body: body.to_vec() }
-        } else {
-            Outcome::ServedBodyOmitted
+    /// The outcome to store for a served request: without the body if that is too long, or if nothing tells whose it is.
+    pub fn stored_outcome(&self, request: Option<RequestFingerprint>, body: &[u8]) -> Outcome {
+        match request {
+            Some(request) if body.len() <= self.settings.max_outcome_bytes => {
+                Outcome::ServedRequest { request, body: body.to_vec() }
+            }
+            Some(_) | None => Outcome::ServedBodyOmitted,
         }
     }
 
--- a/crates/node/src/owner/lease/acquire.rs
+++ b/crates/node/src/owner/lease/acquire.rs
@@ -27,6 +27,7 @@
     pub(in crate::owner) fn acquire_lease(&mut self, number: RequestNo) {
         if let Some(pending) = self.requests.get_mut(number) {
             pending.lease = Lease::Acquiring;
+            pending.take_fingerprint();
         }
         if self.request_lease(number) {
             return;
@@ -165,7 +166,7 @@
         pending.lease = Lease::Released;
         match record {
             Some(Record::Completed(Outcome::ServedRequest { request, body }))
-                if request == pending.fingerprint() =>
+                if pending.fingerprint == Some(request) =>
             {
                 fleet.counters.replayed_outcomes += 1;
                 self.answer(number, Reply::Served(&body));
--- a/crates/node/src/owner/lease/outcome.rs
+++ b/crates/node/src/owner/lease/outcome.rs
@@ -26,7 +26,7 @@
             return if completing { SendResponse::OnceStored } else { SendResponse::Now };
         };
         let key = execution_key(&pending.request.id);
-        let fingerprint = pending.fingerprint();
+        let fingerprint = pending.fingerprint;
         pending.lease = Lease::Released;
         let body = match reply {
             // Rejections and failures are sent at once, and the record is changed in the background.
--- a/crates/node/src/owner/lease/tests.rs
+++ b/crates/node/src/owner/lease/tests.rs
@@ -1,6 +1,9 @@
 //! A leased request with an owner and a stand-in for the replication thread: in every order of events the request has one response, is
 //! executed at most once, and leaves no lease.
 
+mod abandoned;
+
+use super::request_fingerprint;
 use crate::caches::{ConnId, ConnectionFailure, RequestNo, ServerAnswer};
 use crate::connection::CloseReason;
 use crate::fleet::stand_in::{fleet, StandIn};
@@ -330,7 +333,8 @@
 fn outcome_whose_client_left_while_it_was_being_stored_is_stored_still() {
     for client_leaves in [Step::ClientCancels, Step::ClientCloses] {
         let mut scenario = Scenario::new();
-        let request = scenario.owner.requests.get(NO).expect("a request").fingerprint();
+        let pending = scenario.owner.requests.get(NO).expect("a request");
+        let request = pending.fingerprint.expect("a fingerprint");
         for step in [Step::Committed, Step::Written, Step::Ok] {
             scenario.steps(&[step]);
         }
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -27,6 +27,8 @@
     pub(super) answered: bool,
     pub(super) attempts: Vec<Attempt>,
     pub(super) lease: Lease,
+    /// What tells the request from others under its id; `None` if it needs no lease.
+    pub(super) fingerprint: Option<RequestFingerprint>,
     /// The version of the copy in the response.
     pub(super) copy: Option<CopyTag>,
 }
@@ -45,13 +47,15 @@
             answered: false,
             attempts: Vec::new(),
             lease: Lease::NotRequired,
+            fingerprint: None,
             copy: None,
         }
     }
 
-    /// The fingerprint of the request; to be used only while it is unanswered and so has its body.
-    pub(super) fn fingerprint(&self) -> RequestFingerprint {
-        request_fingerprint(&self.request, self.body.as_ref().map_or(&[][..], BufferedBytes::bytes))
+    /// Computes the fingerprint, before the body may be dropped.
+    pub(super) fn take_fingerprint(&mut self) {
+        let body = self.body.as_ref().map_or(&[][..], BufferedBytes::bytes);
+        self.fingerprint = Some(request_fingerprint(&self.request, body));
     }
 
     pub(super) fn is_complete(&self) -> bool {
--- a/crates/node/tests/sockets/pipelined_writes.rs
+++ b/crates/node/tests/sockets/pipelined_writes.rs
@@ -106,3 +106,12 @@
     assert_eq!(harness.router.counter("closed_unfinished"), 0);
     wait_until("no bytes are buffered", || harness.router.counter("held") == 0);
 }
+
+/// Guards against requests that wait unread because those that were read lie in the queues of a server that takes no bytes.
+#[test]
+fn pipelined_writes_beyond_the_memory_are_answered_in_time_while_the_origin_takes_no_bytes() {
+    let harness = start_router_with_memory(Cache::start(|_| FetchBehaviour::BlockThenOk(Vec::new())), 4);
+    let (seen, counters) = run_pipelined_writes(&harness, 12, 48_000, Duration::from_millis(1_500));
+    assert_eq!(seen.lost, 0, "{seen:?} {counters}");
+    assert_eq!(harness.router.counter("closed_unfinished"), 0);
+}
