--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -182,6 +182,14 @@
         self.log.lock().map(|log| log.clone()).unwrap_or_default()
     }
 
+    /// The most bytes that the process had in physical memory since its start (`VmHWM`); `None` if the system doesn't tell.
+    pub fn peak_resident_bytes(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let kilobytes = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = kilobytes.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     /// Whether a line of the log contains `text`.
     pub fn has_logged(&self, text: &str) -> bool {
         self.log_text().lines().any(|line| line.contains(text))
