--- a/crates/node/src/caches/conn.rs
+++ b/crates/node/src/caches/conn.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 /// Ids of cancelled attempts that a connection remembers; beyond that number it is retired.
-const MAX_ABORTED_IDS: usize = 1024;
+const MAX_ABORTED_IDS: usize = 128;
 
 /// The state of a connection. Dropping it closes the connection once its queue is written.
 pub(super) struct Conn {
@@ -191,10 +191,8 @@
     if context.queue.send(Input::ServerConnected(conn_id)).await.is_ok() {
         let read = async {
             let decode = |decoded: DecodedMessage| {
-                Some(Input::ServerAnswer(
-                    conn_id,
-                    ServerAnswer::decode(decoded.elements, &[&context.budgets.responses.meter])?,
-                ))
+                let answer = ServerAnswer::decode(decoded.elements, &[&context.budgets.responses.meter])?;
+                Some(Input::ServerAnswer(conn_id, Box::new(answer)))
             };
             read_messages(&socket, SERVER_READ_LIMITS, context, || false, decode, None).await
         };
--- a/crates/node/src/caches/wire.rs
+++ b/crates/node/src/caches/wire.rs
@@ -1,6 +1,7 @@
 //! Encodes attempts and decodes their answers. Only this module knows the names of fields, results and modes in the servers' protocol.
 
 use crate::clients::message::WireId;
+use crate::limits::QUEUED_INPUT_BYTES;
 use crate::outbox::{BufferMeter, BufferedBytes};
 use crate::resp::{encode, parse_decimal, Decoder, FieldEncoder, Fields, MessageLimits};
 use basaltgw::api::{AttemptResult, FillReport, LoadReport, Ms, Rank, ServerId};
@@ -79,7 +80,7 @@
             fill_report: fill_report(fields.get("note")),
             source_wait_ms,
             load: fields.get("load").map(load_report).unwrap_or_default(),
-            body: BufferedBytes::new(body.unwrap_or_default(), meters),
+            body: BufferedBytes::with_overhead(body.unwrap_or_default(), QUEUED_INPUT_BYTES, meters),
         })
     }
 }
--- a/crates/node/src/clients/message.rs
+++ b/crates/node/src/clients/message.rs
@@ -2,7 +2,10 @@
 //!
 //! A request is valid only if every field is as the protocol defines it; there are no defaults for malformed fields.
 
-use crate::limits::{COPY_TAG_MAX_BYTES, MAX_BODY_BYTES, MAX_DEADLINE_MS, MAX_GROUP, MAX_PART, MAX_SIZE_KB};
+use crate::limits::{
+    COPY_TAG_MAX_BYTES, MAX_BODY_BYTES, MAX_DEADLINE_MS, MAX_GROUP, MAX_PART, MAX_SIZE_KB, QUEUED_INPUT_BYTES,
+};
+use crate::outbox::MessageSize;
 use crate::resp::{parse_decimal, parse_integer, Fields};
 use basaltgw::api::{GroupId, Ms, ObjectId, Part};
 use std::sync::Arc;
@@ -48,6 +51,17 @@
     pub continuation: Option<String>,
     /// The body of a write; empty for a read.
     pub body: Vec<u8>,
+    /// The body was discarded for want of memory, and the request can't be executed.
+    pub body_discarded: bool,
+}
+
+impl RequestMessage {
+    /// The bytes of its texts, all that it has beside the body.
+    pub fn text_bytes(&self) -> usize {
+        let texts = [&self.copy_tag, &self.idempotency_key, &self.parts, &self.continuation];
+        let optional: usize = texts.into_iter().flatten().map(String::len).sum();
+        self.id.0.len() + self.class.len() + self.object_text.len() + optional
+    }
 }
 
 /// A client's message.
@@ -80,11 +94,27 @@
         })
     }
 
-    /// The length of its body.
-    pub fn body_bytes(&self) -> usize {
+    /// The memory that it uses while it waits for the owner.
+    pub fn size(&self) -> MessageSize {
         match self {
-            Self::Request(_, request) => request.body.len(),
-            Self::Cancel(_) | Self::Probe(_) | Self::Malformed(_) => 0,
+            Self::Request(_, request) => MessageSize {
+                bytes: request.body.len(),
+                overhead_bytes: QUEUED_INPUT_BYTES + size_of::<RequestMessage>() + request.text_bytes(),
+            },
+            Self::Cancel(_) | Self::Probe(_) | Self::Malformed(_) => {
+                MessageSize { bytes: 0, overhead_bytes: QUEUED_INPUT_BYTES }
+            }
+        }
+    }
+
+    /// The message to use if one of its bulk strings was discarded: a request counts as one without its body.
+    pub fn with_discarded_body(self) -> Self {
+        match self {
+            Self::Request(tag, mut request) => {
+                request.body_discarded = true;
+                Self::Request(tag, request)
+            }
+            Self::Cancel(_) | Self::Probe(_) | Self::Malformed(_) => self,
         }
     }
 
@@ -145,6 +175,7 @@
         deadline_ms: fields.decimal("d").filter(|d| *d <= MAX_DEADLINE_MS)?,
         copy_tag: copy_tag.map(str::to_string),
         idempotency_key: key.map(str::to_string),
+        body_discarded: false,
         repeated: fields.get("again") == Some("1"),
         parts: fields.get("parts").map(str::to_string),
         continuation: fields.get("debt").map(str::to_string),
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -16,10 +16,10 @@
 use crate::inbox::{read_messages, ClientReader, DecodedMessage};
 use crate::limits::{
     ACCEPTS_PER_TURN, ACCEPT_RETRY_INTERVAL, CLIENT_READ_LIMITS, CLIENT_UNSENT_MAX_BYTES, LISTEN_BACKLOG,
-    RETRY_INTERVAL,
+    MAX_UNSENT_MESSAGES, MAX_UNSENT_UNDER_PRESSURE, RETRY_INTERVAL,
 };
 use crate::messages::{ConnectionContext, Input};
-use crate::outbox::{send_queue, write_messages, BufferMeter, BufferReservation};
+use crate::outbox::{send_queue, unsent_messages, write_messages, BufferMeter, BufferReservation};
 use crate::socket;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -100,13 +100,17 @@
         return;
     }
     let read = async {
-        let is_peer_slow = || buffered.bytes() > CLIENT_UNSENT_MAX_BYTES;
+        let is_peer_slow = || {
+            let unsent = unsent_messages(&buffered);
+            let pressed = context.budgets.responses.must_shed() && unsent > MAX_UNSENT_UNDER_PRESSURE;
+            pressed || unsent > MAX_UNSENT_MESSAGES || buffered.bytes() > CLIENT_UNSENT_MAX_BYTES
+        };
         let decode = |decoded: DecodedMessage| {
             let message = ClientMessage::decode(decoded.elements)?;
             state.liveness().observe(&message);
             let message = if decoded.boundary_uncertain { message.with_uncertain_end() } else { message };
-            let mut reservation = BufferReservation::new(&context.budgets.requests.meter);
-            reservation.set(message.body_bytes());
+            let message = if decoded.discarded { message.with_discarded_body() } else { message };
+            let reservation = BufferReservation::of(&context.budgets.requests.meter, message.size());
             let received_at = decoded.received_at;
             Some(Input::ClientMessage { client: id, message, received_at, buffered: reservation })
         };
@@ -117,7 +121,7 @@
         state.apply(ConnectionEvent::ReadStopped);
         let lingers = reason != CloseReason::PeerClosed;
         if lingers && context.queue.send(Input::ClientReadStopped(id, reason)).await.is_ok() {
-            slot.discard(&socket, &state, reason).await;
+            slot.discard(&socket, &context.read_buffer, &state, reason).await;
         }
     };
     let write = async {
--- a/crates/node/src/clients/slot.rs
+++ b/crates/node/src/clients/slot.rs
@@ -8,7 +8,7 @@
     CLIENT_WRITE_TIMEOUT, CLIENT_WRITE_TIMEOUT_AT_SHUTDOWN, LINGER_MAX_BYTES, LINGER_TIMEOUT,
     LINGER_TIMEOUT_WHEN_FULL, READ_BYTES,
 };
-use crate::socket as io_socket;
+use crate::socket::ReadBuffer;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::cell::Cell;
@@ -69,17 +69,17 @@
     /// does; if the writer has already shut down the router's side, it ends at once.
     pub(super) async fn discard(
         &self,
-        mut socket: &Async<TcpStream>,
+        socket: &Async<TcpStream>,
+        buffer: &ReadBuffer,
         state: &ConnectionState,
         reason: CloseReason,
     ) {
         if reason == CloseReason::IdleClose(IdleReason::SlotNeeded) {
             self.linger_timeout.set(LINGER_TIMEOUT_WHEN_FULL);
         }
-        let mut chunk = vec![0; READ_BYTES];
         let mut left = LINGER_MAX_BYTES;
         while left > 0 {
-            match io_socket::read(&mut socket, &mut chunk).await {
+            match buffer.read(socket, || READ_BYTES, |_| {}).await {
                 Ok(n) if n > 0 => {
                     if left == LINGER_MAX_BYTES && matches!(reason, CloseReason::IdleClose(_)) {
                         self.slots.count_unread();
--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -44,6 +44,8 @@
         rejected_at_capacity: Count = "turned_away",
         /// Requests rejected without routing, since messages used too much memory; counted among the rejected ones too.
         rejected_for_memory: Count = "refused_for_memory",
+        /// Requests whose body was discarded as it arrived; counted among those rejected for want of memory too.
+        bodies_discarded: Count = "bodies_discarded",
         /// Answers recalled before their first byte, since the client had cancelled.
         recalled: Count = "taken_back",
         /// Served answers replaced by a failure under memory pressure.
@@ -146,6 +148,10 @@
         buffered_bytes: Gauge<u64> = "held",
         /// The most bytes buffered by messages so far.
         max_buffered_bytes: Gauge<u64> = "held_most",
+        /// The memory that messages use, with what the process needs beside their bytes.
+        used_bytes: Gauge<u64> = "reserved",
+        /// The most memory that messages used so far.
+        max_used_bytes: Gauge<u64> = "reserved_most",
         /// Times that reading from a client was paused for want of memory.
         client_read_pauses: Count = "client_read_pauses",
         /// The longest of these pauses, in milliseconds.
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -3,24 +3,30 @@
 //! Reading pauses while buffered messages use too much memory, the peer is slow to read, or the owner's queue is full. A client is
 //! watched meanwhile, so that its close and its cancellations still take effect. A server's answers are read whatever memory requests use,
 //! since they free it. A client's requests wait for memory for a bounded time only; then they are read, and the owner sheds them.
+//!
+//! - `backlog`: how long bytes may have waited in the socket;
+//! - `partial`: the memory of a message that is not complete;
+//! - `pauses`: why reading pauses, and what is done meanwhile;
+//! - this file: reading, decoding and queueing.
 
 mod backlog;
+mod partial;
+mod pauses;
 
 use crate::clients::message::ClientMessage;
 use crate::connection::{CloseReason, ConnectionState};
-use crate::limits::{
-    PeerKind, ReadLimits, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES, READ_BYTES, RETRY_INTERVAL,
-};
+use crate::limits::{PeerKind, ReadLimits, MAX_DECODED_WHEN_EXHAUSTED, MAX_OPEN_REQUESTS_PER_CLIENT};
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::BufferReservation;
-use crate::resp::{DecodeError, Decoder};
+use crate::resp::{Array, DecodeError, Decoder};
 use crate::socket;
 use async_channel::TrySendError;
 use async_io::{Async, Timer};
 use backlog::SocketBacklog;
 use basaltgw::api::Ms;
 use futures_lite::future;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use partial::{max_read_bytes, PartialMessage};
+use pauses::PauseReason;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::TcpStream;
@@ -39,6 +45,14 @@
     pub received_at: Ms,
     /// The bytes after the message can't be decoded, so the message may not be complete.
     pub boundary_uncertain: bool,
+    /// A bulk string was discarded for want of memory, and is empty.
+    pub discarded: bool,
+}
+
+/// A complete message with the memory that is reserved for it.
+struct BufferedArray {
+    array: Array,
+    _reservation: BufferReservation,
 }
 
 /// What the reader of a client's connection needs in addition to that of a server's.
@@ -54,21 +68,12 @@
 enum ReadEvent {
     /// The result of a read, with the number of bytes.
     Read(std::io::Result<usize>),
+    /// The partial message has held its memory for a while.
+    HoldExpired,
     TimedOut,
     CloseRequested,
 }
 
-/// Why reading is paused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PauseReason {
-    /// Buffered messages use too much memory.
-    Memory,
-    /// Too many bytes wait to be written to this peer.
-    SlowPeer,
-    /// The owner's queue is full.
-    QueueFull,
-}
-
 /// Runs a connection's reader and writer until one of them ends; returns why the connection is closed. The writer's result, whether it wrote all
 /// messages, makes no difference.
 pub async fn run_reader_and_writer(
@@ -84,8 +89,9 @@
 
 /// Reads messages until the connection ends, sends what can't be decoded, or exceeds a time limit; returns why it stops.
 ///
-/// While `is_peer_slow` returns true, since too many bytes wait to be written to the peer, reading pauses. `decode` converts a message to an input, or returns `None` if the protocol has no such
-/// message; it is called for all messages of a read before the first of them is queued. `client` is given for a client's connection.
+/// While `is_peer_slow` returns true, since too much waits to be written to the peer, reading pauses. `decode` converts a message to an input,
+/// or returns `None` if the protocol has no such message; it is called for all messages of a read before the first of them is queued,
+/// while there is memory for them. `client` is given for a client's connection.
 pub async fn read_messages(
     socket: &Async<TcpStream>,
     limits: ReadLimits,
@@ -105,17 +111,16 @@
         decode,
         state: client.map(|client| client.state),
         decoder: Decoder::new(limits.message_limits),
-        chunk: vec![0; READ_BYTES],
+        lookahead: None,
+        received_at: context.clock.now(),
         pending: VecDeque::new(),
         pending_bytes: 0,
+        pending_since: None,
         failure: None,
         first_message_due: limits.first_message_timeout.map(|t| Instant::now() + t),
         message_started: None,
         backlog: SocketBacklog::new(accepted_late),
-        buffered: BufferReservation::new(match limits.peer {
-            PeerKind::Client => &context.budgets.requests.meter,
-            PeerKind::Server => &context.budgets.responses.meter,
-        }),
+        partial: PartialMessage::new(&context.budgets, limits.peer),
         memory_pause_started: None,
     };
     loop {
@@ -135,29 +140,37 @@
     decode: D,
     state: Option<&'a ConnectionState>,
     decoder: Decoder,
-    chunk: Vec<u8>,
-    /// Decoded messages that are not yet in the owner's queue: those of one read, and those read ahead.
+    /// The next complete message, which is decoded with the one before it.
+    lookahead: Option<BufferedArray>,
+    /// When the bytes read last were received.
+    received_at: Ms,
+    /// Decoded messages that are not yet in the owner's queue.
     pending: VecDeque<Input>,
     /// Bytes of the messages decoded since `pending` was last empty.
     pending_bytes: usize,
+    /// Since when the first of these messages has been pending.
+    pending_since: Option<Instant>,
     /// Why the reader stops once `pending` is empty.
     failure: Option<CloseReason>,
     first_message_due: Option<Instant>,
     /// When the first byte of the partial message was received.
     message_started: Option<Instant>,
     backlog: SocketBacklog,
-    buffered: BufferReservation,
+    partial: PartialMessage,
     /// Since when reading has been paused for want of memory.
     memory_pause_started: Option<Instant>,
 }
 
 impl<D: Fn(DecodedMessage) -> Option<Input>> Reader<'_, D> {
-    /// Reads once and queues the complete messages.
+    /// Reads once, unless messages are left of the last read, and queues the complete messages.
     async fn read_and_enqueue(&mut self, is_peer_slow: &impl Fn() -> bool) -> Result<(), CloseReason> {
         while let Some(reason) = self.pause_reason(is_peer_slow) {
-            if reason == PauseReason::Memory {
-                self.backlog.on_memory_pause();
-                self.memory_pause_started.get_or_insert_with(Instant::now);
+            match reason {
+                PauseReason::Memory => {
+                    self.backlog.on_memory_pause();
+                    self.memory_pause_started.get_or_insert_with(Instant::now);
+                }
+                PauseReason::SlowPeer | PauseReason::QueueFull => self.end_memory_pause(),
             }
             // Cancellations use no memory and free that of their requests.
             while self.pending.front().is_some_and(is_cancellation) && !self.context.queue.is_full() {
@@ -172,10 +185,13 @@
         self.end_memory_pause();
         // Messages that were read ahead go first.
         if self.pending.is_empty() && self.failure.is_none() {
-            let n = self.read().await?;
-            self.decode_chunk(n);
+            if self.lookahead.is_none() {
+                self.read().await?;
+            }
+            self.decode_messages();
         }
-        self.enqueue(self.pending.len()).await?;
+        // A few at a time, so that a pause takes effect among the messages of one read.
+        self.enqueue(self.pending.len().min(MAX_OPEN_REQUESTS_PER_CLIENT)).await?;
         match self.failure.filter(|_| self.pending.is_empty()) {
             Some(reason) => Err(reason),
             None => Ok(()),
@@ -188,63 +204,45 @@
         }
     }
 
-    fn pause_reason(&self, is_peer_slow: &impl Fn() -> bool) -> Option<PauseReason> {
-        if self.waits_for_memory() {
-            return Some(PauseReason::Memory);
-        }
-        is_peer_slow().then_some(PauseReason::SlowPeer)
-    }
-
-    /// Whether reading must wait for memory. A server's answers wait for that of other answers only.
-    fn waits_for_memory(&self) -> bool {
-        let budgets = &self.context.budgets;
-        match self.limits.peer {
-            PeerKind::Server => budgets.responses.stops_reading(),
-            PeerKind::Client => {
-                let delayed = budgets.requests.delays_reading() || budgets.responses.delays_reading();
-                let stopped = budgets.requests.stops_reading() && !self.is_within_message();
-                stopped || (delayed && self.backlog.may_wait_for_memory())
-            }
-        }
-    }
-
-    /// Whether more of a message is buffered than is read ahead during a pause.
-    fn is_within_message(&self) -> bool {
-        self.decoder.buffered_bytes() > READ_AHEAD_BYTES
-    }
-
-    /// Reads once, within the time limits; returns the number of bytes, 0 if a close request lapsed.
-    async fn read(&mut self) -> Result<usize, CloseReason> {
+    /// Reads once, within the time limits, or returns without a byte if a close request lapsed or a partial message was checked.
+    async fn read(&mut self) -> Result<(), CloseReason> {
         match self.wait_readable().await {
-            ReadEvent::Read(Ok(n)) if n > 0 => Ok(n),
-            ReadEvent::Read(Ok(_) | Err(_)) => Err(CloseReason::PeerClosed),
-            ReadEvent::TimedOut if self.message_started.is_none() => Err(CloseReason::NoFirstMessage),
-            ReadEvent::TimedOut => Err(CloseReason::IncompleteMessage),
+            // A client that has closed waits for nothing, whatever it sent before.
+            ReadEvent::Read(Ok(n)) if n > 0 && !self.client_closed() => self.on_bytes_read(),
+            ReadEvent::Read(Ok(_) | Err(_)) => return Err(CloseReason::PeerClosed),
+            ReadEvent::HoldExpired if self.partial.must_give_way() => {
+                self.decoder.discard_partial_string();
+                drop(self.partial.take());
+            }
+            ReadEvent::HoldExpired => {}
+            ReadEvent::TimedOut if self.message_started.is_none() => return Err(CloseReason::NoFirstMessage),
+            ReadEvent::TimedOut => return Err(CloseReason::IncompleteMessage),
             ReadEvent::CloseRequested => {
                 let partial_for = self.message_started.map(|t| t.elapsed());
-                match self.state.and_then(|state| state.decide_close(partial_for)) {
-                    Some(reason) => Err(reason),
-                    None => Ok(0),
+                if let Some(reason) = self.state.and_then(|state| state.decide_close(partial_for)) {
+                    return Err(reason);
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Whether the peer is a client that has closed its side.
+    fn client_closed(&self) -> bool {
+        self.limits.peer == PeerKind::Client && socket::peer_closed(self.socket)
     }
 
     /// Waits for bytes, a time limit or a close request, in this order where several are ready.
     async fn wait_readable(&mut self) -> ReadEvent {
-        // A long message is read to its end and no further, so that one message at most is buffered.
-        let bytes = self.decoder.missing_bytes().map_or(READ_BYTES, |missing| missing.min(READ_BYTES));
+        let (missing, budget, peer) =
+            (self.decoder.missing_bytes(), &self.context.budgets.requests, self.limits.peer);
+        let max_bytes = || max_read_bytes(missing, peer == PeerKind::Client && budget.must_shed());
         let message_due = self
             .message_started
             .map(|t| (t + self.limits.message_timeout).min(Instant::now() + self.limits.read_gap_timeout));
         let due = message_due.into_iter().chain(self.first_message_due).min();
-        let timeout = async {
-            match due {
-                Some(due) => Timer::at(due).await,
-                None => future::pending().await,
-            };
-            ReadEvent::TimedOut
-        };
+        let timeout = after(due, ReadEvent::TimedOut);
+        let hold_expired = after(self.partial.check_due(), ReadEvent::HoldExpired);
         let close_requested = async {
             match self.state {
                 Some(state) => state.close_requested().await,
@@ -252,48 +250,86 @@
             }
             ReadEvent::CloseRequested
         };
-        let read = async {
-            let chunk = self.chunk.get_mut(..bytes).unwrap_or_default();
-            ReadEvent::Read(self.backlog.read(self.socket, chunk).await)
-        };
-        future::or(read, future::or(timeout, close_requested)).await
+        let decoder = &mut self.decoder;
+        let read =
+            self.backlog.read(self.socket, &self.context.read_buffer, max_bytes, |chunk| decoder.feed(chunk));
+        let read = async { ReadEvent::Read(read.await) };
+        future::or(read, future::or(future::or(timeout, hold_expired), close_requested)).await
+    }
+
+    /// Records when the bytes just read were received; if they may have waited in the socket, the earliest possible time.
+    fn on_bytes_read(&mut self) {
+        let waited = self.backlog.max_wait(&self.context.pause_detector);
+        self.received_at = self.context.clock.now() - waited.as_secs_f64() * 1000.0;
     }
 
-    /// Decodes the first bytes of the chunk.
-    fn decode_chunk(&mut self, bytes: usize) {
-        self.decoder.feed(self.chunk.get(..bytes).unwrap_or_default());
-        let received_at = self.receive_time();
-        let mut next = self.decoder.next_message();
-        while self.failure.is_none() {
-            let elements = match next {
-                Ok(Some(elements)) => elements,
+    /// Decodes the messages read so far; only a few while the memory of requests is exhausted.
+    fn decode_messages(&mut self) {
+        let max_pending = match self.limits.peer {
+            PeerKind::Client if self.context.budgets.requests.is_exhausted() => MAX_DECODED_WHEN_EXHAUSTED,
+            PeerKind::Client | PeerKind::Server => usize::MAX,
+        };
+        while self.failure.is_none() && self.pending.len() < max_pending {
+            let next = self.lookahead.take().map_or_else(|| self.next_message(), |next| Ok(Some(next)));
+            match next {
+                Ok(Some(next)) => self.decode_message(next),
                 Ok(None) => break,
-                Err(e) => {
-                    self.failure = Some(CloseReason::Malformed(e));
-                    break;
-                }
-            };
-            next = self.decoder.next_message();
-            (self.message_started, self.first_message_due) = (None, None);
-            self.pending_bytes += elements.iter().map(Vec::len).sum::<usize>();
-            match (self.decode)(DecodedMessage { elements, received_at, boundary_uncertain: next.is_err() }) {
-                Some(input) if self.state.is_none_or(ConnectionState::enqueue) => {
-                    self.pending.push_back(input)
-                }
-                Some(_) => self.failure = Some(CloseReason::Dropped),
-                None => self.failure = Some(CloseReason::Malformed(DecodeError::UNKNOWN_MESSAGE)),
+                Err(e) => self.failure = Some(CloseReason::Malformed(e)),
             }
         }
-        self.buffered.set(self.decoder.buffered_bytes());
-        if self.decoder.has_partial_message() {
-            self.message_started.get_or_insert_with(Instant::now);
+        match &self.lookahead {
+            Some(next) => self.observe_cancellations_ahead(&next.array),
+            None if self.decoder.has_partial_message() => {
+                self.message_started.get_or_insert_with(Instant::now);
+            }
+            None => {}
         }
+        self.partial.set_undecoded(self.decoder.undecoded().len());
     }
 
-    /// When the bytes just read were received; if they may have waited in the socket, the earliest possible time.
-    fn receive_time(&mut self) -> Ms {
-        let waited = self.backlog.max_wait(&self.context.pause_detector);
-        self.context.clock.now() - waited.as_secs_f64() * 1000.0
+    /// Lets cancellations take effect that are behind messages for which there is no memory yet; these messages are decoded again later.
+    fn observe_cancellations_ahead(&self, next: &Array) {
+        let mut decoder = Decoder::new(self.limits.message_limits);
+        decoder.feed(self.decoder.undecoded());
+        let mut next = Some(next.elements.clone());
+        while let Some(elements) = next.filter(|_| self.limits.peer == PeerKind::Client) {
+            let (received_at, boundary_uncertain, discarded) = (self.received_at, false, false);
+            // Decoding a cancellation records it.
+            let _ = (self.decode)(DecodedMessage { elements, received_at, boundary_uncertain, discarded });
+            next = decoder.next_message().ok().flatten();
+        }
+    }
+
+    /// The next complete message of the bytes read so far.
+    fn next_message(&mut self) -> Result<Option<BufferedArray>, DecodeError> {
+        let (decoder, partial) = (&mut self.decoder, &mut self.partial);
+        let Some(array) = decoder.next_message_within(|bytes| partial.admit(bytes))? else {
+            return Ok(None);
+        };
+        Ok(Some(BufferedArray { array, _reservation: self.partial.take() }))
+    }
+
+    /// Decodes a message, and looks ahead whether the bytes after it can be decoded.
+    fn decode_message(&mut self, next: BufferedArray) {
+        let BufferedArray { array: Array { elements, discarded }, _reservation } = next;
+        let following = self.next_message();
+        (self.message_started, self.first_message_due) = (None, None);
+        self.pending_bytes += elements.iter().map(Vec::len).sum::<usize>();
+        let (received_at, boundary_uncertain) = (self.received_at, following.is_err());
+        match (self.decode)(DecodedMessage { elements, received_at, boundary_uncertain, discarded }) {
+            Some(input) if self.state.is_none_or(ConnectionState::enqueue) => {
+                self.pending.push_back(input);
+                self.pending_since.get_or_insert_with(Instant::now);
+            }
+            Some(_) => self.failure = Some(CloseReason::Dropped),
+            None => self.failure = Some(CloseReason::Malformed(DecodeError::UNKNOWN_MESSAGE)),
+        }
+        match following {
+            Ok(following) => self.lookahead = following,
+            Err(e) => {
+                self.failure.get_or_insert(CloseReason::Malformed(e));
+            }
+        }
     }
 
     /// Moves the first pending messages to the owner's queue, waiting for capacity.
@@ -308,13 +344,22 @@
                 Err(TrySendError::Closed(_)) => return Err(CloseReason::PeerClosed),
                 Err(TrySendError::Full(input)) => self.enqueue_when_free(input).await?,
             }
+            // Connections take turns, so that one that sends without a pause doesn't take each place that becomes free.
+            if self.is_queue_filling() {
+                future::yield_now().await;
+            }
         }
         if self.pending.is_empty() {
-            self.pending_bytes = 0;
+            (self.pending, self.pending_bytes, self.pending_since) = (VecDeque::new(), 0, None);
         }
         Ok(())
     }
 
+    fn is_queue_filling(&self) -> bool {
+        let queue = &self.context.queue;
+        queue.capacity().is_some_and(|capacity| queue.len() > capacity / 2)
+    }
+
     /// Waits until the owner's queue has capacity for a message.
     async fn enqueue_when_free(&mut self, input: Input) -> Result<(), CloseReason> {
         let queue = &self.context.queue;
@@ -327,74 +372,17 @@
             }
         }
     }
+}
 
-    /// Waits for one retry interval while reading is paused. If the peer is watched meanwhile, its close ends the wait, and a bounded
-    /// amount is read ahead.
-    async fn wait_paused(&mut self, reason: PauseReason) -> Result<(), CloseReason> {
-        let since = Instant::now();
-        let read_ahead_bytes =
-            READ_AHEAD_BYTES.saturating_sub(self.pending_bytes + self.decoder.buffered_bytes());
-        let watched = self.limits.peer == PeerKind::Client;
-        let may_read_ahead = watched
-            && self.failure.is_none()
-            && self.pending.len() < READ_AHEAD_MESSAGES
-            && read_ahead_bytes > 0;
-        if may_read_ahead {
-            self.read_ahead(read_ahead_bytes).await?;
-        } else if watched && peer_closed(self.socket) {
-            return Err(CloseReason::PeerClosed);
-        } else {
-            Timer::after(RETRY_INTERVAL).await;
-        }
-        match reason {
-            // A partial message must time out here, since it may be what uses up the memory. Time in which a client's bytes lay unread
-            // doesn't count; a server's answers have their attempts' timeouts, and count.
-            PauseReason::Memory => {
-                if self.limits.peer == PeerKind::Client && !self.backlog.is_empty() {
-                    self.exclude_from_message_time(since.elapsed());
-                }
-                match self.message_started.filter(|t| t.elapsed() > self.limits.message_timeout) {
-                    Some(_) => Err(CloseReason::IncompleteMessage),
-                    None => Ok(()),
-                }
-            }
-            // The pause doesn't count towards the time limit of the partial message.
-            PauseReason::SlowPeer | PauseReason::QueueFull => {
-                self.exclude_from_message_time(since.elapsed());
-                Ok(())
-            }
-        }
-    }
-
-    fn exclude_from_message_time(&mut self, time: Duration) {
-        self.message_started = self.message_started.map(|started| started + time);
-    }
-
-    /// Reads at most `bytes`, for one retry interval.
-    async fn read_ahead(&mut self, bytes: usize) -> Result<(), CloseReason> {
-        let chunk = self.chunk.get_mut(..bytes).unwrap_or_default();
-        let read = self.backlog.read(self.socket, chunk);
-        let timeout = async {
-            Timer::after(RETRY_INTERVAL).await;
-            None
-        };
-        match future::or(async { Some(read.await) }, timeout).await {
-            Some(Ok(n)) if n > 0 => self.decode_chunk(n),
-            Some(Ok(_) | Err(_)) => return Err(CloseReason::PeerClosed),
-            None => {}
-        }
-        Ok(())
-    }
+/// Completes with an event at a time; never without one.
+async fn after(due: Option<Instant>, event: ReadEvent) -> ReadEvent {
+    match due {
+        Some(due) => Timer::at(due).await,
+        None => future::pending().await,
+    };
+    event
 }
 
 fn is_cancellation(input: &Input) -> bool {
     matches!(input, Input::ClientMessage { message: ClientMessage::Cancel(_), .. })
 }
-
-/// Whether the peer has closed its side, even if bytes before the close are unread. If polling fails, the next read detects the close.
-fn peer_closed(socket: &Async<TcpStream>) -> bool {
-    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
-    let polled = poll(&mut fds, Some(&Timespec::default()));
-    let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    polled.is_ok() && fds.iter().any(|fd| fd.revents().intersects(closed))
-}
--- a/crates/node/src/inbox/backlog.rs
+++ b/crates/node/src/inbox/backlog.rs
@@ -2,7 +2,7 @@
 
 use crate::limits::CLIENT_MEMORY_PAUSE_MAX;
 use crate::pause_detector::PauseDetector;
-use crate::socket;
+use crate::socket::ReadBuffer;
 use async_io::Async;
 use futures_lite::future;
 use std::future::Future;
@@ -38,13 +38,16 @@
         }
     }
 
-    /// Reads once; returns the number of bytes. Only a read that has to wait proves that the socket is empty; a short read doesn't.
+    /// Reads once, as [`ReadBuffer::read`] does. Only a read that has to wait proves that the socket
+    /// is empty; a short read doesn't.
     pub(super) async fn read(
         &mut self,
-        mut socket: &Async<TcpStream>,
-        chunk: &mut [u8],
+        socket: &Async<TcpStream>,
+        buffer: &ReadBuffer,
+        max_bytes: impl Fn() -> usize,
+        consume: impl FnMut(&[u8]),
     ) -> std::io::Result<usize> {
-        let mut reading = pin!(socket::read(&mut socket, chunk));
+        let mut reading = pin!(buffer.read(socket, max_bytes, consume));
         let mut waited = false;
         future::poll_fn(|cx| {
             let polled = reading.as_mut().poll(cx);
--- /dev/null
+++ b/crates/node/src/inbox/pauses.rs
@@ -0,0 +1,111 @@
+//! Pauses of reading: why a connection is not read, and what is done meanwhile.
+
+use super::{DecodedMessage, Reader};
+use crate::connection::CloseReason;
+use crate::limits::{
+    PeerKind, CLIENT_MEMORY_PAUSE_MAX, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES, RETRY_INTERVAL,
+};
+use crate::messages::Input;
+use async_io::Timer;
+use futures_lite::future;
+use std::time::{Duration, Instant};
+
+/// Why reading is paused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PauseReason {
+    /// Buffered messages use too much memory.
+    Memory,
+    /// Too much waits to be written to this peer.
+    SlowPeer,
+    /// The owner's queue is full.
+    QueueFull,
+}
+
+impl<D: Fn(DecodedMessage) -> Option<Input>> Reader<'_, D> {
+    pub(super) fn pause_reason(&self, is_peer_slow: &impl Fn() -> bool) -> Option<PauseReason> {
+        if self.waits_for_memory() {
+            return Some(PauseReason::Memory);
+        }
+        is_peer_slow().then_some(PauseReason::SlowPeer)
+    }
+
+    /// Whether reading must wait for memory. A message for which memory is reserved is read to its end. A server's answers wait for the
+    /// memory of other answers only.
+    fn waits_for_memory(&self) -> bool {
+        let budgets = &self.context.budgets;
+        let lacks_memory = match self.limits.peer {
+            PeerKind::Server => budgets.responses.is_exhausted(),
+            PeerKind::Client => {
+                let delayed = budgets.requests.delays_reading() || budgets.responses.is_exhausted();
+                // A request waits as long after it was read ahead as it would have waited unread.
+                let read_ahead_waits =
+                    self.pending_since.is_none_or(|since| since.elapsed() < CLIENT_MEMORY_PAUSE_MAX);
+                delayed && read_ahead_waits && self.backlog.may_wait_for_memory()
+            }
+        };
+        lacks_memory && !self.partial.is_reserved()
+    }
+
+    /// Waits for one retry interval while reading is paused. If the peer is watched meanwhile, its close ends the wait, and a bounded
+    /// amount is read ahead.
+    pub(super) async fn wait_paused(&mut self, reason: PauseReason) -> Result<(), CloseReason> {
+        if self.client_closed() {
+            return Err(CloseReason::PeerClosed);
+        }
+        let since = Instant::now();
+        let read_ahead_bytes =
+            READ_AHEAD_BYTES.saturating_sub(self.pending_bytes + self.decoder.buffered_bytes());
+        let watched = self.limits.peer == PeerKind::Client;
+        let may_read_ahead = watched
+            && self.failure.is_none()
+            && self.pending.len() < READ_AHEAD_MESSAGES
+            && read_ahead_bytes > 0;
+        if may_read_ahead {
+            self.read_ahead(read_ahead_bytes).await?;
+        } else {
+            Timer::after(RETRY_INTERVAL).await;
+        }
+        match reason {
+            // A partial message must time out here, since it may be what uses up the memory. Time in which a client's bytes lay unread
+            // doesn't count; a server's answers have their attempts' timeouts, and count.
+            PauseReason::Memory => {
+                if self.limits.peer == PeerKind::Client && !self.backlog.is_empty() {
+                    self.exclude_from_message_time(since.elapsed());
+                }
+                match self.message_started.filter(|t| t.elapsed() > self.limits.message_timeout) {
+                    Some(_) => Err(CloseReason::IncompleteMessage),
+                    None => Ok(()),
+                }
+            }
+            // The pause doesn't count towards the time limit of the partial message.
+            PauseReason::SlowPeer | PauseReason::QueueFull => {
+                self.exclude_from_message_time(since.elapsed());
+                Ok(())
+            }
+        }
+    }
+
+    fn exclude_from_message_time(&mut self, time: Duration) {
+        self.message_started = self.message_started.map(|started| started + time);
+    }
+
+    /// Reads at most `bytes`, for one retry interval.
+    async fn read_ahead(&mut self, bytes: usize) -> Result<(), CloseReason> {
+        let decoder = &mut self.decoder;
+        let read =
+            self.backlog.read(self.socket, &self.context.read_buffer, || bytes, |chunk| decoder.feed(chunk));
+        let timeout = async {
+            Timer::after(RETRY_INTERVAL).await;
+            None
+        };
+        match future::or(async { Some(read.await) }, timeout).await {
+            Some(Ok(n)) if n > 0 => {
+                self.on_bytes_read();
+                self.decode_messages();
+            }
+            Some(Ok(_) | Err(_)) => return Err(CloseReason::PeerClosed),
+            None => {}
+        }
+        Ok(())
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod permissions;
 pub mod placement_report;
 pub mod platform_time;
+mod process_memory;
 pub mod read_pauses;
 mod reload;
 mod serve;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -68,11 +68,16 @@
 
 /// The most bytes of one read.
 pub const READ_BYTES: usize = 16 * 1024;
+/// The most bytes of one read of a client while requests use much memory, since what can't be decoded yet is buffered.
+pub const SHORT_READ_BYTES: usize = 2 * 1024;
 /// Bytes read ahead on a client's connection while reading is paused: enough for a dozen requests without a body and their
 /// cancellations.
 pub const READ_AHEAD_BYTES: usize = 4 * 1024;
 /// Messages read ahead on a client's connection while reading is paused.
 pub const READ_AHEAD_MESSAGES: usize = MAX_OPEN_REQUESTS_PER_CLIENT;
+/// Messages of one client that are decoded and not yet in the owner's queue, while the memory of requests is exhausted; further bytes stay
+/// undecoded, and no more are read. Otherwise all messages of a read are decoded, so that none is queued ahead of its cancellation.
+pub const MAX_DECODED_WHEN_EXHAUSTED: usize = 2;
 /// Cancellations of one client that take effect ahead of the queue to the owner: as many as one read can bring with their requests.
 pub const MAX_CANCELLATIONS_AHEAD: usize = 128;
 /// Inputs that each queue to the owner holds before its senders wait.
@@ -95,6 +100,10 @@
 pub const MAX_MALFORMED_REQUESTS: u32 = 16;
 /// While more bytes than this wait to be written to a client, nothing is read from it.
 pub const CLIENT_UNSENT_MAX_BYTES: usize = 1024 * 1024;
+/// While more messages than this wait to be written to a client, nothing is read from it.
+pub const MAX_UNSENT_MESSAGES: usize = 2 * MAX_OPEN_REQUESTS_PER_CLIENT;
+/// As [`MAX_UNSENT_MESSAGES`], while responses use so much memory that load is shed.
+pub const MAX_UNSENT_UNDER_PRESSURE: usize = 4;
 /// A client that takes no byte of an answer for this long is disconnected. The time is long, since all requests on the connection end too.
 pub const CLIENT_WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// As [`CLIENT_WRITE_TIMEOUT`], during shutdown: shorter, so that the process ends in time.
@@ -158,20 +167,57 @@
 /// A cancelled attempt counts as ended if its server has not confirmed the `abort` within this.
 pub const ABORT_CONFIRM_TIMEOUT_MS: Ms = 400.0;
 
-// Memory.
+// Memory. Shares of the memory for messages are of what `memory_budget::MemoryPlan` leaves for them.
 
-/// While buffered requests use more than this share of memory, clients are not read, for at most [`CLIENT_MEMORY_PAUSE_MAX`].
+/// What the process needs when it reports nothing about its memory.
+pub const UNKNOWN_PROCESS_BYTES: usize = 16_000_000;
+/// Growth of the process after its start that no connection or message causes: code that is loaded when it first runs, and the tables of the
+/// decision module.
+pub const PROCESS_GROWTH_BYTES: usize = 4_000_000;
+/// The memory of a client's connection: its task and state, [`UNRESERVED_MESSAGE_BYTES`] of a message, and a few small messages
+/// ([`MAX_DECODED_WHEN_EXHAUSTED`], [`MAX_UNSENT_UNDER_PRESSURE`]).
+pub const CLIENT_CONNECTION_BYTES: usize = 12_000;
+/// The memory of a connection to a server.
+pub const SERVER_CONNECTION_BYTES: usize = 6_000;
+/// The shares of the memory beyond the process that connections may use; with less memory, fewer connections are accepted or opened.
+pub const CLIENT_CONNECTIONS_MEMORY_SHARE: f64 = 0.6;
+/// See [`CLIENT_CONNECTIONS_MEMORY_SHARE`].
+pub const SERVER_CONNECTIONS_MEMORY_SHARE: f64 = 0.2;
+/// The fewest connections, however little memory is configured.
+pub const MIN_CLIENT_CONNECTIONS: usize = 128;
+/// See [`MIN_CLIENT_CONNECTIONS`].
+pub const MIN_SERVER_CONNECTIONS: usize = 64;
+/// The share of the memory beyond process and connections that messages may use. The allocator needs the rest: freed blocks of one size don't
+/// serve all others.
+pub const MESSAGES_MEMORY_SHARE: f64 = 0.8;
+/// The least memory for messages, unless less is configured in all: several times the longest response.
+pub const MIN_MESSAGE_BYTES: usize = 2_500_000;
+/// A message whose bulk strings have up to this many bytes is buffered in the memory of its connection; a longer one needs a reservation.
+pub const UNRESERVED_MESSAGE_BYTES: usize = 2 * 1024;
+/// The memory of a decoded message in the owner's queue; that of a request is counted beside it.
+pub const QUEUED_INPUT_BYTES: usize = 256;
+/// The memory of an open request, beside its bytes: its entries in the tables of the owner and of the decision module, its attempts, timers
+/// and responses' conditions.
+pub const OPEN_REQUEST_BYTES: usize = 2_048;
+/// The memory of an outgoing message, beside its bytes.
+pub const OUTGOING_MESSAGE_BYTES: usize = 256;
+/// While open requests use more than this share, clients are not read, for at most [`CLIENT_MEMORY_PAUSE_MAX`].
 pub const REQUEST_DELAY_MEMORY_SHARE: f64 = 0.15;
-/// When buffered requests use more than this share of memory, further requests with a body are rejected.
+/// When requests use more than this share, further requests with a body are rejected, and bodies that arrive are discarded.
 pub const REQUEST_SHED_MEMORY_SHARE: f64 = 0.2;
-/// While buffered requests use more than this share of memory, no further message of a client is begun to be read. Partial messages alone
-/// can use that much, and they are complete or time out within [`ReadLimits::message_timeout`].
+/// When requests use more than this share, all further requests are rejected. The bodies below [`REQUEST_SHED_MEMORY_SHARE`] may need as much
+/// again for their attempts' messages.
 pub const REQUEST_STOP_MEMORY_SHARE: f64 = 0.3;
-/// When buffered responses use more than this share of memory, unsent answers are replaced by failures, first those of the client with the
+/// The share that partial messages of clients may use: less than [`REQUEST_SHED_MEMORY_SHARE`], so that clients that don't complete their
+/// messages leave memory for those that do.
+pub const PARTIAL_REQUEST_MEMORY_SHARE: f64 = 0.15;
+/// When partial messages use half of their share, the body of a message that has been partial for this long is discarded.
+pub const PARTIAL_MESSAGE_HOLD: Duration = Duration::from_millis(200);
+/// When buffered responses use more than this share, unsent answers are replaced by failures, first those of the client with the
 /// most unsent bytes, so that slow readers don't exhaust the router.
 pub const RESPONSE_SHED_MEMORY_SHARE: f64 = 0.4;
-/// While buffered responses use more than this share of memory, servers are not read, clients for at most [`CLIENT_MEMORY_PAUSE_MAX`], and
-/// further requests are rejected.
+/// While buffered responses use more than this share, no further answer of a server is begun to be read, clients are not read for at most
+/// [`CLIENT_MEMORY_PAUSE_MAX`], and further requests are rejected.
 pub const RESPONSE_STOP_MEMORY_SHARE: f64 = 0.5;
 /// The longest time for which a client's request may wait unread for memory: half of the 0.5 s after its deadline at which it counts as
 /// lost, since its deadline is not known before it is read.
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -11,6 +11,7 @@
 use crate::outbox::{BufferReservation, SendQueue};
 use crate::pause_detector::PauseDetector;
 use crate::read_pauses::ReadPauses;
+use crate::socket::ReadBuffer;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use basaltgw::api::Ms;
@@ -29,7 +30,7 @@
         message: ClientMessage,
         /// When its last byte was received, in milliseconds of the router's clock.
         received_at: Ms,
-        /// Counts the bytes of its body until the owner handles the message.
+        /// Counts its memory until the owner handles the message.
         buffered: BufferReservation,
     },
     /// Nothing more is read from a client.
@@ -41,7 +42,7 @@
     /// A connection to a server is established.
     ServerConnected(ConnId),
     /// A server answered.
-    ServerAnswer(ConnId, ServerAnswer),
+    ServerAnswer(ConnId, Box<ServerAnswer>),
     /// A connection to a server is closed, or was not established.
     ServerDisconnected(ConnId, ConnectionFailure),
     /// An event of the change log.
@@ -96,4 +97,6 @@
     pub pause_detector: Rc<PauseDetector>,
     /// The pauses of reading from these connections for want of memory.
     pub read_pauses: Rc<ReadPauses>,
+    /// The buffer into which all connections read.
+    pub read_buffer: Rc<ReadBuffer>,
 }
--- a/crates/node/src/outbox/mod.rs
+++ b/crates/node/src/outbox/mod.rs
@@ -7,10 +7,11 @@
 mod buffered;
 mod send_conditions;
 
-pub use buffered::{BufferMeter, BufferReservation, BufferedBytes};
+pub use buffered::{BufferMeter, BufferReservation, BufferedBytes, MessageSize};
 pub use send_conditions::{AttemptRoute, AttemptTimes, DrainedSince, EncodeTimeout, SendConditions};
 
 use crate::caches::AttemptKey;
+use crate::limits::OUTGOING_MESSAGE_BYTES;
 use crate::permissions::may_send;
 use crate::socket;
 use async_channel::{Receiver, Sender};
@@ -134,7 +135,9 @@
     }
 
     fn message(&self, bytes: Vec<u8>, conditions: Option<Box<SendConditions>>) -> Rc<OutgoingMessage> {
-        let bytes = RefCell::new(Some(BufferedBytes::new(bytes, &[&self.all_connections, &self.connection])));
+        let meters = [&self.all_connections, &self.connection];
+        let bytes = BufferedBytes::with_overhead(bytes, OUTGOING_MESSAGE_BYTES, &meters);
+        let bytes = RefCell::new(Some(bytes));
         Rc::new(OutgoingMessage { delivery_state: Cell::new(DeliveryState::Queued), conditions, bytes })
     }
 
@@ -151,12 +154,22 @@
         self.queue.close();
     }
 
+    /// The number of the connection's messages that are not yet written.
+    pub fn unsent_messages(&self) -> usize {
+        unsent_messages(&self.connection)
+    }
+
     /// Bytes of the connection's messages that are not yet written.
     pub fn unsent_bytes(&self) -> usize {
         self.connection.bytes()
     }
 }
 
+/// The number of messages that a connection's meter counts.
+pub fn unsent_messages(connection: &BufferMeter) -> usize {
+    (connection.total_bytes() - connection.bytes()) / OUTGOING_MESSAGE_BYTES
+}
+
 /// Writes messages until the queue is dropped or the connection fails; returns whether all were written. The future of `write_timeout` is
 /// created for each write and ends one that takes too long.
 pub async fn write_messages<W, S, F>(
--- a/crates/node/src/owner/admission.rs
+++ b/crates/node/src/owner/admission.rs
@@ -19,11 +19,13 @@
             return self.reject_unadmitted(incoming.requester);
         }
         let requester = incoming.requester;
-        let lacks_memory = self.memory.lacks_room_for(incoming.request.body.len());
+        let lacks_memory = self.memory.lacks_room_for(&incoming.request);
+        let body_discarded = incoming.request.body_discarded;
         let number = self.requests.insert(incoming, &self.memory.budgets.requests.meter);
         self.register_admitted(requester, number);
         if lacks_memory {
             self.counters.clients.rejected_for_memory.increment();
+            self.counters.clients.bodies_discarded.add(body_discarded.into());
             self.reject_unexecuted(number, 0.0);
         } else if self.requires_lease(number) {
             self.acquire_lease(number);
--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -126,6 +126,7 @@
         self.counters.batches.count.increment();
         self.counters.batches.longest_ms.raise(self.time.clock.now() - batch_start);
         self.counters.memory.max_buffered_bytes.raise(self.memory.budgets.buffered_bytes() as u64);
+        self.counters.memory.max_used_bytes.raise(self.memory.budgets.used_bytes() as u64);
     }
 
     /// Ends cancelled attempts whose server has not confirmed the abort in time.
--- a/crates/node/src/owner/inputs.rs
+++ b/crates/node/src/owner/inputs.rs
@@ -27,7 +27,7 @@
             Input::ServerConnected(connection) => {
                 self.upstream.caches.on_connected(self.time.now, connection)
             }
-            Input::ServerAnswer(connection, answer) => self.on_answer(connection, answer),
+            Input::ServerAnswer(connection, answer) => self.on_answer(connection, *answer),
             Input::ServerDisconnected(connection, reason) => self.on_connection_closed(connection, reason),
             Input::WatchEvent(event) => self.on_watch_event(event),
             Input::ChangeLogLost => self.counters.log.connections_lost.increment(),
@@ -121,6 +121,7 @@
         counters.clients.closed_stalled.set(stalled);
         counters.log.servers_now.set(self.upstream.endpoints.len() as u64);
         counters.memory.buffered_bytes.set(self.memory.budgets.buffered_bytes() as u64);
+        counters.memory.used_bytes.set(self.memory.budgets.used_bytes() as u64);
         let (clients, servers) = (&self.memory.client_read_pauses, self.upstream.caches.read_pauses());
         counters.memory.client_read_pauses.set(clients.count());
         counters.memory.longest_client_read_pause_ms.set(clients.longest_ms());
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -6,7 +6,8 @@
 use crate::caches::{AttemptKey, CopyTag, RequestNo};
 use crate::clients::{RequestMessage, WireId};
 use crate::connection::RequestLiveness;
-use crate::outbox::{BufferMeter, BufferedBytes, DeliveryState};
+use crate::limits::OPEN_REQUEST_BYTES;
+use crate::outbox::{BufferMeter, BufferReservation, BufferedBytes, DeliveryState, MessageSize};
 use crate::permissions::EarlierAttempt;
 use basaltgw::api::{AttemptNo, AttemptResult, ClassId, Ms};
 use basaltgw_registers::RequestFingerprint;
@@ -31,12 +32,15 @@
     pub(super) fingerprint: Option<RequestFingerprint>,
     /// The version of the copy in the response.
     pub(super) copy: Option<CopyTag>,
+    /// Counts the memory of the request beside its body.
+    _reservation: BufferReservation,
 }
 
 impl PendingRequest {
     fn new(incoming: IncomingRequest, meter: &Rc<BufferMeter>) -> Self {
         let IncomingRequest { requester, class, mut request, deadline, liveness } = incoming;
         let body = Some(BufferedBytes::new(std::mem::take(&mut request.body), &[meter]));
+        let overhead_bytes = OPEN_REQUEST_BYTES + request.text_bytes();
         Self {
             requester,
             class,
@@ -49,6 +53,7 @@
             lease: Lease::NotRequired,
             fingerprint: None,
             copy: None,
+            _reservation: BufferReservation::of(meter, MessageSize { bytes: 0, overhead_bytes }),
         }
     }
 
--- a/crates/node/src/owner/scatter_gather/sub_requests.rs
+++ b/crates/node/src/owner/scatter_gather/sub_requests.rs
@@ -41,6 +41,7 @@
             parts: None,
             continuation: None,
             body: Vec::new(),
+            body_discarded: false,
         }
     }
 }
--- a/crates/node/src/owner/state.rs
+++ b/crates/node/src/owner/state.rs
@@ -3,6 +3,7 @@
 use super::attempts::AbortingAttempt;
 use super::timers::Timers;
 use crate::caches::ServerPool;
+use crate::clients::RequestMessage;
 use crate::clock::{wall_now, Clock};
 use crate::invariants::Invariants;
 use crate::limits::SOCKET_SLACK_MS;
@@ -99,10 +100,11 @@
         self.budgets.responses.must_shed()
     }
 
-    /// Whether there is no memory for a further request, with a body of this length, and its response.
-    pub(super) fn lacks_room_for(&self, body_bytes: usize) -> bool {
-        let lacks_request_memory = body_bytes > 0 && self.budgets.requests.must_shed();
-        lacks_request_memory || self.budgets.responses.delays_reading()
+    /// Whether there is no memory for a further request, or for its response.
+    pub(super) fn lacks_room_for(&self, request: &RequestMessage) -> bool {
+        let MemoryBudgets { requests, responses } = &self.budgets;
+        let lacks_body_memory = request.body_discarded || (!request.body.is_empty() && requests.must_shed());
+        lacks_body_memory || requests.is_exhausted() || responses.is_exhausted()
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,9 +6,10 @@
     BIND_RETRY_TIMEOUT, INPUT_QUEUE_CAPACITY, LISTEN_BACKLOG, RESERVED_DESCRIPTORS, RETRY_INTERVAL,
     SERVER_DESCRIPTOR_DIVISOR,
 };
-use crate::memory_budget::MemoryBudgets;
+use crate::memory_budget::{ConnectionCounts, MemoryBudgets, MemoryPlan};
 use crate::messages::{ConnectionContext, Input, InputQueues};
 use crate::owner::Owner;
+use crate::process_memory::resident_bytes;
 use crate::reload::SettingsFile;
 use crate::signal_handler::handle_signals;
 use crate::{changelog, clients, fleet, owner, signals, snapshot_file};
@@ -29,12 +30,6 @@
     clients: Sender<Input>,
 }
 
-/// How many file descriptors connections may use.
-struct DescriptorBudget {
-    servers: usize,
-    clients: usize,
-}
-
 /// Runs a router until a signal ends it; returns its counters as `name=value` pairs separated by spaces.
 ///
 /// # Errors
@@ -43,11 +38,11 @@
     config.undecodable_events.iter().for_each(|fault| log::warn!("configuration entry ignored: {fault}"));
     let signals = signals::Signals::listen()?;
     let (senders, inputs) = input_queues();
-    let context = context(&config, senders.clients);
-    let descriptors = descriptor_budget(&config);
+    let plan = memory_plan(&config);
+    let context = context(&plan, senders.clients);
     let to_servers =
         ConnectionContext { queue: senders.servers, read_pauses: Rc::default(), ..context.clone() };
-    let caches = ServerPool::new(to_servers, descriptors.servers, config.transport);
+    let caches = ServerPool::new(to_servers, plan.connections.servers, config.transport);
     let mut owner = Owner::new(&config, &settings_file.settings, &context, caches);
     if let Some(snapshot) = settings_file.settings.snapshot_file.as_ref().and_then(snapshot_file::load) {
         owner.restore(snapshot);
@@ -60,7 +55,8 @@
     let executor = Rc::clone(&context.executor);
     let slots: Rc<ConnectionSlots> = owner.client_slots();
     // `context` stays alive, since the clients' queue, on which the owner waits, must not close while it runs.
-    let listener = executor.spawn(clients::accept(listener, descriptors.clients, slots, context.clone()));
+    let listener =
+        executor.spawn(clients::accept(listener, plan.connections.clients, slots, context.clone()));
     let (address_sender, addresses) = async_channel::bounded(INPUT_QUEUE_CAPACITY);
     let names = config.names.clone();
     let follow =
@@ -89,23 +85,40 @@
     (InputSenders { urgent, servers, clients }, inputs)
 }
 
-fn context(config: &RouterConfig, queue: Sender<Input>) -> ConnectionContext {
+fn context(plan: &MemoryPlan, queue: Sender<Input>) -> ConnectionContext {
     ConnectionContext {
         executor: Rc::new(LocalExecutor::new()),
         queue,
         clock: crate::clock::Clock::default(),
-        budgets: MemoryBudgets::new(&config.limits),
+        budgets: MemoryBudgets::new(plan.message_bytes),
         invariants: Rc::default(),
         pause_detector: Rc::default(),
         read_pauses: Rc::default(),
+        read_buffer: Rc::default(),
     }
 }
 
 /// Divides the descriptors between servers and clients.
-fn descriptor_budget(config: &RouterConfig) -> DescriptorBudget {
+fn connections_by_descriptors(config: &RouterConfig) -> ConnectionCounts {
     let servers = config.limits.descriptors / SERVER_DESCRIPTOR_DIVISOR;
     let clients = config.limits.descriptors.saturating_sub(servers + RESERVED_DESCRIPTORS).max(1);
-    DescriptorBudget { servers: servers as usize, clients: clients as usize }
+    ConnectionCounts { servers: servers as usize, clients: clients as usize }
+}
+
+/// Divides the memory, and logs how.
+fn memory_plan(config: &RouterConfig) -> MemoryPlan {
+    let plan = MemoryPlan::new(&config.limits, resident_bytes(), connections_by_descriptors(config));
+    let MemoryPlan { process_bytes, connections, message_bytes, exceeds_limit } = plan;
+    let ConnectionCounts { clients, servers } = connections;
+    let memory_mb = config.limits.memory_mb;
+    log::info!(
+        "memory of {memory_mb} MB: {process_bytes} bytes for the process, {message_bytes} for messages, {clients} clients' connections, \
+         {servers} to servers"
+    );
+    if exceeds_limit {
+        log::warn!("limits.memory_mb: {memory_mb} MB is less than the process and its connections may use");
+    }
+    plan
 }
 
 /// Starts the fleet's threads and connects the owner to them.
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -1,11 +1,17 @@
 //! Reads and writes sockets. An interrupted call is repeated at once; a call that failed because the machine lacks memory is retried after
 //! a pause; any other error ends the connection.
 
-use async_io::Timer;
+use crate::limits::READ_BYTES;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::fd::AsFd;
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io::{self, ErrorKind};
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 /// Pause before a call is retried that failed because the machine lacks memory.
@@ -22,6 +28,68 @@
     error.raw_os_error().is_some_and(|code| LOCAL_ERRORS.contains(&code))
 }
 
+/// The buffer into which all connections read. Its bytes are consumed before another task runs, so that a connection that waits for bytes
+/// needs no buffer of its own.
+#[derive(Debug)]
+pub struct ReadBuffer(RefCell<Vec<u8>>);
+
+impl Default for ReadBuffer {
+    fn default() -> Self {
+        Self(RefCell::new(vec![0; READ_BYTES]))
+    }
+}
+
+impl ReadBuffer {
+    fn poll_read(
+        &self,
+        mut socket: &Async<TcpStream>,
+        max_bytes: &impl Fn() -> usize,
+        consume: &mut impl FnMut(&[u8]),
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let mut buffer = self.0.borrow_mut();
+        let max_bytes = max_bytes().min(buffer.len());
+        let chunk = buffer.get_mut(..max_bytes).unwrap_or_default();
+        let bytes = ready!(Pin::new(&mut socket).poll_read(cx, chunk))?;
+        consume(chunk.get(..bytes).unwrap_or_default());
+        Poll::Ready(Ok(bytes))
+    }
+
+    /// Reads what a socket has received and passes it to `consume`; returns the number of bytes, 0 if the peer has closed. `max_bytes` limits
+    /// them at the time at which they are read, which may be long after the call.
+    ///
+    /// # Errors
+    /// If the connection is broken.
+    pub async fn read(
+        &self,
+        socket: &Async<TcpStream>,
+        max_bytes: impl Fn() -> usize,
+        mut consume: impl FnMut(&[u8]),
+    ) -> io::Result<usize> {
+        let mut retries = 0;
+        loop {
+            match next_step(poll_fn(|cx| self.poll_read(socket, &max_bytes, &mut consume, cx)).await) {
+                NextStep::Done(result) => return result,
+                NextStep::RetryLater if retries < MAX_SHORTAGE_RETRIES => {
+                    retries += 1;
+                    Timer::after(SHORTAGE_RETRY_INTERVAL).await;
+                }
+                NextStep::RetryLater => return Err(ErrorKind::OutOfMemory.into()),
+                NextStep::Repeat => {}
+            }
+        }
+    }
+}
+
+/// Whether the peer has closed its side or the connection is broken, even if bytes before that are unread. False if polling fails: the next
+/// read detects the close then.
+pub fn peer_closed(socket: &impl AsFd) -> bool {
+    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
+    let polled = poll(&mut fds, Some(&Timespec::default()));
+    let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    polled.is_ok() && fds.iter().any(|fd| fd.revents().intersects(closed))
+}
+
 /// Whether a socket has bytes to read or a connection to accept; true if polling fails.
 pub fn readable(socket: &impl AsFd) -> bool {
     let mut fds = [PollFd::new(socket, PollFlags::IN)];
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -34,14 +34,29 @@
 
 /// The most digits of a length or count; more than any limit has.
 const MAX_LENGTH_DIGITS: usize = 8;
-/// The capacity that an empty buffer keeps for the next message.
-const IDLE_BUFFER_BYTES: usize = 16 * 1024;
+/// A bulk string longer than this gets a buffer of its own length, which becomes the string without a copy.
+const LONG_STRING_BYTES: usize = 16 * 1024;
 
 /// What the next bytes are expected to be.
 enum Expect {
     ArrayHeader,
     BulkStringHeader,
-    BulkString { length: usize },
+    BulkString {
+        length: usize,
+    },
+    /// The rest of a bulk string that is discarded, without its line end.
+    Discarded {
+        left: usize,
+    },
+}
+
+/// A complete message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Array {
+    /// Its bulk strings. A discarded one is empty.
+    pub elements: Vec<Vec<u8>>,
+    /// Whether a bulk string was discarded.
+    pub discarded: bool,
 }
 
 /// Decodes messages from a byte stream that arrives in chunks of any size.
@@ -56,6 +71,8 @@
     bytes_left: usize,
     /// The complete bulk strings of the partial message.
     elements: Vec<Vec<u8>>,
+    /// Whether a bulk string of the partial message is discarded.
+    discarded: bool,
 }
 
 impl Decoder {
@@ -69,6 +86,7 @@
             elements_left: 0,
             bytes_left: 0,
             elements: Vec::new(),
+            discarded: false,
         }
     }
 
@@ -84,6 +102,18 @@
     /// # Errors
     /// If the bytes are malformed or exceed the size limits; the stream can't be decoded any further.
     pub fn next_message(&mut self) -> Result<Option<Vec<Vec<u8>>>, DecodeError> {
+        Ok(self.next_message_within(|_| true)?.map(|array| array.elements))
+    }
+
+    /// As [`Self::next_message`], within a budget of memory: `admit` is called for each bulk string with the bytes of all bulk strings of the
+    /// message up to the end of this one. If it returns false, the bytes of this bulk string are discarded as they arrive.
+    ///
+    /// # Errors
+    /// As for [`Self::next_message`].
+    pub fn next_message_within(
+        &mut self,
+        mut admit: impl FnMut(usize) -> bool,
+    ) -> Result<Option<Array>, DecodeError> {
         loop {
             match self.expect {
                 Expect::ArrayHeader => {
@@ -97,7 +127,21 @@
                 Expect::BulkStringHeader => {
                     let Some(length) = self.header(b'$', self.bytes_left)? else { break };
                     self.bytes_left -= length;
-                    self.expect = Expect::BulkString { length };
+                    self.expect = if admit(self.limits.max_bytes - self.bytes_left) {
+                        Expect::BulkString { length }
+                    } else {
+                        self.discarded = true;
+                        Expect::Discarded { left: length }
+                    };
+                }
+                Expect::Discarded { left } => {
+                    let discarded = left.min(self.buffer.len() - self.position);
+                    self.position += discarded;
+                    if discarded < left {
+                        self.expect = Expect::Discarded { left: left - discarded };
+                        break;
+                    }
+                    self.expect = Expect::BulkString { length: 0 };
                 }
                 Expect::BulkString { length } => {
                     let Some(element) = self.take_bulk_string(length)? else { break };
@@ -105,25 +149,36 @@
                     self.elements_left -= 1;
                     if self.elements_left == 0 {
                         self.expect = Expect::ArrayHeader;
-                        return Ok(Some(std::mem::take(&mut self.elements)));
+                        let discarded = std::mem::take(&mut self.discarded);
+                        return Ok(Some(Array { elements: std::mem::take(&mut self.elements), discarded }));
                     }
                     self.expect = Expect::BulkStringHeader;
                 }
             }
         }
         if self.position == self.buffer.len() {
-            self.buffer.clear();
-            self.position = 0;
-            self.buffer.shrink_to(IDLE_BUFFER_BYTES);
+            // An idle connection keeps no buffer.
+            (self.buffer, self.position) = (Vec::new(), 0);
         }
         Ok(None)
     }
 
+    /// Discards what is buffered of the bulk string that is not complete, and the rest of it as it arrives; no effect between bulk strings.
+    pub fn discard_partial_string(&mut self) {
+        let Expect::BulkString { length } = self.expect else { return };
+        let buffered = length.min(self.buffer.len() - self.position);
+        // Its line end may be buffered too.
+        self.buffer = self.buffer.split_off(self.position + buffered);
+        self.position = 0;
+        self.discarded = true;
+        self.expect = Expect::Discarded { left: length - buffered };
+    }
+
     /// Takes a bulk string from the buffer; `None` if it is not complete.
     fn take_bulk_string(&mut self, length: usize) -> Result<Option<Vec<u8>>, DecodeError> {
         let end = self.position + length;
         let Some(bytes) = self.buffer.get(self.position..end + 2) else {
-            if length > IDLE_BUFFER_BYTES {
+            if length > LONG_STRING_BYTES {
                 self.buffer.drain(..self.position);
                 self.position = 0;
                 self.buffer.reserve_exact((length + 2).saturating_sub(self.buffer.len()));
@@ -135,7 +190,7 @@
             return Err(DecodeError("a bulk string that does not end after its length"));
         }
         // A long bulk string at the end of the buffer takes the buffer with it, in place of a copy.
-        if length > IDLE_BUFFER_BYTES && end + 2 == self.buffer.len() {
+        if length > LONG_STRING_BYTES && end + 2 == self.buffer.len() {
             let mut element = std::mem::take(&mut self.buffer);
             element.truncate(end);
             element.drain(..self.position);
@@ -152,6 +207,11 @@
         self.buffer.len() - self.position + self.elements.iter().map(Vec::len).sum::<usize>()
     }
 
+    /// Received bytes that are not decoded.
+    pub fn undecoded(&self) -> &[u8] {
+        &self.buffer[self.position..]
+    }
+
     /// Bytes that complete the bulk string whose length was read last; `None` between bulk strings.
     pub fn missing_bytes(&self) -> Option<usize> {
         match self.expect {
@@ -160,6 +220,7 @@
             Expect::BulkString { length } => {
                 Some((length + 2).saturating_sub(self.buffer.len() - self.position))
             }
+            Expect::Discarded { left } => Some(left + 2),
         }
     }
 
