Timers of requests that have ended are removed

What callers saw: memory that grows while one client sends requests with long deadlines at full speed.

Cause: the timer of an attempt's timeout stayed until it was due, up to ten minutes, also where the attempt had ended.

The new test failed without the change: 5,001 timers for 5,000 requests that had ended.

Change: when the number of timers has doubled, those whose request or attempt has ended are removed, so that there are at most twice as many as were needed at one time, and 1,024.

--- a/crates/node/src/owner/batch.rs
+++ b/crates/node/src/owner/batch.rs
@@ -1,5 +1,6 @@
 //! The owner's loop: handles inputs and timers in batches, at most one per batch interval.
 
+use super::attempts::Attempt;
 use super::snapshot::TimedSnapshot;
 use super::timers::TimerKind;
 use super::Owner;
@@ -123,6 +124,7 @@
         }
         self.apply_memory_pressure();
         self.clients.release_closed();
+        self.prune_timers();
         self.counters.batches.count.increment();
         self.counters.batches.longest_ms.raise(self.time.clock.now() - batch_start);
         self.counters.memory.max_buffered_bytes.raise(self.memory.budgets.buffered_bytes() as u64);
@@ -136,6 +138,20 @@
         self.counters.attempts.abort_unconfirmed.add(unconfirmed);
     }
 
+    /// Removes the timers of requests and attempts that have ended.
+    fn prune_timers(&mut self) {
+        let requests = &self.requests;
+        self.schedule.timers.prune(|kind| match kind {
+            TimerKind::AttemptTimeout(key) | TimerKind::AttemptStart(key) => {
+                requests.attempt(*key).is_some_and(Attempt::is_in_flight)
+            }
+            TimerKind::LeasePoll(request) | TimerKind::LeaseTimeout { request, .. } => {
+                requests.get(*request).is_some()
+            }
+            TimerKind::Router(_) | TimerKind::ScatterGather => true,
+        });
+    }
+
     fn on_timer(&mut self, kind: TimerKind) {
         match kind {
             TimerKind::Router(token) => self.dispatch(Event::Timer(token)),
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -79,6 +79,12 @@
         misuse.cancellations >= MAX_CANCELLATIONS
     }
 
+    /// Forgets the cancellations, as after a response.
+    #[cfg(test)]
+    pub(super) fn forget_cancellations(&mut self) {
+        self.misuse.cancellations = 0;
+    }
+
     /// Counts an invalid request; returns whether there were too many.
     pub(super) fn has_too_many_invalid(&mut self) -> bool {
         self.misuse.invalid_requests += 1;
--- a/crates/node/src/owner/tests.rs
+++ b/crates/node/src/owner/tests.rs
@@ -1,6 +1,7 @@
 //! The owner with a client and two edge caches whose connections are never established.
 
 use super::attempts::{AbortingAttempt, Attempt, CancelResults, Delivery};
+use super::clients::Client;
 use super::*;
 use crate::caches::{AttemptKey, ConnectionFailure, ServerAnswer};
 use crate::clients::{ClientId, ClientMessage, RequestMessage, Tag, WireId};
@@ -345,3 +346,22 @@
     owner.batch(&mut vec![own_group]);
     assert_eq!(in_flight(&owner, 1), [false, true], "attempted again");
 }
+
+#[test]
+fn timers_of_requests_with_long_deadlines_that_have_ended_are_pruned() {
+    let (mut owner, _messages) = owner();
+    for tag in 1..=5_000 {
+        let long = request_with(&owner, tag, |request| request.deadline_ms = 600_000.0);
+        let cancelled = Input::ClientMessage {
+            client: CLIENT,
+            message: ClientMessage::Cancel(Tag(tag)),
+            received_at: owner.time.clock.now(),
+            buffered: BufferReservation::new(&Rc::default()),
+        };
+        owner.batch(&mut vec![long]);
+        owner.clients.connected.values_mut().for_each(Client::forget_cancellations);
+        owner.batch(&mut vec![cancelled]);
+    }
+    assert!(owner.requests.is_empty());
+    assert!(owner.schedule.timers.len() <= 1_024, "{} timers", owner.schedule.timers.len());
+}
--- a/crates/node/src/owner/timers.rs
+++ b/crates/node/src/owner/timers.rs
@@ -36,14 +36,40 @@
     kind: TimerKind,
 }
 
-/// Timers by due time.
-#[derive(Default)]
+/// Unneeded timers are removed when there are this many timers, and then whenever their number has doubled.
+const MIN_TIMERS_TO_PRUNE: usize = 1024;
+
+/// Timers by due time. A timer stays until it is due or [`Timers::prune`] removes it, even if the attempt that it is for has ended.
 pub(super) struct Timers {
     heap: BinaryHeap<Reverse<Timer>>,
     last_sequence: u64,
+    prune_at: usize,
+}
+
+impl Default for Timers {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), last_sequence: 0, prune_at: MIN_TIMERS_TO_PRUNE }
+    }
 }
 
 impl Timers {
+    /// Removes the timers that are not needed if their number has grown, so that there are never more than twice as many as were needed at
+    /// one time.
+    pub(super) fn prune(&mut self, is_needed: impl Fn(&TimerKind) -> bool) {
+        if self.heap.len() < self.prune_at {
+            return;
+        }
+        self.heap.retain(|Reverse(timer)| is_needed(&timer.kind));
+        self.prune_at = MIN_TIMERS_TO_PRUNE.max(2 * self.heap.len());
+        self.heap.shrink_to(self.prune_at);
+    }
+
+    /// The number of timers.
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.heap.len()
+    }
+
     pub(super) fn set(&mut self, at: Ms, kind: TimerKind) {
         self.last_sequence += 1;
         self.heap.push(Reverse(Timer { due_us: micros(at), sequence: self.last_sequence, kind }));
