A request whose id may have run already is failed, also after its client has left

What callers saw: an id ran twice when it came again after its client had left.

Cause: an id was known only while its request was open. A client leaves, its attempt is aborted, the request is forgotten, and the same id is sent on anew though the first attempt may have run.

Evidence: repeated_ids::write_whose_id_comes_again_after_its_client_left_runs_once failed without the change: the origin got the second fetch (no answer came from it in 20 s).

Change: the owner remembers the ids of the last 16,384 requests that may have been executed and whose class runs once; whether one may run again is the rule for retries. Such a request is failed, not rejected, and counted (ids_again). Leased requests are left to their records.

Also: the test for the check of that a client which has closed is sent nothing on, whatever it sent before. Without that check ten messages were queued. On real sockets the fault could not be shown: the reader found the close within the batch in which the requests would have been taken (two forms tried, a stopped router and one that waited for memory).

--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -46,6 +46,8 @@
         rejected_for_memory: Count = "refused_for_memory",
         /// Requests whose body was discarded as it arrived; counted among those rejected for want of memory too.
         bodies_discarded: Count = "bodies_discarded",
+        /// Requests failed since an earlier one under their id may have been executed.
+        reused_ids: Count = "ids_again",
         /// Answers recalled before their first byte, since the client had cancelled.
         recalled: Count = "taken_back",
         /// Served answers replaced by a failure under memory pressure.
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -59,6 +59,8 @@
 pub const MAX_PART: u64 = 9_999_999;
 /// The largest part size in KB; larger ones are malformed.
 pub const MAX_SIZE_KB: f64 = 1e7;
+/// Ids of requests that may have been executed and must not run twice that are remembered after the requests have ended.
+pub const MAX_EXECUTED_IDS: usize = 16 * 1024;
 /// The longest deadline of a request, in milliseconds.
 pub const MAX_DEADLINE_MS: Ms = 600_000.0;
 /// The tag of a copy, in bytes; the same bound holds for an idempotency key.
--- a/crates/node/src/owner/admission.rs
+++ b/crates/node/src/owner/admission.rs
@@ -7,9 +7,9 @@
 use super::requester::{Delivered, IncomingRequest, Requester};
 use super::{request_id, Owner};
 use crate::caches::RequestNo;
-use crate::clients::Reply;
-use crate::permissions::may_run_again;
-use basaltgw::api::{Event, Request};
+use crate::clients::{Reply, WireId};
+use crate::permissions::{may_run_again, AttemptState, EarlierAttempt, RetryRefusal};
+use basaltgw::api::{AttemptResult, ClassId, Event, Idempotency, Request};
 
 impl Owner {
     /// Admits a request if there is capacity, else rejects it. Any step that a request needs before its first attempt belongs between
@@ -110,9 +110,24 @@
         true
     }
 
-    /// Removes a request that is complete, and settles its lease.
+    /// Removes a request that is complete, settles its lease, and remembers its id if it must not run again.
     pub(super) fn remove_if_complete(&mut self, number: RequestNo) {
         self.settle_abandoned_lease(number);
-        self.requests.remove_if_complete(number);
+        // The record of a leased request remembers it.
+        let is_leased = self.requires_lease(number);
+        let Some(pending) = self.requests.remove_if_complete(number).filter(|_| !is_leased) else { return };
+        let runs_once = self.config.retry_policy(pending.class).idempotency != Idempotency::Idempotent;
+        if let Some(since) = pending.executed_since(self.time.now).filter(|_| runs_once) {
+            self.executed_ids.record(&pending.request.id, since);
+        }
+    }
+
+    /// Whether a request of this class and id may run, or an earlier one under its id may have been executed.
+    pub(super) fn check_id(&self, class: ClassId, id: &WireId) -> Result<(), RetryRefusal> {
+        let earlier = self.executed_ids.executed_since(id).map(|since| EarlierAttempt {
+            state: AttemptState::Ended(AttemptResult::Cancelled),
+            age: self.time.now - since,
+        });
+        may_run_again(&self.config.retry_policy(Some(class)), earlier)
     }
 }
--- a/crates/node/src/owner/client_inputs.rs
+++ b/crates/node/src/owner/client_inputs.rs
@@ -133,16 +133,28 @@
         }
         let class = self.config.names.class(&request.class);
         // Each request needs a new id: two open requests with one id can't be told apart in responses of servers.
-        if class.is_none() || self.requests.contains_id(&request.id) {
+        let Some(class) = class.filter(|_| !self.requests.contains_id(&request.id)) else {
             return self.on_invalid_request(id, tag);
+        };
+        if let Err(refusal) = self.check_id(class, &request.id) {
+            log::debug!("client {}, tag {}: id {} is used again: {refusal}", id.0, tag.0, request.id.0);
+            return self.fail_reused_id(id, tag);
         }
         let deadline = received_at + request.deadline_ms;
-        if let Some(class) = class.filter(|_| self.scatter_gather.is_some() && request.parts.is_some()) {
+        if self.scatter_gather.is_some() && request.parts.is_some() {
             return self.on_scatter_gather_request(ClientRequest { id, tag }, class, request, deadline);
         }
         self.counters.clients.requests.increment();
         let requester = Requester::Client(ClientRequest { id, tag });
-        self.admit(IncomingRequest { requester, class, request, deadline, liveness: Some(liveness) });
+        let (class, liveness) = (Some(class), Some(liveness));
+        self.admit(IncomingRequest { requester, class, request, deadline, liveness });
+    }
+
+    /// Fails a request under the id of an earlier one that may have been executed: a rejection would tell the client that nothing ran.
+    fn fail_reused_id(&mut self, id: ClientId, tag: Tag) {
+        let Some(client) = self.clients.connected.get_mut(&id) else { return };
+        self.counters.clients.reused_ids.increment();
+        client.outbox.push(encode_answer(tag, Reply::Failed));
     }
 
     /// Counts a request that its client cancelled before the owner handled it. Its tag stays in use until the owner handles the
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! - `state`: the parts of its state; `timers` and `batch`: queues, timers and batches; `inputs`: one arm for each input;
 //! - `clients` and `client_inputs`: clients' connections; `requester`: where a request comes from and its response goes;
-//! - `requests` and `admission`: a request from its admission to its response; `attempts`: its attempts; `lease`: its lease in a fleet;
+//! - `requests`, `admission` and `executed_ids`: a request from its admission to its response, and its id after that; `attempts`: its attempts; `lease`: its lease in a fleet;
 //! - `watch_events`: endpoint lists and purges of the change log; `fleet_events`: notifications of the fleet's threads;
 //! - `scatter_gather`: requests for several parts; `snapshot`: what the next process takes over; `memory_pressure`.
 
@@ -11,6 +11,7 @@
 mod batch;
 mod client_inputs;
 mod clients;
+mod executed_ids;
 mod fleet_events;
 mod inputs;
 mod lease;
@@ -38,6 +39,7 @@
 use basaltgw_config::{RouterConfig, RouterSettings};
 pub use batch::ExitReport;
 use clients::Clients;
+use executed_ids::ExecutedIds;
 use requests::Requests;
 use scatter_gather::ScatterGather;
 use state::{Memory, Monitors, RoutingConfig, Schedule, Time, Upstream};
@@ -53,6 +55,7 @@
     monitors: Monitors,
     clients: Clients,
     requests: Requests,
+    executed_ids: ExecutedIds,
     upstream: Upstream,
     schedule: Schedule,
     /// The fleet of routers, if the settings file has one.
@@ -90,6 +93,7 @@
             monitors: Monitors::new(config, context),
             clients: Clients::default(),
             requests: Requests::new(config.transport.max_open_requests),
+            executed_ids: ExecutedIds::default(),
             upstream: Upstream::new(caches, Tree::new(settings.hierarchy.as_ref())),
             schedule: Schedule::default(),
             fleet: None,
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -82,6 +82,12 @@
         self.attempts.iter().map(move |attempt| attempt.earlier(now))
     }
 
+    /// When the first attempt was started that may have been executed.
+    pub(super) fn executed_since(&self, now: Ms) -> Option<Ms> {
+        let executed = self.earlier_attempts(now).filter(EarlierAttempt::may_have_executed);
+        executed.map(|attempt| now - attempt.age).reduce(f64::min)
+    }
+
     /// The result of each attempt, `None` of one in flight.
     pub(super) fn results(&self) -> impl Iterator<Item = Option<AttemptResult>> + '_ {
         self.attempts.iter().map(|attempt| attempt.result)
@@ -190,13 +196,13 @@
         Some(Answered { requester: pending.requester, copy: pending.copy.take() })
     }
 
-    /// Removes a request if it is complete.
-    pub(super) fn remove_if_complete(&mut self, number: RequestNo) {
+    /// Removes a request if it is complete, and returns it.
+    pub(super) fn remove_if_complete(&mut self, number: RequestNo) -> Option<PendingRequest> {
         if !self.pending.get(&number).is_some_and(PendingRequest::is_complete) {
-            return;
-        }
-        if let Some(pending) = self.pending.remove(&number) {
-            self.ids.remove(&pending.request.id);
+            return None;
         }
+        let pending = self.pending.remove(&number)?;
+        self.ids.remove(&pending.request.id);
+        Some(pending)
     }
 }
--- a/crates/node/tests/crossing/leaving.rs
+++ b/crates/node/tests/crossing/leaving.rs
@@ -1,6 +1,7 @@
 //! Clients that disconnect or cancel while their requests wait.
 
 use crate::common::*;
+use basaltgw_node::resp::encode;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,6 +10,7 @@
 use std::time::Duration;
 
 mod memory;
+mod repeated_ids;
 mod socket_table;
 
 use socket_table::{open_sockets, queued_bytes, unread_bytes, QueuedBytes};
--- a/crates/node/tests/reader/main.rs
+++ b/crates/node/tests/reader/main.rs
@@ -273,3 +273,25 @@
         });
     }
 }
+
+#[test]
+fn messages_of_a_client_that_has_closed_are_not_queued() {
+    let harness = ReaderHarness::new(100);
+    let bytes: Vec<u8> = (1..=10).flat_map(|n| encode_message("PING", n)).collect();
+    block_on(async {
+        (&harness.client_side).write_all(&bytes).await.expect("the socket takes the bytes");
+        let client = harness.client_side.get_ref();
+        client.shutdown(std::net::Shutdown::Write).expect("the client closes its side");
+        wait_for(|| basaltgw_node::socket::peer_closed(&harness.router_side)).await;
+        assert_eq!(harness.read().await, CloseReason::PeerClosed);
+    });
+    assert!(harness.inputs.is_empty(), "{} messages were queued", harness.inputs.len());
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < Duration::from_secs(20), "the condition is not met");
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
