A server whose address another one has taken gets no requests

What callers saw: a new process came up at the address of one that had gone and was taken for the old one: work went to the wrong place.

Cause: the list may name the new server at an address before it tells that the old one there has gone. Until then the router went on choosing the old server and sent its requests, in its name, to the new one, which may be in another zone or of another kind.

Evidence: lists::server_whose_address_another_one_has_taken_gets_no_requests failed without the change: 20 of 20 fetches that were meant for the old server went to the new one.

Change: a server that is new at an address removes the one that was listed there in an earlier event, with its unsent attempts and its connections; counted (addresses_taken). Two servers at one address in the same event stay as they are.

Checked by reading, no change: a restart under the same id and address retires its connections by the listed start; part requests between routers are numbered from a new random value at each start, links carry a session id and members an incarnation.

Measured: the node's unit tests (48) and crossing::watches::lists pass.

--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -120,6 +120,8 @@
         servers_now: Gauge<u64> = "servers_now",
         /// Endpoint lists received.
         lists: Count = "lists",
+        /// Servers removed since another one was listed at their address.
+        addresses_taken: Count = "addresses_taken",
         /// Purges received.
         purges: Count = "purges",
         /// Connections to the change log that ended for any reason.
--- a/crates/node/src/counters/tests.rs
+++ b/crates/node/src/counters/tests.rs
@@ -19,7 +19,7 @@
          closes_lingered=0 closed_stalled=0 attempts=0 attempts_served=0 attempts_error=0 \
          attempts_full=0 attempts_late=0 attempts_no_connection=0 attempts_broken=0 attempts_cancelled=0 \
          attempts_not_sent=0 attempts_miss=1 late_answers=0 window_over=0 conns=0 conns_now=0 conns_failed=0 \
-         conns_unreadable=0 conns_unfinished=0 conns_shortages=0 servers_now=0 lists=0 purges=0 unheeded=3 log_lost=1 log_quiet=0 \
+         conns_unreadable=0 conns_unfinished=0 conns_shortages=0 servers_now=0 lists=0 addresses_taken=0 purges=0 unheeded=3 log_lost=1 log_quiet=0 \
          log_behind=0 reloads=0 reloads_refused=0 carried=0 held=0 held_most=0 reserved=0 reserved_most=0 client_read_pauses=0 client_read_pause_ms=0.00 \
          server_read_pauses=0 server_read_pause_ms=0.00 plans=0 plans_refused=0 plans_ended=0 loops=0 \
          loops_set_aside=0 batches=0 batch_longest_ms=1.24 violated_second_answer=0 \
--- a/crates/node/src/owner/attempts/start.rs
+++ b/crates/node/src/owner/attempts/start.rs
@@ -92,7 +92,7 @@
     /// Queues an attempt on a connection; `None` if no connection takes it and none may be opened.
     fn send(&mut self, new: &NewAttempt<'_>) -> Option<InFlight> {
         let pending = self.requests.get(new.key.request)?;
-        let place = *self.upstream.endpoints.get(&new.spec.server)?;
+        let process = self.upstream.endpoints.get(&new.spec.server)?.process();
         let message = self.encode(pending, new);
         let conditions = self.send_conditions(pending, new);
         let key = new.key;
@@ -109,7 +109,7 @@
             message,
             conditions,
         };
-        let sent = self.upstream.caches.send(self.time.now, &new.spec.server, place, attempt);
+        let sent = self.upstream.caches.send(self.time.now, &new.spec.server, process, attempt);
         sent.map(|(connection, message)| InFlight { connection, message })
     }
 
--- a/crates/node/src/owner/state.rs
+++ b/crates/node/src/owner/state.rs
@@ -16,7 +16,7 @@
 use crate::tree::Tree;
 use crate::ConnectionContext;
 use basaltgw::api::{Class, ClassId, Event, Ms, ServerId};
-use basaltgw_config::{RouterConfig, ServerProcess, WireNames};
+use basaltgw_config::{ListedServer, RouterConfig, WireNames};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -130,8 +130,8 @@
     pub(super) caches: ServerPool,
     /// Cancelled attempts whose server has not yet confirmed the abort.
     pub(super) aborting: Vec<AbortingAttempt>,
-    /// The address and start of each listed server.
-    pub(super) endpoints: BTreeMap<ServerId, ServerProcess>,
+    /// The listed servers, as they were listed last.
+    pub(super) endpoints: BTreeMap<ServerId, ListedServer>,
     /// Whether an endpoint list has been received.
     pub(super) list_received: bool,
     /// The plan of the cache tree, if there is one.
--- a/crates/node/src/owner/watch_events.rs
+++ b/crates/node/src/owner/watch_events.rs
@@ -8,6 +8,8 @@
 use crate::slow_start_watch::ListedStart;
 use basaltgw::api::{Endpoint, EndpointState, EndpointUpdate, Event, GroupId, Ms, ObjectId, ServerId};
 use basaltgw_config::{ListedServer, WatchEvent};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 /// A purge of an object or a group.
@@ -135,6 +137,9 @@
             servers.retain(|server| server.endpoint.state == EndpointState::Up);
         }
         self.upstream.list_received = true;
+        let replaced = self.replaced_servers(&servers);
+        self.counters.log.addresses_taken.add(replaced.len() as u64);
+        servers.extend(replaced);
         let mut withdrawn = Withdrawn::default();
         if complete {
             self.withdraw_unlisted(&servers, &mut withdrawn);
@@ -154,6 +159,31 @@
         });
     }
 
+    /// Removals of servers whose address another one has, which is new there: an address is used again only once its server has gone, and the
+    /// list may tell of that later. Otherwise requests that are meant for the old server would be sent to the new one.
+    fn replaced_servers(&self, servers: &[ListedServer]) -> Vec<ListedServer> {
+        let endpoints = &self.upstream.endpoints;
+        let is_new = |server: &&ListedServer| {
+            let known = endpoints.get(&server.endpoint.id);
+            server.endpoint.state == EndpointState::Up
+                && known.is_none_or(|known| known.address != server.address)
+        };
+        let taken: BTreeSet<SocketAddr> =
+            servers.iter().filter(is_new).map(|server| server.address).collect();
+        if taken.is_empty() {
+            return Vec::new();
+        }
+        let listed: BTreeSet<&ServerId> = servers.iter().map(|server| &server.endpoint.id).collect();
+        let replaced =
+            endpoints.iter().filter(|(id, old)| !listed.contains(id) && taken.contains(&old.address));
+        let removal = |old: &ListedServer| {
+            let mut removal = old.clone();
+            removal.endpoint.state = EndpointState::Removed;
+            removal
+        };
+        replaced.map(|(_, old)| removal(old)).collect()
+    }
+
     /// Removes the servers that are missing in a complete list.
     fn withdraw_unlisted(&mut self, servers: &[ListedServer], withdrawn: &mut Withdrawn) {
         let is_listed = |id: &ServerId| servers.iter().any(|server| server.endpoint.id == *id);
@@ -178,7 +208,7 @@
             if server.endpoint.state == EndpointState::Removed {
                 upstream.endpoints.remove(id);
             } else {
-                upstream.endpoints.insert(id.clone(), server.process());
+                upstream.endpoints.insert(id.clone(), server.clone());
             }
         }
     }
--- a/crates/node/tests/crossing/watches/lists.rs
+++ b/crates/node/tests/crossing/watches/lists.rs
@@ -142,3 +142,24 @@
         );
     }
 }
+
+#[test]
+fn server_whose_address_another_one_has_taken_gets_no_requests() {
+    let harness = start_router();
+    let mut client = harness.router.client();
+    assert_eq!(request_objects(&mut client, 1), 20);
+    // The list names the new server at the address before it removes the old one; no request of this router may go to the new one.
+    let foreign_zone_id = 0x55;
+    let taken = record(foreign_zone_id, harness.edge.address, EndpointState::Up, ORIGIN_KIND);
+    let before = harness.edge.fetch_count();
+    send_list(&harness, 2, LIST_UPDATE, &[taken]);
+    assert_eq!(harness.router.counter("addresses_taken"), 1);
+    request_objects(&mut client, 101);
+    let for_old_server =
+        harness.edge.fetches().split_off(before).into_iter().filter(|fetch| fetch.field("from").is_some());
+    assert_eq!(for_old_server.count(), 0, "fetches meant for the old server went to the new one");
+    // The removal of the old server comes late and takes nothing from the new one.
+    let removed = record(EDGE, harness.edge.address, EndpointState::Removed, EDGE_KIND);
+    send_list(&harness, 3, LIST_UPDATE, &[removed]);
+    assert_eq!(harness.router.counter("servers_now"), 3);
+}
