A body for which there is no memory waits for it before it is discarded

What callers saw with: pipelined writes of the largest size were nearly all refused, though a short wait would have served many.

Cause: a body was discarded as soon as its length was known and its reservation failed.

Change: the decoder asks again for an undecided bulk string; the reader waits for memory, 250 ms at most and not where bytes have lain in the socket for longer.

--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -185,7 +185,7 @@
         self.end_memory_pause();
         // Messages that were read ahead go first.
         if self.pending.is_empty() && self.failure.is_none() {
-            if self.lookahead.is_none() {
+            if self.lookahead.is_none() && !self.partial.is_undecided() {
                 self.read().await?;
             }
             self.decode_messages();
@@ -302,10 +302,10 @@
 
     /// The next complete message of the bytes read so far.
     fn next_message(&mut self) -> Result<Option<BufferedArray>, DecodeError> {
+        let may_wait = self.may_wait_for_memory();
         let (decoder, partial) = (&mut self.decoder, &mut self.partial);
-        let Some(array) = decoder.next_message_within(|bytes| partial.admit(bytes))? else {
-            return Ok(None);
-        };
+        let array = decoder.next_message_within(|bytes| partial.admit(bytes, may_wait))?;
+        let Some(array) = array else { return Ok(None) };
         Ok(Some(BufferedArray { array, _reservation: self.partial.take() }))
     }
 
--- a/crates/node/src/inbox/partial.rs
+++ b/crates/node/src/inbox/partial.rs
@@ -1,10 +1,20 @@
 //! The memory of a message that is not complete.
 
-use crate::limits::{PeerKind, PARTIAL_MESSAGE_HOLD, READ_BYTES, SHORT_READ_BYTES, UNRESERVED_MESSAGE_BYTES};
+use crate::limits::{
+    PeerKind, CLIENT_MEMORY_PAUSE_MAX, PARTIAL_MESSAGE_HOLD, READ_BYTES, SHORT_READ_BYTES,
+    UNRESERVED_MESSAGE_BYTES,
+};
 use crate::memory_budget::{MemoryBudget, MemoryBudgets};
 use crate::outbox::BufferReservation;
+use crate::resp::Admission;
 use std::time::Instant;
 
+/// Memory for which a message waits.
+struct AwaitedMemory {
+    bytes: usize,
+    since: Instant,
+}
+
 /// The reservation of a connection's partial message. Up to [`UNRESERVED_MESSAGE_BYTES`] belong to the connection and need none.
 pub(super) struct PartialMessage {
     budget: MemoryBudget,
@@ -12,6 +22,8 @@
     reservation: BufferReservation,
     /// Counts bytes that are not decoded, beyond those of the reservation and of the connection.
     undecoded: BufferReservation,
+    /// The memory for which the message waits.
+    awaited: Option<AwaitedMemory>,
     /// When a client's reservation was made, or last found to be in nobody's way.
     held_since: Option<Instant>,
 }
@@ -24,24 +36,40 @@
         };
         let reservation = BufferReservation::new(&budget.partial);
         let undecoded = BufferReservation::new(&budget.partial);
-        Self { budget, peer, reservation, undecoded, held_since: None }
+        Self { budget, peer, reservation, undecoded, awaited: None, held_since: None }
     }
 
-    /// Reserves memory for a message of this many bytes in all; false if there is none. A server's answer is always admitted, since it is
-    /// begun to be read only while there is memory.
-    pub(super) fn admit(&mut self, bytes: usize) -> bool {
+    /// Reserves memory for a message of this many bytes in all. Without memory a client's message waits for it while it may, and is then
+    /// discarded. A server's answer is always admitted, since it is begun to be read only while there is memory.
+    pub(super) fn admit(&mut self, bytes: usize, may_wait: bool) -> Admission {
+        let awaited = self.awaited.take();
         if bytes <= UNRESERVED_MESSAGE_BYTES {
-            return true;
+            return Admission::Admitted;
         }
         let further_bytes = bytes.saturating_sub(self.reservation.bytes());
         if self.peer == PeerKind::Client {
             if !self.budget.admits_partial(further_bytes) {
-                return false;
+                let since = awaited.map_or_else(Instant::now, |awaited| awaited.since);
+                let waits = may_wait && since.elapsed() < CLIENT_MEMORY_PAUSE_MAX;
+                self.awaited = Some(AwaitedMemory { bytes: further_bytes, since }).filter(|_| waits);
+                return if waits { Admission::Undecided } else { Admission::Discarded };
             }
             self.held_since.get_or_insert_with(Instant::now);
         }
         self.reservation.set(bytes);
-        true
+        Admission::Admitted
+    }
+
+    /// Whether the message waits for memory, there is none, and it may go on waiting.
+    pub(super) fn waits_for_memory(&self) -> bool {
+        self.awaited.as_ref().is_some_and(|awaited| {
+            awaited.since.elapsed() < CLIENT_MEMORY_PAUSE_MAX && !self.budget.admits_partial(awaited.bytes)
+        })
+    }
+
+    /// Whether the message was left undecided.
+    pub(super) fn is_undecided(&self) -> bool {
+        self.awaited.is_some()
     }
 
     /// Counts the bytes that are not decoded.
--- a/crates/node/src/inbox/pauses.rs
+++ b/crates/node/src/inbox/pauses.rs
@@ -37,15 +37,18 @@
             PeerKind::Server => budgets.responses.is_exhausted(),
             PeerKind::Client => {
                 let delayed = budgets.requests.delays_reading() || budgets.responses.is_exhausted();
-                // A request waits as long after it was read ahead as it would have waited unread.
-                let read_ahead_waits =
-                    self.pending_since.is_none_or(|since| since.elapsed() < CLIENT_MEMORY_PAUSE_MAX);
-                delayed && read_ahead_waits && self.backlog.may_wait_for_memory()
+                (delayed || self.partial.waits_for_memory()) && self.may_wait_for_memory()
             }
         };
         lacks_memory && !self.partial.is_reserved()
     }
 
+    /// Whether a client's messages may wait for memory, or go on waiting. Those that were read ahead wait as long as they would have unread.
+    pub(super) fn may_wait_for_memory(&self) -> bool {
+        self.pending_since.is_none_or(|since| since.elapsed() < CLIENT_MEMORY_PAUSE_MAX)
+            && self.backlog.may_wait_for_memory()
+    }
+
     /// Waits for one retry interval while reading is paused. If the peer is watched meanwhile, its close ends the wait, and a bounded
     /// amount is read ahead.
     pub(super) async fn wait_paused(&mut self, reason: PauseReason) -> Result<(), CloseReason> {
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -50,6 +50,17 @@
     },
 }
 
+/// What to do with a bulk string whose length is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is buffered.
+    Admitted,
+    /// Its bytes are discarded as they arrive.
+    Discarded,
+    /// Nothing yet: the question is asked again with the next call.
+    Undecided,
+}
+
 /// A complete message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Array {
@@ -102,17 +113,17 @@
     /// # Errors
     /// If the bytes are malformed or exceed the size limits; the stream can't be decoded any further.
     pub fn next_message(&mut self) -> Result<Option<Vec<Vec<u8>>>, DecodeError> {
-        Ok(self.next_message_within(|_| true)?.map(|array| array.elements))
+        Ok(self.next_message_within(|_| Admission::Admitted)?.map(|array| array.elements))
     }
 
-    /// As [`Self::next_message`], within a budget of memory: `admit` is called for each bulk string with the bytes of all bulk strings of the
-    /// message up to the end of this one. If it returns false, the bytes of this bulk string are discarded as they arrive.
+    /// As [`Self::next_message`], within a budget of memory: `admit` decides on each bulk string by the bytes of all bulk strings of the
+    /// message up to the end of this one.
     ///
     /// # Errors
     /// As for [`Self::next_message`].
     pub fn next_message_within(
         &mut self,
-        mut admit: impl FnMut(usize) -> bool,
+        mut admit: impl FnMut(usize) -> Admission,
     ) -> Result<Option<Array>, DecodeError> {
         loop {
             match self.expect {
@@ -125,14 +136,18 @@
                         (count, self.limits.max_bytes, Expect::BulkStringHeader);
                 }
                 Expect::BulkStringHeader => {
+                    let header_position = self.position;
                     let Some(length) = self.header(b'$', self.bytes_left)? else { break };
-                    self.bytes_left -= length;
-                    self.expect = if admit(self.limits.max_bytes - self.bytes_left) {
-                        Expect::BulkString { length }
-                    } else {
-                        self.discarded = true;
-                        Expect::Discarded { left: length }
+                    self.expect = match admit(self.limits.max_bytes - self.bytes_left + length) {
+                        Admission::Admitted => Expect::BulkString { length },
+                        Admission::Discarded => Expect::Discarded { left: length },
+                        Admission::Undecided => {
+                            self.position = header_position;
+                            break;
+                        }
                     };
+                    self.discarded |= matches!(self.expect, Expect::Discarded { .. });
+                    self.bytes_left -= length;
                 }
                 Expect::Discarded { left } => {
                     let discarded = left.min(self.buffer.len() - self.position);
