Clients that use their connections after SIGTERM no longer keep the process

What callers saw: a router that was told to end ran until it was killed, and the requests that it held then were lost. The users' evidence has this form: each router is killed, none ends.

Cause: during shutdown a connection was closed when it had been found idle with all answers written, and a request that crossed the close cancelled it. Clients that always have a request open, or send without a pause, were served on for as long as they liked.

Change: 0.7 s after SIGTERM a new request is rejected at once, never executed (refused_at_end); a connection without an open request is closed even if answers are still to be written, which go first; and the reader prefers this close to further bytes. What crosses it is sent again by its client, as the protocol says.

--- a/crates/node/src/counters/groups.rs
+++ b/crates/node/src/counters/groups.rs
@@ -44,6 +44,8 @@
         rejected_at_capacity: Count = "turned_away",
         /// Requests rejected without routing, since messages used too much memory; counted among the rejected ones too.
         rejected_for_memory: Count = "refused_for_memory",
+        /// Requests rejected without routing, since the process shuts down; counted among the rejected ones too.
+        rejected_at_shutdown: Count = "refused_at_end",
         /// Requests whose body was discarded as it arrived; counted among those rejected for want of memory too.
         bodies_discarded: Count = "bodies_discarded",
         /// Requests failed since an earlier one under their id may have been executed.
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -14,7 +14,7 @@
 mod pauses;
 
 use crate::clients::message::ClientMessage;
-use crate::connection::{CloseReason, ConnectionState};
+use crate::connection::{CloseReason, ConnectionState, IdleReason};
 use crate::limits::{PeerKind, ReadLimits, MAX_DECODED_WHEN_EXHAUSTED, MAX_OPEN_REQUESTS_PER_CLIENT};
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::BufferReservation;
@@ -31,6 +31,7 @@
 use std::future::Future;
 use std::net::TcpStream;
 use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// A client's connection that waited in the listener's backlog for no longer than this counts as accepted at once.
@@ -232,7 +233,7 @@
         self.limits.peer == PeerKind::Client && socket::peer_closed(self.socket)
     }
 
-    /// Waits for bytes, a time limit or a close request, in this order where several are ready.
+    /// Waits for a close request of the shutdown, bytes, a time limit or another close request, in this order where several are ready.
     async fn wait_readable(&mut self) -> ReadEvent {
         let (missing, budget, peer) =
             (self.decoder.missing_bytes(), &self.context.budgets.requests, self.limits.peer);
@@ -254,7 +255,14 @@
         let read =
             self.backlog.read(self.socket, &self.context.read_buffer, max_bytes, |chunk| decoder.feed(chunk));
         let read = async { ReadEvent::Read(read.await) };
-        future::or(read, future::or(future::or(timeout, hold_expired), close_requested)).await
+        // A client that sends without a pause leaves no moment without bytes, and the process has to end all the same. The other futures wake
+        // this one.
+        let shut_down = future::poll_fn(|_| match self.state.and_then(ConnectionState::close_reason) {
+            Some(IdleReason::Shutdown) => Poll::Ready(ReadEvent::CloseRequested),
+            Some(IdleReason::IdleTimeout | IdleReason::SlotNeeded) | None => Poll::Pending,
+        });
+        let timers = future::or(timeout, hold_expired);
+        future::or(shut_down, future::or(read, future::or(timers, close_requested))).await
     }
 
     /// Records when the bytes just read were received; if they may have waited in the socket, the earliest possible time.
--- a/crates/node/src/owner/admission.rs
+++ b/crates/node/src/owner/admission.rs
@@ -19,11 +19,16 @@
             return self.reject_unadmitted(incoming.requester);
         }
         let requester = incoming.requester;
+        let shutting_down = !self.shutdown.accepts(self.time.now);
         let lacks_memory = self.memory.lacks_room_for(&incoming.request);
         let body_discarded = incoming.request.body_discarded;
         let number = self.requests.insert(incoming, &self.memory.budgets.requests.meter);
         self.register_admitted(requester, number);
-        if lacks_memory {
+        if shutting_down {
+            // A connection in use has to come to an end before the process is killed.
+            self.counters.clients.rejected_at_shutdown.increment();
+            self.reject_unexecuted(number, 0.0);
+        } else if lacks_memory {
             self.counters.clients.rejected_for_memory.increment();
             self.counters.clients.bodies_discarded.add(body_discarded.into());
             self.reject_unexecuted(number, 0.0);
--- a/crates/node/src/owner/clients.rs
+++ b/crates/node/src/owner/clients.rs
@@ -193,7 +193,12 @@
     /// Requests the close of connections that have been idle for `min_idle` milliseconds. A message that crosses the close request cancels it.
     pub(super) fn close_idle(&self, now: Ms, min_idle: Ms, reason: IdleReason) {
         let ignores_activity = broken(Break::CloseOverRequest);
-        let is_idle = |c: &Client| ignores_activity || (c.is_idle() && now - c.last_active >= min_idle);
+        // During shutdown the answers that are not yet written go out before the close.
+        let is_done = |c: &Client| match reason {
+            IdleReason::Shutdown => c.open.is_empty(),
+            IdleReason::IdleTimeout | IdleReason::SlotNeeded => c.is_idle(),
+        };
+        let is_idle = |c: &Client| ignores_activity || (is_done(c) && now - c.last_active >= min_idle);
         for client in self.connected.values().filter(|c| !c.is_closing() && is_idle(c)) {
             client.connection.apply(ConnectionEvent::CloseRequested(reason));
         }
--- a/crates/node/tests/service/main.rs
+++ b/crates/node/tests/service/main.rs
@@ -10,6 +10,7 @@
 use common::frame_kind::PURGE_OBJECT;
 use common::*;
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -147,3 +148,54 @@
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
     drop((silent, partial));
 }
+
+/// The most requests that a client has open at a time.
+const OPEN_REQUESTS: usize = 3;
+/// A request that is sent this long before the end of its connection may have crossed it, and is sent again by its client.
+const CLOSE_CROSSING: Duration = Duration::from_millis(100);
+/// The time from SIGTERM to SIGKILL at least: the longest deadline of the configuration's classes, and 0.7 s.
+const KILLED_AFTER: Duration = Duration::from_millis(5_700);
+
+/// Sends requests on one connection, a few at a time, until the router ends the connection; returns those that were neither answered nor
+/// sent right before the end.
+fn use_until_closed(mut client: Client, kill_due: Instant) -> Vec<u64> {
+    let mut open: BTreeMap<u64, Instant> = BTreeMap::new();
+    let mut tag = 0;
+    loop {
+        while open.len() < OPEN_REQUESTS {
+            tag += 1;
+            open.insert(tag, Instant::now());
+            client.try_send_request(tag, "pages", tag, "");
+        }
+        match client.next_before(kill_due) {
+            Some(answer) => drop(open.remove(&answer.tag)),
+            None => break,
+        }
+    }
+    let ended_at = Instant::now();
+    let lost = open.into_iter().filter(|(_, sent_at)| *sent_at + CLOSE_CROSSING < ended_at);
+    lost.map(|(tag, _)| tag).collect()
+}
+
+#[test]
+fn clients_that_use_their_connections_until_the_kill_do_not_keep_the_process() {
+    let slow = Cache::start(|fetch| FetchBehaviour::OkAfter { delay_ms: 30, body: part_body(fetch) });
+    let mut harness = start_router_with(slow, |_| {});
+    let clients: Vec<Client> = (0..8).map(|_| harness.router.client()).collect();
+    let terminated_at = Instant::now() + Duration::from_millis(300);
+    let kill_due = terminated_at + KILLED_AFTER;
+    let users: Vec<_> = clients
+        .into_iter()
+        .map(|client| std::thread::spawn(move || use_until_closed(client, kill_due)))
+        .collect();
+    std::thread::sleep(terminated_at.saturating_duration_since(Instant::now()));
+    // Signals come in series.
+    ["HUP", "USR1", "TERM", "HUP", "TERM", "USR1"]
+        .into_iter()
+        .for_each(|signal| harness.router.signal(signal));
+    for user in users {
+        assert_eq!(user.join().expect("the client ends"), [0; 0], "requests are lost");
+    }
+    assert!(harness.router.expect_exit().success());
+    assert!(Instant::now() < kill_due, "the process has not ended before it is killed");
+}
