During shutdown no connection is closed over bytes that have waited

Cause: the shutdown's close went before all reading, and a request counted as new by the time at which it was handled.

Change: the close goes before reading only where the socket was found empty within the last 50 ms, so that what is lost has crossed the close; a request is rejected for the shutdown by the time at which it was received; a connection that finds no slot after a pause counts as waiting since the pause began. The reader's queueing is a file of its own.

--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -232,18 +232,61 @@
     PartialRequest,
     /// It sends nothing.
     Silence,
+    /// It writes the longest request a few bytes at a time.
+    SlowWrite,
+    /// It stops shortly before the end of the longest request.
+    PartialWrite,
+    /// It sends many probes and reads no answer.
+    UnreadProbes,
+}
+
+/// The longest body of a request.
+const LONGEST_BODY_BYTES: usize = 48_000;
+/// The bytes of the longest request that [`Misbehaviour::PartialWrite`] does not send.
+const MISSING_BYTES: usize = 100;
+/// The bytes that [`Misbehaviour::SlowWrite`] writes at a time, and the time between two such writes.
+const SLOW_WRITE_BYTES: usize = 500;
+const SLOW_WRITE_INTERVAL: Duration = Duration::from_millis(20);
+/// The number of probes of [`Misbehaviour::UnreadProbes`].
+const UNREAD_PROBES: usize = 5_000;
+
+/// What a misbehaving client sends.
+fn misbehaving_bytes(misbehaviour: Misbehaviour) -> Vec<u8> {
+    let longest_request = || {
+        let fields = b"i=00000000feedf00d,d=3000,o=00000000feedf00d,nth=0,batch=1";
+        encode(&[b"DO", b"1", b"no-such-class", fields, &[b'x'; LONGEST_BODY_BYTES]])
+    };
+    match misbehaviour {
+        Misbehaviour::Garbage => b"GET / HTTP/1.1\r\nHost: router\r\n\r\n".to_vec(),
+        Misbehaviour::PartialRequest => b"*5\r\n$2\r\nDO\r\n$1\r\n1\r\n$5\r\npa".to_vec(),
+        Misbehaviour::Silence => Vec::new(),
+        Misbehaviour::SlowWrite => longest_request(),
+        Misbehaviour::PartialWrite => {
+            let mut request = longest_request();
+            request.truncate(request.len() - MISSING_BYTES);
+            request
+        }
+        Misbehaviour::UnreadProbes => encode(&[b"PING", b"1", b""]).repeat(UNREAD_PROBES),
+    }
 }
 
 /// Connects a misbehaving client; it disconnects after [`MISBEHAVING_CLIENT_TIMEOUT`], unless the router closes the connection earlier.
 pub async fn run_misbehaving_client(address: SocketAddr, misbehaviour: Misbehaviour) {
     let Ok(mut socket) = Async::<TcpStream>::connect(address).await else { return };
-    let bytes: &[u8] = match misbehaviour {
-        Misbehaviour::Garbage => b"GET / HTTP/1.1\r\nHost: router\r\n\r\n",
-        Misbehaviour::PartialRequest => b"*5\r\n$2\r\nDO\r\n$1\r\n1\r\n$5\r\npa",
-        Misbehaviour::Silence => b"",
-    };
-    let _ = socket.write_all(bytes).await;
+    let bytes = misbehaving_bytes(misbehaviour);
     let closed = async {
+        match misbehaviour {
+            Misbehaviour::SlowWrite => {
+                for piece in bytes.chunks(SLOW_WRITE_BYTES) {
+                    let _ = socket.write_all(piece).await;
+                    Timer::after(SLOW_WRITE_INTERVAL).await;
+                }
+            }
+            _ => drop(socket.write_all(&bytes).await),
+        }
+        if misbehaviour == Misbehaviour::UnreadProbes {
+            future::pending::<()>().await;
+        }
         let mut chunk = [0; 1024];
         while socket.read(&mut chunk).await.is_ok_and(|n| n > 0) {}
     };
--- a/crates/emulator/src/world/events.rs
+++ b/crates/emulator/src/world/events.rs
@@ -140,6 +140,7 @@
             WorldEvent::PeriodicCheck => {
                 self.checker.expire(now);
                 self.check_for_crashes(now);
+                self.check_memory(now);
                 self.schedule(now + CHECK_INTERVAL_MS, WorldEvent::PeriodicCheck);
             }
         }
--- a/crates/emulator/src/world/soak.rs
+++ b/crates/emulator/src/world/soak.rs
@@ -48,6 +48,11 @@
 pub enum SoakFault {
     /// The router is sent SIGTERM, and started again once it has ended.
     Terminate,
+    /// The router is sent SIGTERM among other signals, while clients go on sending on their connections until it ends; it is started again
+    /// then.
+    TerminateInUse,
+    /// The router is sent this number of signals in a row that have it reload or log.
+    Signals(u32),
     /// The router is sent SIGKILL, and started again at once.
     Kill,
     /// The router is sent SIGSTOP, and SIGCONT after the duration.
@@ -70,6 +75,8 @@
     ClientsCancel,
     /// This number of clients connect that send garbage, a part of a message, or nothing.
     ClientFlood(u32),
+    /// This number of clients connect that write the longest request slowly or not to its end, or read no answers.
+    Crowd(u32),
     /// This number of requests are sent at once.
     Pipeline(u32),
     /// Every cache closes its connections.
@@ -87,6 +94,8 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Terminate => "terminate",
+            Self::TerminateInUse => "terminate_in_use",
+            Self::Signals(_) => "signals",
             Self::Kill => "kill",
             Self::Stop => "stop",
             Self::Reload(_) => "reload",
@@ -104,6 +113,7 @@
             Self::ClientsLeave => "clients_leave",
             Self::ClientsCancel => "clients_cancel",
             Self::ClientFlood(_) => "client_flood",
+            Self::Crowd(_) => "crowd",
             Self::Pipeline(_) => "pipeline",
             Self::CacheReset => "cache_reset",
             Self::CacheMute => "cache_mute",
@@ -135,6 +145,8 @@
     pub max_streams: u64,
     /// The most attempts of one request.
     pub max_attempts: u64,
+    /// The memory of a router, in MB.
+    pub memory_mb: u64,
 }
 
 /// An invariant that is judged in addition to the checker's rules. Its `Debug` name is printed in reports.
@@ -156,6 +168,8 @@
     NotEnded,
     /// No router counts a violation of its own invariants.
     Inside,
+    /// No router's process has more memory resident than is configured.
+    MemoryExceeded,
 }
 
 /// The report of a soak run, in addition to [`SocketRunMetrics`].
@@ -171,6 +185,8 @@
     pub unjudged: u64,
     /// The number of router processes that were started.
     pub processes: u64,
+    /// The highest share of its configured memory that a router's process had resident.
+    pub highest_memory_share: f64,
 }
 
 impl SoakReport {
--- a/crates/emulator/src/world/soak/inject.rs
+++ b/crates/emulator/src/world/soak/inject.rs
@@ -5,6 +5,8 @@
 
 /// The number of connections that are opened while accepts fail, so that some of them are affected.
 const CONNECTS_UNDER_FAULT: usize = 16;
+/// The signals of a series with which a router in use is told to end.
+const SIGNALS_WITH_TERM: &[&str] = &["HUP", "USR1", "TERM", "HUP", "TERM", "USR1"];
 /// A fault that needs a running router is delayed by this while the router isn't up.
 const FAULT_RETRY_MS: Ms = 100.0;
 
@@ -23,11 +25,17 @@
             *outage_end = outage_end.max(until + CHANGE_LOG_RECONNECT_MS);
         }
         match planned.fault {
-            SoakFault::Terminate => {
-                soak.routers[r].process_state = ProcessState::Ending { since: now };
-                self.routers[r].process.terminate();
+            SoakFault::Terminate | SoakFault::TerminateInUse => {
+                let in_use = planned.fault == SoakFault::TerminateInUse;
+                soak.routers[r].process_state = ProcessState::Ending { since: now, in_use };
+                let signals = if in_use { SIGNALS_WITH_TERM } else { &["TERM"] };
+                signals.iter().for_each(|signal| self.routers[r].process.signal(signal));
                 self.schedule(now + PROCESS_CHECK_INTERVAL_MS, WorldEvent::ProcessCheck { router: r });
             }
+            SoakFault::Signals(times) => {
+                let signals = ["HUP", "USR1"].into_iter().cycle().take(times as usize);
+                signals.for_each(|signal| self.routers[r].process.signal(signal));
+            }
             SoakFault::Kill => {
                 self.routers[r].process.kill();
                 self.save_log(r);
@@ -72,6 +80,10 @@
                 let kinds = [Misbehaviour::Garbage, Misbehaviour::PartialRequest, Misbehaviour::Silence];
                 (0..clients as usize).for_each(|i| self.misbehave(r, kinds[i % kinds.len()]));
             }
+            SoakFault::Crowd(clients) => {
+                let kinds = [Misbehaviour::SlowWrite, Misbehaviour::PartialWrite, Misbehaviour::UnreadProbes];
+                (0..clients as usize).for_each(|i| self.misbehave(r, kinds[i % kinds.len()]));
+            }
             SoakFault::Pipeline(requests) => self.send_requests_at_once(now, r, requests).await,
             SoakFault::CacheReset => {
                 let running = self.node_statuses.iter().filter(|s| s.accepts.get());
@@ -85,7 +97,8 @@
             SoakFault::CacheTwice => soak.answer_twice_until = until,
             SoakFault::CacheHalf => soak.cut_answers_until = until,
         }
-        let counted_later = matches!(planned.fault, SoakFault::Terminate | SoakFault::Calls(..));
+        let counted_later =
+            matches!(planned.fault, SoakFault::Terminate | SoakFault::TerminateInUse | SoakFault::Calls(..));
         if !counted_later {
             self.count_triggered(&planned.fault);
         }
--- a/crates/emulator/src/world/soak/state.rs
+++ b/crates/emulator/src/world/soak/state.rs
@@ -41,6 +41,8 @@
     /// The process was sent SIGTERM.
     Ending {
         since: Ms,
+        /// Whether clients go on sending requests.
+        in_use: bool,
     },
     /// The next process is being started on another thread.
     Starting {
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -47,7 +47,7 @@
             waiting_since = None;
         }
         while slots.taken() >= max_clients {
-            waiting_since.get_or_insert_with(Instant::now);
+            waiting_since.get_or_insert_with(|| context.pause_detector.backlog_since());
             if context.queue.send(Input::SlotWanted).await.is_err() {
                 return;
             }
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -7,30 +7,32 @@
 //! - `backlog`: how long bytes may have waited in the socket;
 //! - `partial`: the memory of a message that is not complete;
 //! - `pauses`: why reading pauses, and what is done meanwhile;
-//! - this file: reading, decoding and queueing.
+//! - `queueing`: passing decoded messages to the owner;
+//! - this file: reading and decoding.
 
 mod backlog;
 mod partial;
 mod pauses;
+mod queueing;
 
-use crate::clients::message::ClientMessage;
 use crate::connection::{CloseReason, ConnectionState, IdleReason};
-use crate::limits::{PeerKind, ReadLimits, MAX_DECODED_WHEN_EXHAUSTED, MAX_OPEN_REQUESTS_PER_CLIENT};
+use crate::limits::{
+    PeerKind, ReadLimits, CLOSE_CROSSING, MAX_DECODED_WHEN_EXHAUSTED, MAX_OPEN_REQUESTS_PER_CLIENT,
+};
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::BufferReservation;
 use crate::resp::{Array, DecodeError, Decoder};
 use crate::socket;
-use async_channel::TrySendError;
 use async_io::{Async, Timer};
 use backlog::SocketBacklog;
 use basaltgw::api::Ms;
 use futures_lite::future;
 use partial::{max_read_bytes, PartialMessage};
 use pauses::PauseReason;
+use queueing::is_cancellation;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::TcpStream;
-use std::pin::pin;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -251,16 +253,18 @@
             }
             ReadEvent::CloseRequested
         };
+        // A client that goes on sending may leave no moment without bytes, and the process has to end all the same.
+        let empty_since = self.backlog.empty_since();
+        let shut_down = future::poll_fn(|_| match self.state.and_then(ConnectionState::close_reason) {
+            Some(IdleReason::Shutdown) if empty_since.elapsed() < CLOSE_CROSSING => {
+                Poll::Ready(ReadEvent::CloseRequested)
+            }
+            Some(_) | None => Poll::Pending,
+        });
         let decoder = &mut self.decoder;
         let read =
             self.backlog.read(self.socket, &self.context.read_buffer, max_bytes, |chunk| decoder.feed(chunk));
         let read = async { ReadEvent::Read(read.await) };
-        // A client that sends without a pause leaves no moment without bytes, and the process has to end all the same. The other futures wake
-        // this one.
-        let shut_down = future::poll_fn(|_| match self.state.and_then(ConnectionState::close_reason) {
-            Some(IdleReason::Shutdown) => Poll::Ready(ReadEvent::CloseRequested),
-            Some(IdleReason::IdleTimeout | IdleReason::SlotNeeded) | None => Poll::Pending,
-        });
         let timers = future::or(timeout, hold_expired);
         future::or(shut_down, future::or(read, future::or(timers, close_requested))).await
     }
@@ -339,47 +343,6 @@
             }
         }
     }
-
-    /// Moves the first pending messages to the owner's queue, waiting for capacity.
-    async fn enqueue(&mut self, count: usize) -> Result<(), CloseReason> {
-        for _ in 0..count {
-            let Some(input) = self.pending.pop_front() else { break };
-            if self.state.is_some_and(|state| !state.phase().reads()) {
-                return Err(CloseReason::Dropped);
-            }
-            match self.context.queue.try_send(input) {
-                Ok(()) => {}
-                Err(TrySendError::Closed(_)) => return Err(CloseReason::PeerClosed),
-                Err(TrySendError::Full(input)) => self.enqueue_when_free(input).await?,
-            }
-            // Connections take turns, so that one that sends without a pause doesn't take each place that becomes free.
-            if self.is_queue_filling() {
-                future::yield_now().await;
-            }
-        }
-        if self.pending.is_empty() {
-            (self.pending, self.pending_bytes, self.pending_since) = (VecDeque::new(), 0, None);
-        }
-        Ok(())
-    }
-
-    fn is_queue_filling(&self) -> bool {
-        let queue = &self.context.queue;
-        queue.capacity().is_some_and(|capacity| queue.len() > capacity / 2)
-    }
-
-    /// Waits until the owner's queue has capacity for a message.
-    async fn enqueue_when_free(&mut self, input: Input) -> Result<(), CloseReason> {
-        let queue = &self.context.queue;
-        let mut send = pin!(queue.send(input));
-        loop {
-            let sent = async { Some(send.as_mut().await.map_err(|_| CloseReason::PeerClosed)) };
-            let paused = async { self.wait_paused(PauseReason::QueueFull).await.err().map(Err) };
-            if let Some(result) = future::or(sent, paused).await {
-                return result;
-            }
-        }
-    }
 }
 
 /// Completes with an event at a time; never without one.
@@ -390,7 +353,3 @@
     };
     event
 }
-
-fn is_cancellation(input: &Input) -> bool {
-    matches!(input, Input::ClientMessage { message: ClientMessage::Cancel(_), .. })
-}
--- a/crates/node/src/inbox/backlog.rs
+++ b/crates/node/src/inbox/backlog.rs
@@ -76,6 +76,11 @@
         self.is_empty
     }
 
+    /// When a read last found the socket empty.
+    pub(super) fn empty_since(&self) -> Instant {
+        self.empty_since
+    }
+
     /// Reading is paused for want of memory.
     pub(super) fn on_memory_pause(&mut self) {
         self.paused_for_memory = true;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -135,6 +135,9 @@
 
 // Closing.
 
+/// A client sends a request again that it sent at most this long before the close of its connection.
+pub const CLOSE_CROSSING: Duration = Duration::from_millis(50);
+
 /// After the router has shut down its side of a client's connection, received bytes are discarded until the client closes, for at most this
 /// long: closing a socket with unread bytes resets it, which drops answers that the client has not read.
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/node/src/owner/admission.rs
+++ b/crates/node/src/owner/admission.rs
@@ -19,7 +19,8 @@
             return self.reject_unadmitted(incoming.requester);
         }
         let requester = incoming.requester;
-        let shutting_down = !self.shutdown.accepts(self.time.now);
+        let received_at = incoming.deadline - incoming.request.deadline_ms;
+        let shutting_down = !self.shutdown.accepts(received_at);
         let lacks_memory = self.memory.lacks_room_for(&incoming.request);
         let body_discarded = incoming.request.body_discarded;
         let number = self.requests.insert(incoming, &self.memory.budgets.requests.meter);
