Small requests wait 50 ms for memory at most, and only bodies 250 ms

What callers saw: beside a crowd, requests with little time were answered after their deadline, though they needed no memory to speak of.

Cause: while open requests used much memory, all reading from clients was delayed by up to 250 ms, also of requests without a body. The wait was meant for bodies, which now wait for their own reservation.

--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -17,7 +17,8 @@
 
 use crate::connection::{CloseReason, ConnectionState, IdleReason};
 use crate::limits::{
-    PeerKind, ReadLimits, CLOSE_CROSSING, MAX_DECODED_WHEN_EXHAUSTED, MAX_OPEN_REQUESTS_PER_CLIENT,
+    PeerKind, ReadLimits, CLIENT_MEMORY_PAUSE_MAX, CLOSE_CROSSING, MAX_DECODED_WHEN_EXHAUSTED,
+    MAX_OPEN_REQUESTS_PER_CLIENT,
 };
 use crate::messages::{ConnectionContext, Input};
 use crate::outbox::BufferReservation;
@@ -314,7 +315,7 @@
 
     /// The next complete message of the bytes read so far.
     fn next_message(&mut self) -> Result<Option<BufferedArray>, DecodeError> {
-        let may_wait = self.may_wait_for_memory();
+        let may_wait = self.may_wait(CLIENT_MEMORY_PAUSE_MAX);
         let (decoder, partial) = (&mut self.decoder, &mut self.partial);
         let array = decoder.next_message_within(|bytes| partial.admit(bytes, may_wait))?;
         let Some(array) = array else { return Ok(None) };
--- a/crates/node/src/inbox/backlog.rs
+++ b/crates/node/src/inbox/backlog.rs
@@ -1,6 +1,5 @@
 //! How long received bytes may have waited unread in a connection's socket.
 
-use crate::limits::CLIENT_MEMORY_PAUSE_MAX;
 use crate::pause_detector::PauseDetector;
 use crate::socket::ReadBuffer;
 use async_io::Async;
@@ -86,9 +85,9 @@
         self.paused_for_memory = true;
     }
 
-    /// Whether reading may pause, or go on pausing, for want of memory: not for so long that requests in the socket would be lost.
-    pub(super) fn may_wait_for_memory(&self) -> bool {
-        self.unread_since.elapsed() < CLIENT_MEMORY_PAUSE_MAX
+    /// The earliest time at which bytes that are unread now may have been received, unless the process paused.
+    pub(super) fn unread_since(&self) -> Instant {
+        self.unread_since
     }
 
     /// The longest time for which the bytes just read may have waited: in the listener's backlog, during a pause of the process, or during a
--- a/crates/node/src/inbox/pauses.rs
+++ b/crates/node/src/inbox/pauses.rs
@@ -3,7 +3,8 @@
 use super::{DecodedMessage, Reader};
 use crate::connection::CloseReason;
 use crate::limits::{
-    PeerKind, CLIENT_MEMORY_PAUSE_MAX, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES, RETRY_INTERVAL,
+    PeerKind, CLIENT_MEMORY_PAUSE_MAX, CLIENT_READ_PAUSE_MAX, READ_AHEAD_BYTES, READ_AHEAD_MESSAGES,
+    RETRY_INTERVAL,
 };
 use crate::messages::Input;
 use async_io::Timer;
@@ -37,16 +38,18 @@
             PeerKind::Server => budgets.responses.is_exhausted(),
             PeerKind::Client => {
                 let delayed = budgets.requests.delays_reading() || budgets.responses.is_exhausted();
-                (delayed || self.partial.waits_for_memory()) && self.may_wait_for_memory()
+                let awaits_body_memory = self.partial.waits_for_memory();
+                (delayed && self.may_wait(CLIENT_READ_PAUSE_MAX))
+                    || (awaits_body_memory && self.may_wait(CLIENT_MEMORY_PAUSE_MAX))
             }
         };
         lacks_memory && !self.partial.is_reserved()
     }
 
-    /// Whether a client's messages may wait for memory, or go on waiting. Those that were read ahead wait as long as they would have unread.
-    pub(super) fn may_wait_for_memory(&self) -> bool {
-        self.pending_since.is_none_or(|since| since.elapsed() < CLIENT_MEMORY_PAUSE_MAX)
-            && self.backlog.may_wait_for_memory()
+    /// Whether a client's messages have waited for less than `limit`. Those that were read ahead wait as long as they would have unread.
+    pub(super) fn may_wait(&self, limit: Duration) -> bool {
+        self.pending_since.is_none_or(|since| since.elapsed() < limit)
+            && self.backlog.unread_since().elapsed() < limit
     }
 
     /// Waits for one retry interval while reading is paused. If the peer is watched meanwhile, its close ends the wait, and a bounded
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -206,7 +206,7 @@
 pub const OPEN_REQUEST_BYTES: usize = 2_048;
 /// The memory of an outgoing message, beside its bytes.
 pub const OUTGOING_MESSAGE_BYTES: usize = 256;
-/// While open requests use more than this share, clients are not read, for at most [`CLIENT_MEMORY_PAUSE_MAX`].
+/// While open requests use more than this share, clients are not read, for at most [`CLIENT_READ_PAUSE_MAX`].
 pub const REQUEST_DELAY_MEMORY_SHARE: f64 = 0.15;
 /// When requests use more than this share, further requests with a body are rejected, and bodies that arrive are discarded.
 pub const REQUEST_SHED_MEMORY_SHARE: f64 = 0.2;
@@ -222,10 +222,12 @@
 /// most unsent bytes, so that slow readers don't exhaust the router.
 pub const RESPONSE_SHED_MEMORY_SHARE: f64 = 0.4;
 /// While buffered responses use more than this share, no further answer of a server is begun to be read, clients are not read for at most
-/// [`CLIENT_MEMORY_PAUSE_MAX`], and further requests are rejected.
+/// [`CLIENT_READ_PAUSE_MAX`], and further requests are rejected.
 pub const RESPONSE_STOP_MEMORY_SHARE: f64 = 0.5;
-/// The longest time for which a client's request may wait unread for memory: half of the 0.5 s after its deadline at which it counts as
-/// lost, since its deadline is not known before it is read.
+/// The longest time for which a client's requests may lie unread for want of memory: short, since most are small, and their deadlines are not
+/// known before they are read.
+pub const CLIENT_READ_PAUSE_MAX: Duration = Duration::from_millis(50);
+/// The longest time for which a request may wait for the memory of its body: half of the 0.5 s after its deadline at which it counts as lost.
 pub const CLIENT_MEMORY_PAUSE_MAX: Duration = Duration::from_millis(250);
 
 // Change log.
