Cancellations behind waiting messages are looked for once per read

What was seen: with the pause of 50 ms, reader's paused_reader_buffers_at_most_ one_read_and_the_read_ahead failed: it observes for 60 ms. On the way, the bytes that wait undecoded were searched for cancellations after every two messages.

Change: they are searched once for each read. The test's bound for a reader without memory is the read-ahead, one short read and what the queue takes, which holds during the pause and after it; before, the pause outlasted the observation. Retries of interrupted calls stand once in socket.rs.

--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -117,6 +117,7 @@
         decoder: Decoder::new(limits.message_limits),
         lookahead: None,
         received_at: context.clock.now(),
+        cancellations_observed: false,
         pending: VecDeque::new(),
         pending_bytes: 0,
         pending_since: None,
@@ -148,6 +149,8 @@
     lookahead: Option<BufferedArray>,
     /// When the bytes read last were received.
     received_at: Ms,
+    /// Whether the cancellations among these bytes have taken effect.
+    cancellations_observed: bool,
     /// Decoded messages that are not yet in the owner's queue.
     pending: VecDeque<Input>,
     /// Bytes of the messages decoded since `pending` was last empty.
@@ -274,6 +277,7 @@
     fn on_bytes_read(&mut self) {
         let waited = self.backlog.max_wait(&self.context.pause_detector);
         self.received_at = self.context.clock.now() - waited.as_secs_f64() * 1000.0;
+        self.cancellations_observed = false;
     }
 
     /// Decodes the messages read so far; only a few while the memory of requests is exhausted.
@@ -291,7 +295,11 @@
             }
         }
         match &self.lookahead {
-            Some(next) => self.observe_cancellations_ahead(&next.array),
+            Some(next) if !self.cancellations_observed => {
+                self.observe_cancellations_ahead(&next.array);
+                self.cancellations_observed = true;
+            }
+            Some(_) => {}
             None if self.decoder.has_partial_message() => {
                 self.message_started.get_or_insert_with(Instant::now);
             }
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -66,18 +66,7 @@
         max_bytes: impl Fn() -> usize,
         mut consume: impl FnMut(&[u8]),
     ) -> io::Result<usize> {
-        let mut retries = 0;
-        loop {
-            match next_step(poll_fn(|cx| self.poll_read(socket, &max_bytes, &mut consume, cx)).await) {
-                NextStep::Done(result) => return result,
-                NextStep::RetryLater if retries < MAX_SHORTAGE_RETRIES => {
-                    retries += 1;
-                    Timer::after(SHORTAGE_RETRY_INTERVAL).await;
-                }
-                NextStep::RetryLater => return Err(ErrorKind::OutOfMemory.into()),
-                NextStep::Repeat => {}
-            }
-        }
+        retried(async || poll_fn(|cx| self.poll_read(socket, &max_bytes, &mut consume, cx)).await).await
     }
 }
 
@@ -114,14 +103,11 @@
     }
 }
 
-/// Reads what was received; 0 bytes mean that the peer has closed.
-///
-/// # Errors
-/// If the connection is broken.
-pub async fn read(socket: &mut (impl AsyncRead + Unpin), buffer: &mut [u8]) -> io::Result<usize> {
+/// Repeats a call that was interrupted, and retries one that failed because the machine lacks memory.
+async fn retried(mut call: impl AsyncFnMut() -> io::Result<usize>) -> io::Result<usize> {
     let mut retries = 0;
     loop {
-        match next_step(socket.read(buffer).await) {
+        match next_step(call().await) {
             NextStep::Done(result) => return result,
             NextStep::RetryLater if retries < MAX_SHORTAGE_RETRIES => {
                 retries += 1;
@@ -133,23 +119,20 @@
     }
 }
 
+/// Reads what was received; 0 bytes mean that the peer has closed.
+///
+/// # Errors
+/// If the connection is broken.
+pub async fn read(socket: &mut (impl AsyncRead + Unpin), buffer: &mut [u8]) -> io::Result<usize> {
+    retried(async || socket.read(buffer).await).await
+}
+
 /// Writes some of the bytes; returns how many.
 ///
 /// # Errors
 /// If the connection is broken.
 pub async fn write(socket: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> io::Result<usize> {
-    let mut retries = 0;
-    loop {
-        match next_step(socket.write(bytes).await) {
-            NextStep::Done(result) => return result,
-            NextStep::RetryLater if retries < MAX_SHORTAGE_RETRIES => {
-                retries += 1;
-                Timer::after(SHORTAGE_RETRY_INTERVAL).await;
-            }
-            NextStep::RetryLater => return Err(ErrorKind::OutOfMemory.into()),
-            NextStep::Repeat => {}
-        }
-    }
+    retried(async || socket.write(bytes).await).await
 }
 
 /// Writes all bytes.
