A server's answer is begun only if there is memory when its length is known

What callers would see: many connections to servers that wait for answers when there is memory; the answers come together, and each is reserved and read to its end, 240 KB on each of 341 connections.

Cause: memory was checked before the wait for bytes, and an answer's reservation was always granted.

Evidence: memory::answer_that_comes_when_memory_is_used_up_waits_also_where_its_ reader_waited_for_it failed with the grant as it was.

Change: an answer is admitted within the limit above which load is shed; one may always be begun, so that answers are read at all. The others stay undecoded, and reads are short meanwhile. Undecoded bytes count as overhead.

--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -241,9 +241,15 @@
 
     /// Waits for a close request of the shutdown, bytes, a time limit or another close request, in this order where several are ready.
     async fn wait_readable(&mut self) -> ReadEvent {
-        let (missing, budget, peer) =
-            (self.decoder.missing_bytes(), &self.context.budgets.requests, self.limits.peer);
-        let max_bytes = || max_read_bytes(missing, peer == PeerKind::Client && budget.must_shed());
+        let (missing, budgets, peer) =
+            (self.decoder.missing_bytes(), &self.context.budgets, self.limits.peer);
+        let max_bytes = || {
+            let budget = match peer {
+                PeerKind::Client => &budgets.requests,
+                PeerKind::Server => &budgets.responses,
+            };
+            max_read_bytes(missing, budget.must_shed())
+        };
         let message_due = self
             .message_started
             .map(|t| (t + self.limits.message_timeout).min(Instant::now() + self.limits.read_gap_timeout));
--- a/crates/node/src/inbox/partial.rs
+++ b/crates/node/src/inbox/partial.rs
@@ -40,30 +40,42 @@
     }
 
     /// Reserves memory for a message of this many bytes in all. Without memory a client's message waits for it while it may, and is then
-    /// discarded. A server's answer is always admitted, since it is begun to be read only while there is memory.
+    /// discarded. A server's answer waits until there is memory, or its attempt ends.
     pub(super) fn admit(&mut self, bytes: usize, may_wait: bool) -> Admission {
         let awaited = self.awaited.take();
         if bytes <= UNRESERVED_MESSAGE_BYTES {
             return Admission::Admitted;
         }
         let further_bytes = bytes.saturating_sub(self.reservation.bytes());
+        if !self.has_memory_for(further_bytes) {
+            let since = awaited.map_or_else(Instant::now, |awaited| awaited.since);
+            let waits = match self.peer {
+                PeerKind::Client => may_wait && since.elapsed() < CLIENT_MEMORY_PAUSE_MAX,
+                PeerKind::Server => true,
+            };
+            self.awaited = Some(AwaitedMemory { bytes: further_bytes, since }).filter(|_| waits);
+            return if waits { Admission::Undecided } else { Admission::Discarded };
+        }
         if self.peer == PeerKind::Client {
-            if !self.budget.admits_partial(further_bytes) {
-                let since = awaited.map_or_else(Instant::now, |awaited| awaited.since);
-                let waits = may_wait && since.elapsed() < CLIENT_MEMORY_PAUSE_MAX;
-                self.awaited = Some(AwaitedMemory { bytes: further_bytes, since }).filter(|_| waits);
-                return if waits { Admission::Undecided } else { Admission::Discarded };
-            }
             self.held_since.get_or_insert_with(Instant::now);
         }
         self.reservation.set(bytes);
         Admission::Admitted
     }
 
-    /// Whether the message waits for memory, there is none, and it may go on waiting.
+    fn has_memory_for(&self, further_bytes: usize) -> bool {
+        match self.peer {
+            PeerKind::Client => self.budget.admits_partial(further_bytes),
+            // An answer that is begun is read to its end.
+            PeerKind::Server => self.is_reserved() || self.budget.admits_answer(further_bytes),
+        }
+    }
+
+    /// Whether the message waits for memory, and there is none. For a client's, see also [`Self::admit`].
     pub(super) fn waits_for_memory(&self) -> bool {
         self.awaited.as_ref().is_some_and(|awaited| {
-            awaited.since.elapsed() < CLIENT_MEMORY_PAUSE_MAX && !self.budget.admits_partial(awaited.bytes)
+            let may_wait = self.peer == PeerKind::Server || awaited.since.elapsed() < CLIENT_MEMORY_PAUSE_MAX;
+            may_wait && !self.has_memory_for(awaited.bytes)
         })
     }
 
@@ -74,7 +86,8 @@
 
     /// Counts the bytes that are not decoded.
     pub(super) fn set_undecoded(&mut self, bytes: usize) {
-        self.undecoded.set(bytes.saturating_sub(self.reservation.bytes() + UNRESERVED_MESSAGE_BYTES));
+        let beyond = bytes.saturating_sub(self.reservation.bytes() + UNRESERVED_MESSAGE_BYTES);
+        self.undecoded.set_overhead(beyond);
     }
 
     /// Whether memory is reserved, so that the message can be read to its end.
--- a/crates/node/src/inbox/pauses.rs
+++ b/crates/node/src/inbox/pauses.rs
@@ -35,7 +35,7 @@
     fn waits_for_memory(&self) -> bool {
         let budgets = &self.context.budgets;
         let lacks_memory = match self.limits.peer {
-            PeerKind::Server => budgets.responses.is_exhausted(),
+            PeerKind::Server => budgets.responses.is_exhausted() || self.partial.waits_for_memory(),
             PeerKind::Client => {
                 let delayed = budgets.requests.delays_reading() || budgets.responses.is_exhausted();
                 let awaits_body_memory = self.partial.waits_for_memory();
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -70,7 +70,7 @@
 
 /// The most bytes of one read.
 pub const READ_BYTES: usize = 16 * 1024;
-/// The most bytes of one read of a client while requests use much memory, since what can't be decoded yet is buffered.
+/// The most bytes of one read while messages of its direction use much memory, since what can't be decoded yet is buffered.
 pub const SHORT_READ_BYTES: usize = 2 * 1024;
 /// Bytes read ahead on a client's connection while reading is paused: enough for a dozen requests without a body and their
 /// cancellations.
--- a/crates/node/src/memory_budget.rs
+++ b/crates/node/src/memory_budget.rs
@@ -133,6 +133,11 @@
             && self.used_bytes() + bytes <= self.limits.shed_bytes
     }
 
+    /// Whether a server's answer of this many further bytes may be begun. One always may, so that answers are read at all.
+    pub fn admits_answer(&self, bytes: usize) -> bool {
+        self.partial.bytes() == 0 || self.used_bytes() + bytes <= self.limits.shed_bytes
+    }
+
     /// Whether partial messages use so much memory that slow ones have to give way.
     pub fn lacks_partial_memory(&self) -> bool {
         self.partial.total_bytes() > self.limits.partial_bytes / 2
--- a/crates/node/src/outbox/buffered.rs
+++ b/crates/node/src/outbox/buffered.rs
@@ -110,7 +110,15 @@
 
     /// Changes the bytes of messages.
     pub fn set(&mut self, bytes: usize) {
-        let size = MessageSize { bytes, ..self.size };
+        self.resize(MessageSize { bytes, ..self.size });
+    }
+
+    /// Changes what is needed beside the bytes of messages.
+    pub fn set_overhead(&mut self, overhead_bytes: usize) {
+        self.resize(MessageSize { overhead_bytes, ..self.size });
+    }
+
+    fn resize(&mut self, size: MessageSize) {
         self.meter.subtract(self.size);
         self.meter.add(size);
         self.size = size;
--- a/crates/node/tests/reader/main.rs
+++ b/crates/node/tests/reader/main.rs
@@ -8,7 +8,8 @@
 use basaltgw_node::connection::{ClientLiveness, CloseReason};
 use basaltgw_node::inbox::{read_messages, DecodedMessage};
 use basaltgw_node::limits::{
-    CLIENT_READ_LIMITS, MAX_BODY_BYTES, READ_AHEAD_BYTES, READ_BYTES, SERVER_READ_LIMITS, SHORT_READ_BYTES,
+    CLIENT_MEMORY_PAUSE_MAX, CLIENT_READ_LIMITS, MAX_BODY_BYTES, READ_AHEAD_BYTES, READ_BYTES,
+    SERVER_READ_LIMITS, SHORT_READ_BYTES,
 };
 use basaltgw_node::memory_budget::{MemoryBudget, MemoryBudgets, MemoryLimits};
 use basaltgw_node::outbox::{BufferMeter, BufferReservation, BufferedBytes};
--- a/crates/node/tests/reader/memory.rs
+++ b/crates/node/tests/reader/memory.rs
@@ -183,3 +183,39 @@
     });
     assert!(harness.inputs.is_empty(), "a message was queued while reading was stopped");
 }
+
+/// Guards against answers that are all begun at once, on connections that waited for bytes when there was still memory.
+#[test]
+fn answer_that_comes_when_memory_is_used_up_waits_also_where_its_reader_waited_for_it() {
+    let harness = ReaderHarness::new(8);
+    let answer = encode(&[b"1", b"ok", b"-", &[b'x'; 200_000]]);
+    let decode = |_: DecodedMessage| Some(Input::Shutdown);
+    let responses = &harness.context.budgets.responses;
+    block_on(async {
+        let read = async {
+            let never_slow = || false;
+            let (socket, context) = (&harness.router_side, &harness.context);
+            read_messages(socket, SERVER_READ_LIMITS, context, never_slow, decode, None).await;
+            panic!("reading ended")
+        };
+        let write = async {
+            (&harness.client_side).write_all(&answer).await.expect("the socket takes the bytes");
+            future::pending().await
+        };
+        let observe = async {
+            // The reader waits for bytes by now.
+            future::yield_now().await;
+            let others = BufferedBytes::new(vec![0; MEMORY_LIMIT_BYTES + 1], &[&responses.partial]);
+            let begun = others.bytes().len() + READ_BYTES;
+            let start = Instant::now();
+            while start.elapsed() < 2 * CLIENT_MEMORY_PAUSE_MAX {
+                assert!(responses.used_bytes() <= begun, "{} bytes are used", responses.used_bytes());
+                assert!(harness.inputs.is_empty(), "the answer was read");
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            drop(others);
+            harness.inputs.recv().await.expect("the answer is queued");
+        };
+        future::or(observe, future::or(read, write)).await;
+    });
+}
