--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,128 +1,116 @@
-"""A cold cache joins 0.5 s after the routers have begun to serve, and is sent more than its settings allow."""
+"""Bad clients send much at once and go; afterwards the router reads what they left for longer than its usual clients wait."""
 
-import math
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from standin import *
 
-AREAS, KINDS = ["hub", "edge-1"], ["box", "parent", "origin"]
-ROUTERS, REQUESTS_PER_S, CONNECTIONS = 3, 165.0, 4
-WARM_CACHES, SIZE = 3, 44.0
-JOINS_AFTER_S = 0.5
-# The two classes: mean sending time in milliseconds and share of the requests. Sizes are lognormal with this sigma.
-MEAN_MS = {"parts": 500.0, "files": 45.0}
-SHARE = {"parts": 0.58, "files": 0.42}
-SIGMA, OBJECTS = 1.3, 20000
-MEAN_WORK_MS = sum(MEAN_MS[c] * SHARE[c] for c in MEAN_MS)
-# What the settings say of a cold cache.
-FALL_MS, MULTIPLE, COLD_SHARE, COLD_MS = 1500.0, 2.0, 0.19, 18000.0
-
-
-def sending_times(cls):
-    """The sending time of each object of a class in milliseconds; their mean is exactly that of the class."""
-    sizes = random.Random(cls)
-    raw = [min(10.0, math.exp(sizes.gauss(0, SIGMA) - SIGMA * SIGMA / 2)) for _ in range(OBJECTS)]
-    scale = MEAN_MS[cls] / (sum(raw) / OBJECTS)
-    return [x * scale for x in raw]
-
-
-class ColdCount:
-    """Counts what reaches the cold cache, in requests of mean work, against the page's bound."""
-
-    def __init__(self, record):
-        self.record, self.window, self.started, self.fell, self.worst = record, [], None, None, (0, 0, 0, 0)
-
-    def count(self, at, cls):
-        self.window = [(t, c) for t, c in self.window if t > at - FALL_MS] + [(at, cls)]
-        sent = sum(MEAN_MS[c] for _, c in self.window) / MEAN_WORK_MS
-        age = at - self.started
-        # The present capacity, on a straight line from the cold share to the full: the highest within the window.
-        capacity = SIZE * (COLD_SHARE + (1 - COLD_SHARE) * min(1.0, age / COLD_MS))
-        allowed = MULTIPLE * capacity * FALL_MS / MEAN_WORK_MS
-        if allowed < 30:
-            bound = allowed + 3 * math.sqrt(allowed) + 3
-        else:
-            bound = allowed + 2 * math.sqrt(allowed) + 2
-        if sent / bound > self.worst[0]:
-            self.worst = (sent / bound, sent, allowed, bound, age)
-        if sent > bound and self.fell is None:
-            self.fell = (f"the cold cache falls at an age of {age:.0f} ms: {sent:.1f} requests of mean work within {FALL_MS:.0f} ms, "
-                         f"the settings allow {allowed:.1f}, the bound is {bound:.1f}")
-            self.record.line(self.fell)
+# The bad clients: connections at a time, rounds, messages of each, and how long they stay.
+BAD, ROUNDS, MESSAGES, STAY_S = 300, 4, 10000, 1.0
+# The usual clients: connections that stay, a request of each every so often, how long they wait, and for how long they go on afterwards.
+USUAL, EVERY_S, DEADLINE_MS, AFTERWARDS_S = 4, 0.04, 500, 20.0
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
 
 async def case(env):
     record = env.record
-    times = {cls: sending_times(cls) for cls in MEAN_MS}
-    cold = ColdCount(record)
-    router_of = {}
 
     async def serve(fetch):
-        if fetch.cache.name == "cold":
-            cold.count(fetch.at, fetch.fields["c"])
-            by_router[router_of[fetch.id]] += 1
-        await asyncio.sleep((times[fetch.fields["c"]][int(fetch.fields["k"], 16)] + 2) / 1000)
-        fetch.answer("ok", f"ver=a1,born={int(unix_ms())},note=hit,waited=0", b"x" * 20)
-
-    by_router = [0] * ROUTERS
-    warm = [await Cache(f"cache{i}", i + 1, "box", "edge-1", serve, Silent()).start() for i in range(WARM_CACHES)]
+        await asyncio.sleep(0.02)
+        fetch.answer("ok", f"ver=a1,born={int(unix_ms())},note=hit,waited=0", body_of(fetch.fields["k"], fetch.fields["p"]))
+
+    caches = [await Cache(f"cache{i}", i + 1, "box", "edge-1", serve, Silent()).start() for i in range(4)]
     parent = await Cache("parent", 101, "parent", "hub", serve, Silent()).start()
     origin = await Cache("origin", 102, "origin", "hub", serve, Silent()).start()
-    for cache in warm + [parent, origin]:
-        cache.size = SIZE
     log = await ChangeLog(2, record).start()
-    rules = settings(
-        [service("parts", deadline=6000.0, slo=500.0), service("files", deadline=2500.0, slo=400.0)],
-        peers_total=ROUTERS, family_info={"count_by_zone": [0, ROUTERS]},
-        contract={"fall": FALL_MS, "fall_multiple": MULTIPLE, "cold_share": COLD_SHARE, "cold": COLD_MS})
-    known = [{"fleet": {"revision": 1, "complete": True, "members": [c.listed() for c in warm + [parent, origin]]}}]
-    routers = [Router(f"n{i + 1}", env.folder, record, rules, known, log.port) for i in range(ROUTERS)]
-    env.routers += routers
-    await asyncio.gather(*(router.start() for router in routers))
-
-    stopped = False
-    sent = [0]
-
-    async def load(number):
-        client = await Client(f"client of n{number + 1}", Silent()).connect(routers[number].port)
-        due = time.time()
-        while not stopped and client.closed_at is None:
-            while time.time() >= due:
-                due += random.expovariate(REQUESTS_PER_S / CONNECTIONS)
-                if sum(not r.answers for r in client.requests.values()) < 32:
-                    cls = "parts" if random.random() < SHARE["parts"] else "files"
-                    obj = f"{random.randrange(OBJECTS):016x}"
-                    data, request = client.request(cls, 6000 if cls == "parts" else 2500, obj)
-                    router_of[request.id] = number
-                    client.write(data, request)
-                    sent[0] += 1
-                if len(client.requests) > 200:
-                    client.requests = {t: r for t, r in client.requests.items() if not r.answers}
-            await asyncio.sleep(max(0.0, due - time.time()))
-        client.close()
-
-    begun = time.time()
-    record.line("the clients arrive")
-    tasks = [asyncio.ensure_future(load(n)) for n in range(ROUTERS) for _ in range(CONNECTIONS)]
-    await asyncio.sleep(JOINS_AFTER_S)
+    known = [{"fleet": {"revision": 1, "complete": True, "members": [c.listed() for c in caches + [parent, origin]]}}]
+    router = Router("n1", env.folder, record, settings([service("pages", deadline=2500.0)]), known, log.port, limits=LIMITS)
+    env.routers.append(router)
+    await router.start()
+
+    sent, stopped = [], False
+
+    def ask(client):
+        request = client.send("pages", DEADLINE_MS, f"{random.randrange(1, 500):016x}")
+        sent.append((client, request))
+        return request
+
+    async def resident(number):
+        """A usual client that keeps its connection, and takes another when the router has closed it."""
+        client = await Client(f"usual{number}", Silent()).connect(router.port)
+        while not stopped:
+            if client.closed_at is not None:
+                client = await Client(f"usual{number}", Silent()).connect(router.port)
+            if sum(not r.answers and unix_ms() < r.sent + DEADLINE_MS for r in client.requests.values()) < 32:
+                ask(client)
+            await asyncio.sleep(EVERY_S)
+
+    async def visitor(number):
+        """A usual client that comes anew for one request, after the bad ones have gone."""
+        client = await Client(f"visitor{number}", record).connect(router.port)
+        request = ask(client)
+        await asyncio.wait_for(request.done.wait(), 60)
+
+    messages = b"".join(encode("UNDO", tag) for tag in range(1, MESSAGES + 1))
+
+    async def bad():
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", router.port), 3)
+        except (OSError, asyncio.TimeoutError):
+            return
+        async def write():
+            writer.write(messages)
+            await writer.drain()
+        async def read():
+            while await reader.read(65536):
+                pass
+        tasks = [asyncio.ensure_future(write()), asyncio.ensure_future(read())]
+        await asyncio.wait(tasks, timeout=STAY_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        writer.transport.abort()
+
+    def cpu_and_waits():
+        with open(f"/proc/{router.process.pid}/stat") as file:
+            times = file.read().rsplit(")", 1)[1].split()
+        with open(f"/proc/{router.process.pid}/task/{router.process.pid}/status") as file:
+            waits = [int(line.split()[1]) for line in file if line.startswith("voluntary_ctxt_switches")]
+        return (int(times[11]) + int(times[12])) / os.sysconf("SC_CLK_TCK"), waits[0]
+
+    tasks = [asyncio.ensure_future(resident(n)) for n in range(USUAL)]
+    await asyncio.sleep(1.0)
     if env.trouble:
-        joining = await Cache("cold", 100, "box", "edge-1", serve, record).start()
-        joining.size = SIZE
-        cold.started = unix_ms()
-        log.add_changes([joining.binary(AREAS, KINDS, 0, int(cold.started))], f"s-00000064 has started at {int(cold.started)}")
-        record.line(f"{len(log.writers)} routers are told")
-    await asyncio.sleep(5)
+        for number in range(ROUNDS):
+            record.line(f"{BAD} bad clients send {len(messages)} bytes each at once")
+            await asyncio.gather(*(bad() for _ in range(BAD)))
+            record.line("they have gone")
+    gone = time.time()
+    cpu, waits = cpu_and_waits()
+    visits = []
+    while time.time() < gone + AFTERWARDS_S:
+        visits.append(asyncio.ensure_future(visitor(len(visits))))
+        await asyncio.sleep(0.5)
+    after = cpu_and_waits()
+    record.line(f"in the {AFTERWARDS_S:.0f} s after the bad clients had gone the router used {after[0] - cpu:.1f} s of its core, and its thread waited "
+                f"{after[1] - waits} times")
     stopped = True
-    await asyncio.gather(*tasks)
-    rate = sent[0] / (time.time() - begun) / ROUTERS
-    record.line(f"{sent[0]} requests sent, {rate:.0f} a second to each router")
-    record.line(f"cold cache: most against the bound {tuple(round(x, 2) for x in cold.worst)} (ratio, sent, allowed, bound, age in ms)")
-    record.line(f"cold cache: {by_router} attempts by router, all of them told")
-    if any(router.crashed() for router in routers):
-        raise CannotRun("a router has ended")
-    return [cold.fell] if cold.fell else []
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(DEADLINE_MS / 1000 + 0.6)
+    lost = [(c, r) for c, r in sent if not r.answers or r.answers[0][0] > r.sent + DEADLINE_MS + 550]
+    for client, request in lost:
+        late = f"answered {request.answers[0][0] - request.sent:.0f} ms after it was sent" if request.answers else "no answer"
+        record.line(f"lost: {client.name} tag {request.tag}, sent {request.sent / 1000 - gone:.2f} s after the bad clients had gone: {late}")
+    record.line(f"{len(sent)} usual requests, {len(lost)} lost, {sum(c.name.startswith('visitor') for c, _ in lost)} of them on {len(visits)} new connections")
+    broken = []
+    if lost:
+        broken.append(f"lost: {len(lost)} of {len(sent)} usual requests have no answer 0.5 s after their time")
+    if router.crashed():
+        broken.append("the router has ended")
+    elif env.trouble and after[1] == waits:
+        broken.append(f"the router's thread has not waited for {AFTERWARDS_S:.0f} s")
+    return broken
 
 
 run_case(case, os.path.dirname(os.path.abspath(__file__)))
