--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,9 +20,9 @@
         await asyncio.sleep(0.02)
         fetch.answer("ok", f"ver=a1,born={int(unix_ms())},note=hit,waited=0", body_of(fetch.fields["k"], fetch.fields["p"]))
 
-    caches = [await Cache(f"cache{i}", i + 1, "box", "edge-1", serve, Silent()).start() for i in range(4)]
-    parent = await Cache("parent", 101, "parent", "hub", serve, Silent()).start()
-    origin = await Cache("origin", 102, "origin", "hub", serve, Silent()).start()
+    caches = [await Cache(f"cache{i}", i + 1, "box", "edge-1", serve, record).start() for i in range(4)]
+    parent = await Cache("parent", 101, "parent", "hub", serve, record).start()
+    origin = await Cache("origin", 102, "origin", "hub", serve, record).start()
     log = await ChangeLog(2, record).start()
     known = [{"fleet": {"revision": 1, "complete": True, "members": [c.listed() for c in caches + [parent, origin]]}}]
     router = Router("n1", env.folder, record, settings([service("pages", deadline=2500.0)]), known, log.port, limits=LIMITS)
@@ -38,10 +38,10 @@
 
     async def resident(number):
         """A usual client that keeps its connection, and takes another when the router has closed it."""
-        client = await Client(f"usual{number}", Silent()).connect(router.port)
+        client = await Client(f"usual{number}", record).connect(router.port)
         while not stopped:
             if client.closed_at is not None:
-                client = await Client(f"usual{number}", Silent()).connect(router.port)
+                client = await Client(f"usual{number}", record).connect(router.port)
             if sum(not r.answers and unix_ms() < r.sent + DEADLINE_MS for r in client.requests.values()) < 32:
                 ask(client)
             await asyncio.sleep(EVERY_S)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -140,7 +140,7 @@
     sent = [0]
 
     async def load(number):
-        client = await Client(f"client of n{number + 1}", Silent()).connect(routers[number].port)
+        client = await Client(f"client of n{number + 1}", record).connect(routers[number].port)
         due = time.time()
         while not stopped and client.closed_at is None:
             while time.time() >= due:
@@ -158,7 +158,7 @@
         client.close()
 
     async def join():
-        joining = await Cache("cold", 100, "box", "edge-1", serve, Silent()).start()
+        joining = await Cache("cold", 100, "box", "edge-1", serve, record).start()
         caches.append(joining)
         joining.size = SIZE
         joining.link = Link(lambda: cold.capacity(unix_ms()))
@@ -184,6 +184,8 @@
     record.line(f"cold cache: {by_router} attempts by router, all of them told")
     if any(router.crashed() for router in routers):
         raise CannotRun("a router has ended")
+    if rate < 500:
+        raise CannotRun("the machine was too slow for the load")
     for router in routers:
         await router.end()
     for stand_in in caches:
